--- /dev/null
+++ b/cmd/sycamorecart/main.go
@@ -0,0 +1,17 @@
+// Command sycamorecart runs a router VM and the operators' commands.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
