--- a/internal/decide/sycconfig/state.go
+++ b/internal/decide/sycconfig/state.go
@@ -191,7 +191,7 @@
 	return eris.Errorf("kind %q is unknown", op.Kind)
 }
 
-func put[F, T any](objects *map[string]Object[T], offset uint64, op sycrecord.Operation, make func(string, F) T) error {
+func put[F, T any](objects *map[string]Object[T], offset uint64, op sycrecord.Operation, build func(string, F) T) error {
 	old := (*objects)[op.Name]
 	if op.Expect != nil && *op.Expect != old.generation {
 		return eris.Errorf("generation is %d, not %d", old.generation, *op.Expect)
@@ -210,7 +210,7 @@
 		return eris.Wrap(err, "spec")
 	}
 	changed[op.Name] = Object[T]{
-		value:      make(op.Name, fields),
+		value:      build(op.Name, fields),
 		generation: old.generation + 1,
 		offset:     offset,
 	}
