Decide leases from records of the system stream

Cause: a rollout needs one leader, whose lease may lapse while it is paused. Change: the holder counts from before the append that was granted, everybody else from reading it. A proposal carries a number: with the time of the newest proposal alone, an append that was given up and granted late made two holders.

--- a/internal/decide/sycrecord/system.go
+++ b/internal/decide/sycrecord/system.go
@@ -30,6 +30,8 @@
 	Address     string   `json:"address"`
 	Incarnation string   `json:"incarnation"`
 	Duration    Duration `json:"duration"`
+	// Proposal numbers the holder's attempts to get or renew the lease.
+	Proposal uint64 `json:"proposal"`
 }
 
 // Lease gives one VM the right to act on an object for a time. The offset of
@@ -51,6 +53,9 @@
 // Incarnation is the incarnation of the holder's process.
 func (l Lease) Incarnation() string { return l.fields.Incarnation }
 
+// Proposal is the number of the attempt that was granted.
+func (l Lease) Proposal() uint64 { return l.fields.Proposal }
+
 // Duration is how long the lease holds, counted by the holder from before its
 // append and by others from their reading of it.
 func (l Lease) Duration() Duration { return l.fields.Duration }
