Add the platform and engine stand-ins

Cause: every other part needs a log, a VM list, a weight store and engines to run against. Change: sycplatform serves the log (offsets, long poll, retention, append limit, outage, hang, slow and lost answers), the lagging VM list and the rate-limited store; sycengine serves the engines' protocol with a batching model of time, a limited block cache, stream resume and cancel, KV export and import, late and gappy events, orders and injectable faults.

--- /dev/null
+++ b/internal/standin/sycengine/engine_test.go
@@ -0,0 +1,396 @@
+package sycengine_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+const speed = 50
+
+func newEngine(t *testing.T, o sycengine.Options) *sycengine.Engine {
+	t.Helper()
+	if o.Models == nil {
+		o.Models = map[string]string{"m": "w1"}
+	}
+	if o.Speed == 0 {
+		o.Speed = speed
+	}
+	engine, err := sycengine.New(o)
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, engine.Close()) })
+	return engine
+}
+
+type call struct {
+	Model     string `json:"model"`
+	Weights   string `json:"weights"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Salt      string `json:"cache_salt"`
+	Attempt   string `json:"attempt"`
+	Stream    string `json:"stream"`
+	Start     int    `json:"start"`
+	TextSoFar string `json:"text_so_far"`
+	Route     string `json:"route"`
+	Priority  int    `json:"priority"`
+	Import    any    `json:"import,omitempty"`
+}
+
+func newCall(prompt string, tokens int) call {
+	return call{
+		Model: "m", Weights: "w1", Prompt: prompt, MaxTokens: tokens,
+		Salt: "salt", Attempt: "a-1", Stream: "s-1", Route: "chat",
+	}
+}
+
+type event struct {
+	Attempt string
+	Index   int
+	Text    string
+	Done    bool
+	Usage   struct {
+		Prompt int `json:"prompt_tokens"`
+		Output int `json:"completion_tokens"`
+		Cached int `json:"cached_tokens"`
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	tokens []string
+	last   event
+}
+
+func post(t *testing.T, address string, body any) (*http.Response, error) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	must.NoError(t, err)
+	return http.Post(address, "application/json", bytes.NewReader(data))
+}
+
+// read collects a stream until its end, clean or not.
+func read(t *testing.T, response *http.Response) reply {
+	t.Helper()
+	defer response.Body.Close()
+	r := reply{status: response.StatusCode, header: response.Header}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		r.last = event{}
+		must.NoError(t, json.Unmarshal([]byte(data), &r.last))
+		if !r.last.Done {
+			r.tokens = append(r.tokens, r.last.Text)
+		}
+	}
+	return r
+}
+
+func run(t *testing.T, engine *sycengine.Engine, c call) reply {
+	t.Helper()
+	response, err := post(t, engine.URL()+"/v1/completions", c)
+	must.NoError(t, err)
+	return read(t, response)
+}
+
+func get(t *testing.T, address string, value any) int {
+	t.Helper()
+	response, err := http.Get(address)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		must.NoError(t, json.NewDecoder(response.Body).Decode(value))
+	}
+	return response.StatusCode
+}
+
+func TestAnswersAndContinuation(t *testing.T) {
+	engine := newEngine(t, sycengine.Options{})
+	want := sycengine.Answer("w1", "", "hello", 12)
+	must.NotEq(t, want, sycengine.Answer("w2", "", "hello", 12))
+	tests := []struct {
+		name  string
+		start int
+		text  string
+		want  []string
+	}{
+		{"whole", 0, "", want},
+		{"continued", 5, strings.Join(want[:5], ""), want[5:]},
+		{"complete", 12, strings.Join(want, ""), nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCall("hello", 12)
+			c.Start, c.TextSoFar = tt.start, tt.text
+			r := run(t, engine, c)
+			must.Eq(t, tt.want, r.tokens)
+			must.True(t, r.last.Done)
+			must.Eq(t, 12, r.last.Index)
+			must.Eq(t, "a-1", r.header.Get("Sycamorecart-Attempt"))
+		})
+	}
+	c := newCall("hello", 12)
+	c.Start, c.TextSoFar = 5, "something else"
+	must.NotEq(t, want[5:], run(t, engine, c).tokens)
+}
+
+func TestCacheIsKeyedBySaltAndLimited(t *testing.T) {
+	engine := newEngine(t, sycengine.Options{CacheBlocks: 4})
+	prompt := strings.Repeat("p", 3*sycblock.BytesPerBlock)
+	other := strings.Repeat("q", 3*sycblock.BytesPerBlock)
+	tests := []struct {
+		name, prompt, salt string
+		cached             int
+	}{
+		{"cold", prompt, "one", 0},
+		{"warm", prompt, "one", 192},
+		{"other customer", prompt, "two", 0},
+		{"kept part", prompt, "two", 192},
+		{"evicts", other, "two", 0},
+		{"evicted", prompt, "one", 0},
+	}
+	for _, tt := range tests {
+		c := newCall(tt.prompt, 2)
+		c.Salt = tt.salt
+		r := run(t, engine, c)
+		must.Eq(t, tt.cached, r.last.Usage.Cached, must.Sprint(tt.name))
+		must.Eq(t, 192, r.last.Usage.Prompt)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	engine := newEngine(t, sycengine.Options{})
+	tests := []struct {
+		name   string
+		change func(*call)
+		status int
+	}{
+		{"unknown model", func(c *call) { c.Model = "x" }, http.StatusNotFound},
+		{"wrong weights", func(c *call) { c.Weights = "w2" }, http.StatusConflict},
+		{"unknown adapter", func(c *call) { c.Adapter = "x" }, http.StatusNotFound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCall("p", 2)
+			tt.change(&c)
+			r := run(t, engine, c)
+			must.Eq(t, tt.status, r.status)
+			must.Eq(t, "true", r.header.Get("Sycamorecart-Not-Run"))
+		})
+	}
+	must.Len(t, len(tests), engine.Requests())
+}
+
+func TestCrashBreaksStreamAndEmptiesEngine(t *testing.T) {
+	engine := newEngine(t, sycengine.Options{RestartDelay: time.Millisecond, Speed: 1})
+	before := engine.Incarnation()
+	response, err := post(t, engine.URL()+"/v1/completions", newCall(strings.Repeat("p", 512), 100000))
+	must.NoError(t, err)
+	must.Eq(t, before, response.Header.Get("Sycamorecart-Incarnation"))
+	engine.Crash()
+	must.False(t, read(t, response).last.Done)
+	var cache struct {
+		Incarnation string
+		Blocks      []uint64
+	}
+	waitFor(t, func() bool {
+		response, err := http.Get(engine.URL() + "/v1/cache")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return json.NewDecoder(response.Body).Decode(&cache) == nil
+	})
+	must.NotEq(t, before, cache.Incarnation)
+	must.SliceEmpty(t, cache.Blocks)
+	must.Eq(t, http.StatusNotFound, get(t, engine.URL()+"/v1/streams/s-1?from=0&cache_salt=salt", nil))
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition was never met")
+}
+
+func TestStreamResumesAndCancels(t *testing.T) {
+	engine := newEngine(t, sycengine.Options{Speed: 1})
+	response, err := post(t, engine.URL()+"/v1/completions", newCall("p", 40))
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	address := engine.URL() + "/v1/streams/s-1?from=7&attempt=a-2&cache_salt="
+	must.Eq(t, http.StatusNotFound, get(t, address+"other", nil))
+	response, err = http.Get(address + "salt")
+	must.NoError(t, err)
+	r := read(t, response)
+	must.Eq(t, sycengine.Answer("w1", "", "p", 40)[7:], r.tokens)
+	must.Eq(t, "a-2", r.last.Attempt)
+
+	c := newCall("p", 100000)
+	c.Stream = "s-2"
+	response, err = post(t, engine.URL()+"/v1/completions", c)
+	must.NoError(t, err)
+	cancel, err := http.NewRequest(http.MethodDelete, engine.URL()+"/v1/streams/s-2?cache_salt=salt", nil)
+	must.NoError(t, err)
+	answer, err := http.DefaultClient.Do(cancel)
+	must.NoError(t, err)
+	must.NoError(t, answer.Body.Close())
+	must.Eq(t, http.StatusNoContent, answer.StatusCode)
+	must.False(t, read(t, response).last.Done)
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults sycengine.Faults
+		check  func(*testing.T, reply)
+	}{
+		{"refuses", sycengine.Faults{Refuse: true}, func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusServiceUnavailable, r.status)
+			must.Eq(t, "true", r.header.Get("Sycamorecart-Not-Run"))
+		}},
+		{"fails", fails(sycengine.Failure{Weights: "w1", Share: 1, Mode: sycengine.ModeError}), func(t *testing.T, r reply) {
+			must.Eq(t, http.StatusInternalServerError, r.status)
+			must.Eq(t, "", r.header.Get("Sycamorecart-Not-Run"))
+		}},
+		{"cuts", fails(sycengine.Failure{Route: "chat", Share: 1, Mode: sycengine.ModeCut}), func(t *testing.T, r reply) {
+			must.Len(t, 4, r.tokens)
+			must.False(t, r.last.Done)
+		}},
+		{"slow is whole", fails(sycengine.Failure{Share: 1, Mode: sycengine.ModeSlow, Factor: 3}), whole},
+		{"other weights", fails(sycengine.Failure{Weights: "w2", Share: 1, Mode: sycengine.ModeError}), whole},
+		{"other route", fails(sycengine.Failure{Route: "x", Share: 1, Mode: sycengine.ModeError}), whole},
+		{"not yet", fails(sycengine.Failure{After: sycrecord.Duration(time.Hour), Share: 1, Mode: sycengine.ModeError}), whole},
+		{"not loaded enough", fails(sycengine.Failure{MinBatch: 3, Share: 1, Mode: sycengine.ModeError}), whole},
+		{"late", sycengine.Faults{Late: sycrecord.Duration(time.Millisecond)}, whole},
+		{"crossed", sycengine.Faults{Cross: 1}, func(t *testing.T, r reply) {
+			must.NotEq(t, "a-1", r.header.Get("Sycamorecart-Attempt"))
+			must.NotEq(t, sycengine.Answer("w1", "", "p", 8), r.tokens)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engine := newEngine(t, sycengine.Options{})
+			response, err := post(t, engine.URL()+"/admin/faults", tt.faults)
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			tt.check(t, run(t, engine, newCall("p", 8)))
+		})
+	}
+}
+
+func fails(f sycengine.Failure) sycengine.Faults {
+	return sycengine.Faults{Failures: []sycengine.Failure{f}}
+}
+
+func whole(t *testing.T, r reply) {
+	t.Helper()
+	must.Eq(t, sycengine.Answer("w1", "", "p", 8), r.tokens)
+	must.True(t, r.last.Done)
+}
+
+func TestEventsComeWithGaps(t *testing.T) {
+	tests := []struct {
+		name string
+		loss float64
+		want int
+	}{
+		{"all", 0, 3},
+		{"none", 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engine := newEngine(t, sycengine.Options{EventLoss: tt.loss, EventDelay: time.Nanosecond})
+			for i := range 3 {
+				run(t, engine, newCall(strings.Repeat(fmt.Sprint(i), 300), 1))
+			}
+			var got struct {
+				Events []sycengine.Event
+			}
+			must.Eq(t, http.StatusOK, get(t, engine.URL()+"/v1/events?from=0", &got))
+			must.Len(t, tt.want, got.Events)
+			var cache struct{ Next uint64 }
+			must.Eq(t, http.StatusOK, get(t, engine.URL()+"/v1/cache", &cache))
+			must.Eq(t, 3, cache.Next)
+		})
+	}
+}
+
+func TestImportSkipsPrefill(t *testing.T) {
+	source, target := newEngine(t, sycengine.Options{}), newEngine(t, sycengine.Options{})
+	prompt := strings.Repeat("p", 4*sycblock.BytesPerBlock)
+	run(t, source, newCall(prompt, 1))
+	tests := []struct {
+		name, salt, incarnation string
+		cached                  int
+	}{
+		{"other customer", "other", source.Incarnation(), 0},
+		{"dead incarnation", "salt", "gone", 0},
+		{"held", "salt", source.Incarnation(), 256},
+	}
+	for _, tt := range tests {
+		c := newCall(prompt, 1)
+		c.Salt = tt.salt
+		c.Import = map[string]any{
+			"from": source.URL(), "incarnation": tt.incarnation,
+			"blocks": sycblock.Chain(tt.salt, prompt),
+		}
+		must.Eq(t, tt.cached, run(t, target, c).last.Usage.Cached, must.Sprint(tt.name))
+	}
+}
+
+func TestOrders(t *testing.T) {
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	tests := []struct {
+		name   string
+		checks bool
+		status int
+	}{
+		{"checked", true, http.StatusConflict},
+		{"ignored", false, http.StatusAccepted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			engine := newEngine(t, sycengine.Options{Platform: platform.URL(), ChecksFencing: tt.checks})
+			order := sycengine.Order{ID: "o", Fence: 5, Kind: "load", Model: "m", Weights: "w2"}
+			must.Eq(t, http.StatusAccepted, send(t, engine, order))
+			c := newCall("p", 2)
+			c.Weights = "w2"
+			waitFor(t, func() bool { return run(t, engine, c).status == http.StatusOK })
+			old := sycengine.Order{ID: "p", Fence: 4, Kind: "drop", Model: "m", Weights: "w2"}
+			must.Eq(t, tt.status, send(t, engine, old))
+			must.Eq(t, tt.checks, run(t, engine, c).status == http.StatusOK)
+			must.Len(t, 2, engine.Orders())
+		})
+	}
+}
+
+func send(t *testing.T, engine *sycengine.Engine, order sycengine.Order) int {
+	t.Helper()
+	response, err := post(t, engine.URL()+"/v1/orders", order)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
