--- a/internal/decide/sycconfig/state.go
+++ b/internal/decide/sycconfig/state.go
@@ -71,6 +71,11 @@
 	return &State{}
 }
 
+// NewStream returns the state before the first record of the named stream.
+func NewStream(string) *State {
+	return &State{}
+}
+
 // Next is the offset after the last applied record.
 func (s *State) Next() uint64 { return s.next }
 
