--- /dev/null
+++ b/internal/peer/sycpeer/conn.go
@@ -0,0 +1,33 @@
+package sycpeer
+
+import (
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var (
+	bytesReceived = metrics.GetOrCreateCounter(`sycamorecart_peer_bytes_total{direction="received"}`)
+	bytesSent     = metrics.GetOrCreateCounter(`sycamorecart_peer_bytes_total{direction="sent"}`)
+)
+
+// countedConn counts the bytes that pass between VMs.
+type countedConn struct {
+	net.Conn
+}
+
+func newCountedConn(c net.Conn) net.Conn { return countedConn{Conn: c} }
+
+// Read counts received bytes.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesReceived.Add(n)
+	return n, err
+}
+
+// Write counts sent bytes.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesSent.Add(n)
+	return n, err
+}
