--- a/internal/decide/sycwork/work.go
+++ b/internal/decide/sycwork/work.go
@@ -36,6 +36,17 @@
 	Blocks      []uint64 `json:"blocks"`
 }
 
+// VersionShare is a version's part of its model's traffic.
+type VersionShare struct {
+	Version string
+	Weights string
+	Adapter string
+	// Share is between 0 and 1.
+	Share float64
+	// Vetoed means that this VM gives the version no new work.
+	Vetoed bool
+}
+
 // Target is the endpoint chosen for one attempt.
 type Target struct {
 	Endpoint string
@@ -73,6 +84,8 @@
 // Result is reported once for each attempt.
 type Result struct {
 	Outcome Outcome
+	// Unreachable means that no connection to the endpoint could be made.
+	Unreachable bool
 	// FirstToken is the time from sending the attempt to its first token; 0 if none came.
 	FirstToken time.Duration
 	// BetweenTokens is the mean time between tokens; 0 if there were fewer than two.
