--- /dev/null
+++ b/internal/decide/sycrollout/ledger.go
@@ -0,0 +1,227 @@
+package sycrollout
+
+import "time"
+
+// Load classes of an endpoint, by its work in flight when a request was sent.
+const (
+	LoadLow = iota
+	LoadMiddle
+	LoadHigh
+	loadClasses
+)
+
+// Size classes of a request, by its prompt tokens that were not cached.
+const (
+	SizeSmall = iota
+	SizeMiddle
+	SizeLarge
+	sizeClasses
+)
+
+const (
+	middleLoad   = 4
+	highLoad     = 12
+	middleTokens = 512
+	largeTokens  = 4096
+)
+
+// Cell is a kind of request whose versions are compared with each other.
+type Cell struct {
+	Version string
+	// Generation is that of the version's record.
+	Generation uint64
+	Route      string
+	Load       int
+	Size       int
+}
+
+// Class packs load and size class into one number.
+func (c Cell) Class() uint32 {
+	return uint32(c.Load*sizeClasses + c.Size)
+}
+
+// SetClass unpacks load and size class; it reports false for an unknown class.
+func (c *Cell) SetClass(class uint32) bool {
+	if class >= loadClasses*sizeClasses {
+		return false
+	}
+	c.Load = int(class) / sizeClasses
+	c.Size = int(class) % sizeClasses
+	return true
+}
+
+// LoadClass is the class of an endpoint with the given work in flight.
+func LoadClass(inFlight int) int {
+	switch {
+	case inFlight >= highLoad:
+		return LoadHigh
+	case inFlight >= middleLoad:
+		return LoadMiddle
+	}
+	return LoadLow
+}
+
+// SizeClass is the class of a request with the given prompt tokens not cached.
+func SizeClass(tokens int) int {
+	switch {
+	case tokens >= largeTokens:
+		return SizeLarge
+	case tokens >= middleTokens:
+		return SizeMiddle
+	}
+	return SizeSmall
+}
+
+// Counts is what was seen in a cell. Counts only grow.
+type Counts struct {
+	Requests      uint64
+	Failures      uint64
+	FirstToken    Buckets
+	BetweenTokens Buckets
+}
+
+func (c *Counts) add(other *Counts) {
+	c.Requests += other.Requests
+	c.Failures += other.Failures
+	c.FirstToken.add(&other.FirstToken)
+	c.BetweenTokens.add(&other.BetweenTokens)
+}
+
+func (c *Counts) subtract(earlier *Counts) {
+	c.Requests -= min(earlier.Requests, c.Requests)
+	c.Failures -= min(earlier.Failures, c.Failures)
+	c.FirstToken.subtract(&earlier.FirstToken)
+	c.BetweenTokens.subtract(&earlier.BetweenTokens)
+}
+
+// Sample is one finished attempt. Durations of 0 were not measured.
+type Sample struct {
+	Failed        bool
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+}
+
+// Totals holds counts by cell.
+type Totals map[Cell]Counts
+
+// Ledger gathers the counts of this VM and of its peers.
+type Ledger struct {
+	// own and peers hold cumulative counts, so that a repeated or lost message
+	// does no harm.
+	own   Totals
+	peers map[string]Totals
+	// history holds past sums, oldest first.
+	history []reading
+}
+
+type reading struct {
+	at     time.Duration
+	totals Totals
+}
+
+const (
+	// Window is the span of the recent evidence.
+	Window = 10 * time.Second
+	// readingPeriod is the time between readings of the sums.
+	readingPeriod = time.Second
+)
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{own: Totals{}, peers: map[string]Totals{}}
+}
+
+// Record counts an attempt of this VM.
+func (l *Ledger) Record(cell Cell, s Sample) {
+	c := l.own[cell]
+	c.Requests++
+	if s.Failed {
+		c.Failures++
+	}
+	if s.FirstToken > 0 {
+		c.FirstToken.Add(s.FirstToken)
+	}
+	if s.BetweenTokens > 0 {
+		c.BetweenTokens.Add(s.BetweenTokens)
+	}
+	l.own[cell] = c
+}
+
+// Own returns this VM's cumulative counts; the caller must not change them.
+func (l *Ledger) Own() Totals { return l.own }
+
+// Merge takes in a peer's cumulative counts; source is the peer's address and incarnation.
+// Older readings than the one known are ignored.
+func (l *Ledger) Merge(source string, cell Cell, c Counts) {
+	totals := l.peers[source]
+	if totals == nil {
+		totals = Totals{}
+		l.peers[source] = totals
+	}
+	if c.Requests >= totals[cell].Requests {
+		totals[cell] = c
+	}
+}
+
+// Keep drops the cells of all versions but those that the function keeps.
+func (l *Ledger) Keep(keep func(version string, generation uint64) bool) {
+	prune(l.own, keep)
+	for source, totals := range l.peers {
+		prune(totals, keep)
+		if len(totals) == 0 {
+			delete(l.peers, source)
+		}
+	}
+	for _, r := range l.history {
+		prune(r.totals, keep)
+	}
+}
+
+func prune(t Totals, keep func(version string, generation uint64) bool) {
+	for cell := range t {
+		if !keep(cell.Version, cell.Generation) {
+			delete(t, cell)
+		}
+	}
+}
+
+// Sum returns the cumulative counts over all VMs.
+func (l *Ledger) Sum() Totals {
+	sum := make(Totals, len(l.own))
+	sum.merge(l.own)
+	for _, totals := range l.peers {
+		sum.merge(totals)
+	}
+	return sum
+}
+
+func (t Totals) merge(other Totals) {
+	for cell, counts := range other {
+		c := t[cell]
+		c.add(&counts)
+		t[cell] = c
+	}
+}
+
+// Since returns the counts that t has beyond an earlier reading.
+func (t Totals) Since(earlier Totals) Totals {
+	out := make(Totals, len(t))
+	for cell, counts := range t {
+		before := earlier[cell]
+		counts.subtract(&before)
+		out[cell] = counts
+	}
+	return out
+}
+
+// Recent returns the counts of the last Window, and takes a reading when one is due.
+func (l *Ledger) Recent(now time.Duration) Totals {
+	sum := l.Sum()
+	if n := len(l.history); n == 0 || now-l.history[n-1].at >= readingPeriod {
+		l.history = append(l.history, reading{at: now, totals: sum})
+	}
+	for len(l.history) > 1 && now-l.history[1].at >= Window {
+		l.history = l.history[1:]
+	}
+	return sum.Since(l.history[0].totals)
+}
--- /dev/null
+++ b/internal/decide/sycrollout/verdict.go
@@ -0,0 +1,176 @@
+package sycrollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+)
+
+const (
+	// confidence is the number of standard deviations of the Wilson bounds.
+	confidence = 3.5
+	// failureMargin is how much higher a version's failure rate may be.
+	failureMargin = 0.02
+	// minFailures is the smallest number of failures that counts as evidence.
+	minFailures = 3
+	// referenceQuantile and slowShare define slowness: more than slowShare of a
+	// version's requests take longer than the predecessor's referenceQuantile.
+	referenceQuantile = 0.9
+	slowShare         = 0.3
+	// minReference is the smallest number of the predecessor's requests in a cell
+	// that a comparison rests on.
+	minReference = 20
+)
+
+// Subject is a version under comparison.
+type Subject struct {
+	Version    string
+	Generation uint64
+}
+
+// Verdict is the result of comparing a version with its predecessor.
+type Verdict struct {
+	// Bad is true only when Reason says why.
+	Bad    bool
+	Reason string
+	// Requests is the number of the version's requests that were seen.
+	Requests uint64
+	Evidence []sycrecord.EvidenceFields
+}
+
+// Compare judges a version against its predecessor, route by route. Requests
+// are compared only with requests of the same load and size class.
+func Compare(t Totals, candidate, predecessor Subject) Verdict {
+	routes := map[string]bool{}
+	for cell := range t {
+		if (Subject{cell.Version, cell.Generation}) == candidate {
+			routes[cell.Route] = true
+		}
+	}
+	var v Verdict
+	for _, route := range slices.Sorted(maps.Keys(routes)) {
+		v.judge(t, route, candidate, predecessor)
+	}
+	return v
+}
+
+// comparison gathers a route's counts over all load and size classes.
+type comparison struct {
+	fresh, old            Counts
+	slowFirst, slowNext   uint64
+	totalFirst, totalNext uint64
+}
+
+func (v *Verdict) judge(t Totals, route string, candidate, predecessor Subject) {
+	all := comparison{}
+	for load := range loadClasses {
+		byLoad := comparison{}
+		for size := range sizeClasses {
+			fresh := t[Cell{candidate.Version, candidate.Generation, route, load, size}]
+			old := t[Cell{predecessor.Version, predecessor.Generation, route, load, size}]
+			byLoad.add(&fresh, &old)
+		}
+		if byLoad.fresh.Requests > 0 {
+			v.Evidence = append(v.Evidence, byLoad.evidence(route, loadName(load)))
+			v.conclude(route, loadName(load), &byLoad)
+		}
+		all.merge(&byLoad)
+	}
+	v.Requests += all.fresh.Requests
+	v.conclude(route, "any", &all)
+}
+
+func (c *comparison) add(fresh, old *Counts) {
+	c.fresh.add(fresh)
+	c.old.add(old)
+	c.slowFirst, c.totalFirst = slower(&fresh.FirstToken, &old.FirstToken, c.slowFirst, c.totalFirst)
+	c.slowNext, c.totalNext = slower(&fresh.BetweenTokens, &old.BetweenTokens, c.slowNext, c.totalNext)
+}
+
+func (c *comparison) merge(other *comparison) {
+	c.fresh.add(&other.fresh)
+	c.old.add(&other.old)
+	c.slowFirst += other.slowFirst
+	c.totalFirst += other.totalFirst
+	c.slowNext += other.slowNext
+	c.totalNext += other.totalNext
+}
+
+// slower counts the durations above the predecessor's reference quantile.
+func slower(fresh, old *Buckets, slow, total uint64) (uint64, uint64) {
+	if old.Total() < minReference {
+		return slow, total
+	}
+	reference := old.quantileBucket(referenceQuantile)
+	return slow + fresh.above(reference), total + fresh.Total()
+}
+
+func (v *Verdict) conclude(route, load string, c *comparison) {
+	if v.Bad {
+		return
+	}
+	switch {
+	case failsMore(c):
+		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d requests failed, against %d of %d of the predecessor",
+			route, load, c.fresh.Failures, c.fresh.Requests, c.old.Failures, c.old.Requests)
+	case wilsonLow(c.slowFirst, c.totalFirst) > slowShare:
+		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d first tokens came later than 9 in 10 of the predecessor's",
+			route, load, c.slowFirst, c.totalFirst)
+	case wilsonLow(c.slowNext, c.totalNext) > slowShare:
+		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d answers had longer times between tokens than 9 in 10 of the predecessor's",
+			route, load, c.slowNext, c.totalNext)
+	default:
+		return
+	}
+	v.Bad = true
+}
+
+func failsMore(c *comparison) bool {
+	if c.fresh.Failures < minFailures {
+		return false
+	}
+	before := 0.0
+	if c.old.Requests > 0 {
+		before = float64(c.old.Failures) / float64(c.old.Requests)
+	}
+	return wilsonLow(c.fresh.Failures, c.fresh.Requests) > before+failureMargin
+}
+
+// wilsonLow is the lower Wilson bound of a proportion; 0 without trials.
+func wilsonLow(hits, trials uint64) float64 {
+	if trials == 0 {
+		return 0
+	}
+	n := float64(trials)
+	p := float64(hits) / n
+	z2 := confidence * confidence
+	spread := confidence * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
+	return (p + z2/(2*n) - spread) / (1 + z2/n)
+}
+
+func (c *comparison) evidence(route, load string) sycrecord.EvidenceFields {
+	return sycrecord.EvidenceFields{
+		Route:       route,
+		Load:        load,
+		Requests:    c.fresh.Requests,
+		Failures:    c.fresh.Failures,
+		OldRequests: c.old.Requests,
+		OldFailures: c.old.Failures,
+		P95:         sycrecord.Duration(c.fresh.FirstToken.Quantile(0.95).Round(time.Millisecond)),
+		OldP95:      sycrecord.Duration(c.old.FirstToken.Quantile(0.95).Round(time.Millisecond)),
+	}
+}
+
+func loadName(class int) string {
+	switch class {
+	case LoadLow:
+		return "low"
+	case LoadMiddle:
+		return "middle"
+	}
+	return "high"
+}
--- /dev/null
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -0,0 +1,166 @@
+package sycrollout_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+)
+
+var (
+	oldVersion = sycrollout.Subject{Version: "v1", Generation: 1}
+	newVersion = sycrollout.Subject{Version: "v2", Generation: 1}
+)
+
+// traffic makes samples of both versions on two routes; the new version's
+// behaviour is changed by bend.
+type traffic struct {
+	rng    *rand.Rand
+	ledger *sycrollout.Ledger
+	bend   func(at time.Duration, cell sycrollout.Cell, s *sycrollout.Sample, chance float64)
+}
+
+func (tr *traffic) request(at time.Duration, subject sycrollout.Subject) {
+	cell := sycrollout.Cell{
+		Version:    subject.Version,
+		Generation: subject.Generation,
+		Route:      []string{"chat", "lookup"}[tr.rng.IntN(2)],
+		Load:       tr.rng.IntN(3),
+		Size:       tr.rng.IntN(3),
+	}
+	base := float64(20*time.Millisecond) * math.Pow(3, float64(cell.Size)) * (1 + float64(cell.Load))
+	s := sycrollout.Sample{
+		Failed:        tr.rng.Float64() < 0.005,
+		FirstToken:    time.Duration(base * math.Exp(0.5*tr.rng.NormFloat64())),
+		BetweenTokens: time.Duration(float64(12*time.Millisecond) * math.Exp(0.2*tr.rng.NormFloat64())),
+	}
+	if subject == newVersion && tr.bend != nil {
+		tr.bend(at, cell, &s, tr.rng.Float64())
+	}
+	tr.ledger.Record(cell, s)
+}
+
+const (
+	// perMinute is the traffic of a run, a tenth of which the new version gets.
+	perMinute = 1200
+	// mostExposed is the small share of the traffic that a bad version may get
+	// after it shows: one request in twenty.
+	mostExposed = perMinute / 20
+	// tick is the time between judgements.
+	tick = 250 * time.Millisecond
+)
+
+// run sends a minute's requests and returns when the version was found bad, 0
+// if it never was, and how many requests it got from the time of the fault on.
+func (tr *traffic) run(fault time.Duration) (found time.Duration, exposed int) {
+	for at := time.Duration(0); at < time.Minute; at += time.Minute / perMinute {
+		subject := oldVersion
+		if tr.rng.IntN(10) == 0 {
+			subject = newVersion
+			if at >= fault {
+				exposed++
+			}
+		}
+		tr.request(at, subject)
+		if at%tick != 0 {
+			continue
+		}
+		recent := tr.ledger.Recent(at)
+		if sycrollout.Compare(recent, newVersion, oldVersion).Bad || sycrollout.Compare(tr.ledger.Sum(), newVersion, oldVersion).Bad {
+			return at, exposed
+		}
+	}
+	return 0, exposed
+}
+
+func newTraffic(seed uint64) *traffic {
+	tr := &traffic{rng: rand.New(rand.NewPCG(seed, 0)), ledger: sycrollout.NewLedger()}
+	for range 400 {
+		tr.request(0, oldVersion)
+	}
+	return tr
+}
+
+func TestGoodVersionIsKept(t *testing.T) {
+	for seed := range uint64(60) {
+		found, _ := newTraffic(seed).run(0)
+		must.Zero(t, found, must.Sprintf("seed %d", seed))
+	}
+}
+
+func TestBadVersionIsFound(t *testing.T) {
+	const late = 20 * time.Second
+	tests := []struct {
+		name  string
+		fault time.Duration
+		bend  func(at time.Duration, cell sycrollout.Cell, s *sycrollout.Sample, chance float64)
+	}{
+		{"fails always", 0, func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			s.Failed = true
+		}},
+		{"fails one in three", 0, func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, chance float64) {
+			s.Failed = s.Failed || chance < 0.33
+		}},
+		{"three times as slow", 0, func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			s.FirstToken *= 3
+		}},
+		{"tokens twice as far apart", 0, func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			s.BetweenTokens *= 2
+		}},
+		{"fails on one route", 0, func(_ time.Duration, cell sycrollout.Cell, s *sycrollout.Sample, chance float64) {
+			s.Failed = s.Failed || cell.Route == "lookup" && chance < 0.5
+		}},
+		{"slow under load", 0, func(_ time.Duration, cell sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			if cell.Load == sycrollout.LoadHigh {
+				s.FirstToken *= 4
+			}
+		}},
+		{"fails later", late, func(at time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			s.Failed = s.Failed || at > late
+		}},
+		{"slow later", late, func(at time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			if at > late {
+				s.FirstToken *= 5
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				tr := newTraffic(seed)
+				tr.bend = tt.bend
+				found, exposed := tr.run(tt.fault)
+				must.Greater(t, tt.fault, found, must.Sprintf("seed %d: %d requests", seed, exposed))
+				must.LessEq(t, mostExposed, exposed, must.Sprintf("seed %d", seed))
+			}
+		})
+	}
+}
+
+func TestMergeIsIdempotent(t *testing.T) {
+	cell := sycrollout.Cell{Version: "v2", Generation: 1, Route: "chat"}
+	counts := func(n uint64) sycrollout.Counts { return sycrollout.Counts{Requests: n} }
+	tests := []struct {
+		name string
+		send []uint64
+		want uint64
+	}{
+		{"once", []uint64{5}, 5},
+		{"repeated", []uint64{5, 5}, 5},
+		{"reordered", []uint64{7, 5}, 7},
+		{"lost and caught up", []uint64{1, 9}, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ledger := sycrollout.NewLedger()
+			ledger.Record(cell, sycrollout.Sample{})
+			for _, n := range tt.send {
+				ledger.Merge("peer", cell, counts(n))
+			}
+			must.Eq(t, tt.want+1, ledger.Sum()[cell].Requests)
+		})
+	}
+}
