Serve callers: authenticate, choose, stream and resume

The thin whole path of the gateway: OpenAI-compatible answers, service routes, attempts decided by a pure plan, and a transport that never resends by itself.

--- /dev/null
+++ b/internal/traffic/sycgateway/gateway.go
@@ -0,0 +1,214 @@
+// Package sycgateway serves callers: it authenticates requests, admits them,
+// sends them to endpoints and returns whole answers or says plainly why not.
+package sycgateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/uptrace/bunrouter"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/semaphore"
+	"gopkg.in/tomb.v2"
+	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
+	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
+)
+
+// Claims lets a call run at most once over all VMs. Claim waits until it is
+// decided who runs the call. It returns a ticket to the one that runs it, the
+// first answer to a repeat, or *sycclaim.Error.
+type Claims interface {
+	Claim(ctx context.Context, c sycclaim.Call) (sycclaim.Ticket, *sycclaim.Answer, error)
+}
+
+// Options are the parts that a gateway works with.
+type Options struct {
+	// Config returns the state in force; it is asked for each request.
+	Config func() *sycconfig.State
+	// Ready reports whether the VM may take requests; nil means always.
+	Ready   func() bool
+	Chooser sycwork.Chooser
+	Limiter sycwork.Limiter
+	// Claims may be nil; calls that need it are then refused.
+	Claims Claims
+	// VM is this VM's id, as it shows in traces.
+	VM     string
+	Limits Limits
+}
+
+// Gateway is the handler for callers.
+type Gateway struct {
+	options Options
+	limits  Limits
+	router  http.Handler
+	client  *sycproxy.Client
+	engines *sycstream.Engines
+	// bodies bounds the bytes of request bodies held together.
+	bodies *semaphore.Weighted
+	start  time.Time
+	tracer trace.Tracer
+
+	tomb    tomb.Tomb
+	cancels chan sycstream.Call
+
+	// mu guards the budgets.
+	mu        sync.Mutex
+	customers *sycattempt.Budgets
+	endpoints *sycattempt.Budgets
+}
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway {
+	settings := sycproxy.Defaults()
+	settings.Connect = o.Limits.Connect
+	client := sycproxy.NewClient(settings)
+	g := &Gateway{
+		options:   o,
+		limits:    o.Limits,
+		client:    client,
+		engines:   sycstream.NewEngines(client, sycstream.Timeouts{First: o.Limits.FirstToken, Between: o.Limits.BetweenTokens}),
+		bodies:    semaphore.NewWeighted(o.Limits.Bodies),
+		start:     time.Now(),
+		tracer:    otel.Tracer("sycamorecart"),
+		customers: sycattempt.NewBudgets(o.Limits.Retries),
+		endpoints: sycattempt.NewBudgets(o.Limits.Retries),
+		cancels:   make(chan sycstream.Call, cancelDepth),
+	}
+	for range cancelWorkers {
+		g.tomb.Go(func() error {
+			for {
+				select {
+				case <-g.tomb.Dying():
+					return nil
+				case call := <-g.cancels:
+					g.cancel(call)
+				}
+			}
+		})
+	}
+	router := bunrouter.New()
+	for _, method := range methods {
+		router.Handle(method, "/*path", g.serve)
+	}
+	g.router = router
+	return g
+}
+
+// Close stops the gateway's goroutines and closes its idle connections. The
+// server is shut down before.
+func (g *Gateway) Close() error {
+	g.tomb.Kill(nil)
+	err := g.tomb.Wait()
+	g.client.Close()
+	return err
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f := g.checkShape(r); f != nil {
+		id := uuid.NewString()
+		w.Header().Set(sycapi.HeaderRequestID, id)
+		// What follows a malformed request on its connection can't be trusted.
+		w.Header().Set("Connection", "close")
+		f.Write(w, id)
+		requestsTotal("none", f.Code).Inc()
+		return
+	}
+	g.router.ServeHTTP(w, r)
+}
+
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+// serve runs one request within its span and writes its failure, if any.
+func (g *Gateway) serve(w http.ResponseWriter, r bunrouter.Request) error {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := g.tracer.Start(ctx, "gateway.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	x := &exchange{
+		g:       g,
+		w:       w,
+		r:       r.Request,
+		id:      uuid.NewString(),
+		arrival: time.Now(),
+		config:  g.options.Config(),
+		span:    span,
+	}
+	defer x.release()
+	w.Header().Set(sycapi.HeaderRequestID, x.id)
+	err := x.run(ctx)
+	x.report(err)
+	return err
+}
+
+// report writes a failure and counts the request.
+func (x *exchange) report(err error) {
+	code := "ok"
+	defer func() {
+		requestsTotal(x.route.Name(), code).Inc()
+		x.span.SetAttributes(
+			attribute.String("request.id", x.id),
+			attribute.String("route", x.route.Name()),
+			attribute.String("vm", x.g.options.VM),
+			attribute.String("code", code),
+		)
+	}()
+	if err == nil {
+		return
+	}
+	f := failure(err)
+	code = f.Code
+	if f.Code == codeCancelled {
+		return
+	}
+	if f.Status >= http.StatusInternalServerError {
+		logrus.Warnf("gateway: request %s on route %q failed: %s", x.id, x.route.Name(), f.Code)
+	}
+	if !x.begun {
+		f.Write(x.w, x.id)
+		return
+	}
+	x.breakOff(f)
+}
+
+// failure turns any error into one that can be shown to the caller.
+func failure(err error) *sycapi.Failure {
+	var f *sycapi.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &sycapi.Failure{
+		Status:  http.StatusInternalServerError,
+		Code:    "internal",
+		Message: "the request failed inside the gateway",
+		Outcome: sycapi.Unknown,
+	}
+}
+
+// NewServer returns a server for callers with the gateway's limits.
+func NewServer(h http.Handler, l Limits) *http.Server {
+	return &http.Server{
+		Handler:                      h,
+		ReadHeaderTimeout:            l.HeaderRead,
+		IdleTimeout:                  l.Idle,
+		MaxHeaderBytes:               l.HeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
--- /dev/null
+++ b/internal/traffic/sycgateway/gateway_test.go
@@ -0,0 +1,263 @@
+package sycgateway_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
+)
+
+// hash is how a key appears in its record.
+func hash(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// operation is one config record of a test.
+type operation struct {
+	kind string
+	name string
+	spec any
+}
+
+func fold(t *testing.T, s *sycconfig.State, ops ...operation) *sycconfig.State {
+	t.Helper()
+	for _, op := range ops {
+		data, err := json.Marshal(map[string]any{
+			"schema": 2, "id": fmt.Sprintf("%s-%s-%d", op.kind, op.name, s.Next()), "op": "put",
+			"kind": op.kind, "name": op.name, "spec": op.spec,
+		})
+		must.NoError(t, err)
+		next, result := s.Apply(s.Next(), data)
+		must.True(t, result.Accepted(), must.Sprint(result.Reason()))
+		s = next
+	}
+	return s
+}
+
+// directory chooses the first endpoint that is not excluded.
+type directory struct {
+	mu      sync.Mutex
+	targets []sycwork.Target
+	results []sycwork.Result
+}
+
+type grant struct {
+	d *directory
+	t sycwork.Target
+}
+
+func (g *grant) Target() sycwork.Target { return g.t }
+func (g *grant) FirstToken()            {}
+func (g *grant) Done(r sycwork.Result) {
+	g.d.mu.Lock()
+	defer g.d.mu.Unlock()
+	g.d.results = append(g.d.results, r)
+}
+
+func (d *directory) Choose(_ context.Context, w sycwork.Work) (sycwork.Grant, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.targets {
+		service := strings.HasPrefix(t.Endpoint, "service")
+		if slices.Contains(w.Exclude, t.Endpoint) || service != (w.Service != "") {
+			continue
+		}
+		if w.Weights != "" && w.Weights != t.Weights {
+			continue
+		}
+		t.Salt = sycblock.Salt(w.Customer, w.Model, t.Adapter, t.Weights)
+		return &grant{d, t}, nil
+	}
+	return nil, &sycwork.Refusal{Reason: sycwork.NoEndpoint, Message: "no endpoint", RetryAfter: time.Second}
+}
+
+type noLimit struct{}
+
+func (noLimit) Admit(context.Context, string) error { return nil }
+
+// engine is a minimal engine for the tests of the caller's side.
+func engine(t *testing.T, tokens ...string) *httptest.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var call struct {
+			Attempt string `json:"attempt"`
+			Weights string `json:"weights"`
+			Start   int    `json:"start"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Sycamorecart-Attempt", call.Attempt)
+		w.Header().Set("Sycamorecart-Weights", call.Weights)
+		for i, text := range tokens[call.Start:] {
+			fmt.Fprintf(w, "data: {\"attempt\":%q,\"index\":%d,\"text\":%q}\n\n", call.Attempt, i+call.Start, text)
+		}
+		fmt.Fprintf(w, "data: {\"attempt\":%q,\"index\":%d,\"done\":true,\"finish_reason\":\"stop\",\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":%d,\"cached_tokens\":4}}\n\n", call.Attempt, len(tokens), len(tokens))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+const testKey = "key-of-the-first-customer"
+
+// newState returns a configuration with two customers, a model and services.
+func newState(t *testing.T) *sycconfig.State {
+	return fold(t, sycconfig.NewState(),
+		operation{"customer", "c1", map[string]any{"requests_per_second": 1000, "burst": 1000, "weight": 1}},
+		operation{"customer", "c2", map[string]any{"requests_per_second": 1000, "burst": 1000, "weight": 1}},
+		operation{"key", "k1", map[string]any{"customer": "c1", "sha256": hash(testKey)}},
+		operation{"key", "k2", map[string]any{"customer": "c2", "sha256": hash(testKey + "-2")}},
+		operation{"version", "v1", map[string]any{"model": "m", "weights": "w1", "initial": true}},
+		operation{"route", "chat", map[string]any{"prefix": "/", "type": "model", "models": []string{"m"}}},
+		operation{"route", "slots", map[string]any{"prefix": "/slots", "type": "service", "service": "slots", "repeatable": true}},
+		operation{"route", "book", map[string]any{"prefix": "/book", "type": "service", "service": "slots"}},
+		operation{"route", "open", map[string]any{"prefix": "/open", "type": "service", "service": "slots", "repeatable": true, "open": true}},
+	)
+}
+
+// rig is a gateway with its parts.
+type rig struct {
+	server *httptest.Server
+	state  *sycconfig.State
+	dir    *directory
+}
+
+func newRig(t *testing.T, change func(*sycgateway.Options), targets ...sycwork.Target) *rig {
+	r := &rig{state: newState(t), dir: &directory{targets: targets}}
+	options := sycgateway.Options{
+		Config:  func() *sycconfig.State { return r.state },
+		Chooser: r.dir,
+		Limiter: noLimit{},
+		VM:      "127.0.0.1:1",
+		Limits:  sycgateway.Defaults(),
+	}
+	if change != nil {
+		change(&options)
+	}
+	g := sycgateway.New(options)
+	r.server = httptest.NewServer(g)
+	t.Cleanup(func() {
+		r.server.Close()
+		must.NoError(t, g.Close())
+	})
+	return r
+}
+
+// post sends a request with the first customer's key.
+func (r *rig) post(t *testing.T, path, body string, header ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, r.server.URL+path, strings.NewReader(body))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	return resp
+}
+
+func read(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return string(data)
+}
+
+func engineTarget(name, address string) sycwork.Target {
+	return sycwork.Target{Endpoint: name, Address: address, Weights: "w1"}
+}
+
+func TestAnswers(t *testing.T) {
+	e := engine(t, "Hello", " \"wide\"", "\nworld")
+	r := newRig(t, nil, engineTarget("e1", e.URL))
+	const text = "Hello \"wide\"\nworld"
+	chat := `{"model":"m","messages":[{"role":"user","content":"hi"}]`
+	cases := []struct {
+		name, path, body string
+	}{
+		{"chat", "/v1/chat/completions", chat + `}`},
+		{"chat streamed", "/v1/chat/completions", chat + `,"stream":true}`},
+		{"chat streamed with usage", "/v1/chat/completions", chat + `,"stream":true,"stream_options":{"include_usage":true}}`},
+		{"text", "/v1/completions", `{"model":"m","prompt":"hi"}`},
+		{"text streamed", "/v1/completions", `{"model":"m","prompt":"hi","stream":true}`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp := r.post(t, c.path, c.body)
+			must.Eq(t, http.StatusOK, resp.StatusCode)
+			must.Eq(t, "w1", resp.Header.Get("Sycamorecart-Weights"))
+			must.NotEq(t, "", resp.Header.Get("Sycamorecart-Stream"))
+			must.NotEq(t, "", resp.Header.Get("X-Request-Id"))
+			body := read(t, resp)
+			must.StrContains(t, body, `"cached_tokens":4`)
+			if strings.Contains(c.body, `"stream":true`) {
+				got, ended := streamText(t, body)
+				must.True(t, ended)
+				must.Eq(t, text, got)
+				return
+			}
+			must.Eq(t, text, wholeText(t, body))
+		})
+	}
+}
+
+// chunk is the part of a chunk or answer that holds text.
+type chunk struct {
+	Choices []struct {
+		Text  string
+		Delta struct{ Content string }
+		// Message is set in answers that are not streamed.
+		Message struct{ Content string }
+	}
+}
+
+func (c chunk) text() string {
+	if len(c.Choices) == 0 {
+		return ""
+	}
+	return c.Choices[0].Text + c.Choices[0].Delta.Content + c.Choices[0].Message.Content
+}
+
+func wholeText(t *testing.T, body string) string {
+	t.Helper()
+	var c chunk
+	must.NoError(t, json.Unmarshal([]byte(body), &c))
+	return c.text()
+}
+
+// streamText returns the text of a streamed answer and whether it ended.
+func streamText(t *testing.T, body string) (string, bool) {
+	t.Helper()
+	var text strings.Builder
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true
+		}
+		var c chunk
+		must.NoError(t, json.Unmarshal([]byte(data), &c))
+		text.WriteString(c.text())
+	}
+	return text.String(), false
+}
--- /dev/null
+++ b/internal/traffic/sycgateway/generate.go
@@ -0,0 +1,429 @@
+package sycgateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
+)
+
+// sink takes the answer to a generation request.
+type sink interface {
+	// token takes the next token; more tells that another one has already arrived.
+	token(t sycstream.Token, more bool) error
+	finish(reason string, u sycapi.Usage) error
+}
+
+// generation runs one generation request over as many attempts as it takes.
+type generation struct {
+	x    *exchange
+	req  *sycapi.Request
+	plan *sycattempt.Plan
+	out  sink
+
+	grant sycwork.Grant
+	// call names the engine's stream of the present grant.
+	call sycstream.Call
+	// incarnation is that of the engine that answers the present grant.
+	incarnation string
+	excluded    []string
+	// next is the index of the first token not received yet, and text holds
+	// the tokens before it.
+	next int
+	text strings.Builder
+	// skip is the index of the first token that the caller doesn't have.
+	skip int
+	// admitted is set once the request's token was taken.
+	admitted bool
+	// working is set while an engine may be generating for this request.
+	working bool
+	// pinned restricts later attempts to the weights that answered first.
+	pinned  string
+	adapter string
+	result  meter
+}
+
+// generate answers a generation request.
+func (x *exchange) generate(ctx context.Context, req *sycapi.Request) error {
+	gen := &generation{x: x, req: req, plan: x.plan(sycattempt.Generation)}
+	gen.out = x.newSink(gen)
+	step := sycattempt.Elsewhere
+	joined, err := gen.rejoin()
+	if err != nil {
+		return err
+	}
+	if joined {
+		step = sycattempt.ResumeSame
+	}
+	return gen.run(ctx, step)
+}
+
+// run makes attempts until the answer is whole or given up.
+func (gen *generation) run(ctx context.Context, step sycattempt.Step) error {
+	defer gen.leave(sycwork.Cancelled)
+	for {
+		err := gen.step(ctx, step)
+		if err == nil {
+			return nil
+		}
+		event := gen.event(err)
+		gen.plan.Note(event)
+		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
+			return gen.stop(ctx)
+		}
+		action := gen.plan.On(gen.x.g.now(), event, gen.spend)
+		if action.Step == sycattempt.GiveUp {
+			gen.cancelEngine()
+			gen.leave(outcome(err))
+			return gen.givenUp(ctx, err, action.NotRun)
+		}
+		step = action.Step
+		if step != sycattempt.ResumeSame {
+			gen.abandon(err)
+		}
+		if !pause(ctx, action.Wait) {
+			return gen.stop(ctx)
+		}
+	}
+}
+
+// stop ends a request whose caller went away or whose time is over.
+func (gen *generation) stop(ctx context.Context) error {
+	gen.cancelEngine()
+	told := sycapi.Unknown
+	if gen.plan.NotRun() {
+		told = sycapi.NotRun
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		gen.leave(sycwork.Failed)
+	}
+	return gen.x.ended(ctx, told)
+}
+
+// spend asks the budgets for a retry. A stream that another VM began is not
+// retried but admitted as a new request.
+func (gen *generation) spend() bool {
+	if !gen.admitted {
+		return true
+	}
+	return gen.x.spend(gen.call.Target.Endpoint)
+}
+
+// step makes one attempt.
+func (gen *generation) step(ctx context.Context, step sycattempt.Step) error {
+	if step == sycattempt.ResumeSame {
+		resumesTotal.Inc()
+		return gen.attempt(ctx, true)
+	}
+	if step == sycattempt.Restart {
+		gen.restart()
+	}
+	if err := gen.admit(ctx); err != nil {
+		return err
+	}
+	if err := gen.choose(ctx); err != nil {
+		return err
+	}
+	if gen.next > 0 {
+		resumesTotal.Inc()
+	}
+	return gen.attempt(ctx, false)
+}
+
+// restart drops a partial answer that the caller has seen nothing of.
+func (gen *generation) restart() {
+	gen.next = 0
+	gen.text.Reset()
+	gen.pinned, gen.adapter = "", ""
+}
+
+// admit takes the request's token once. Rejoining a stream that an engine
+// still has takes none.
+func (gen *generation) admit(ctx context.Context) error {
+	if gen.admitted {
+		return nil
+	}
+	if err := gen.x.admit(ctx); err != nil {
+		return err
+	}
+	gen.admitted = true
+	return nil
+}
+
+// abandon ends the present grant after a failure and tells the engine.
+func (gen *generation) abandon(err error) {
+	if gen.call.Target.Endpoint != "" {
+		gen.excluded = append(gen.excluded, gen.call.Target.Endpoint)
+	}
+	gen.cancelEngine()
+	gen.leave(outcome(err))
+}
+
+// leave reports the end of the present grant.
+func (gen *generation) leave(o sycwork.Outcome) {
+	if gen.grant == nil {
+		return
+	}
+	gen.grant.Done(gen.result.result(o, gen.incarnation))
+	gen.grant = nil
+}
+
+// choose picks the endpoint of the next attempt.
+func (gen *generation) choose(ctx context.Context) error {
+	x := gen.x
+	if err := x.stillAllowed(); err != nil {
+		return err
+	}
+	grant, err := x.choose(ctx, sycwork.Work{
+		Customer:  x.customer(),
+		Route:     x.route.Name(),
+		Model:     gen.req.Model(),
+		Prompt:    gen.req.Prompt(),
+		MaxTokens: gen.req.MaxTokens(),
+		Weights:   gen.pinned,
+		Exclude:   gen.excluded,
+		Deadline:  x.deadline,
+	})
+	if err != nil {
+		return &noTarget{cause: err}
+	}
+	target := grant.Target()
+	if gen.pinned != "" && (target.Weights != gen.pinned || target.Adapter != gen.adapter) {
+		grant.Done(sycwork.Result{Outcome: sycwork.Cancelled})
+		return &noTarget{cause: &sycwork.Refusal{Reason: sycwork.NoEndpoint, Message: "no endpoint has the weights of the stream"}}
+	}
+	gen.grant = grant
+	gen.incarnation = ""
+	gen.result = meter{}
+	gen.call = gen.newCall(target)
+	return nil
+}
+
+// newCall makes the salt itself, so that no other part can mix up customers.
+func (gen *generation) newCall(t sycwork.Target) sycstream.Call {
+	salt := sycblock.Salt(gen.x.customer(), gen.req.Model(), t.Adapter, t.Weights)
+	if t.Salt != salt {
+		t.Import = nil
+	}
+	t.Salt = salt
+	return sycstream.Call{
+		Target:    t,
+		Model:     gen.req.Model(),
+		Route:     gen.x.route.Name(),
+		Prompt:    gen.req.Prompt(),
+		MaxTokens: gen.req.MaxTokens(),
+		Stream:    uuid.NewString(),
+		Start:     gen.next,
+		TextSoFar: gen.text.String(),
+	}
+}
+
+// attempt sends one request to the chosen engine and reads its tokens.
+func (gen *generation) attempt(ctx context.Context, resume bool) error {
+	ctx, span := gen.x.g.tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	gen.call.Attempt = uuid.NewString()
+	gen.call.Start = gen.next
+	span.SetAttributes(
+		attribute.String("endpoint", gen.call.Target.Endpoint),
+		attribute.String("attempt", gen.call.Attempt),
+		attribute.String("weights", gen.call.Target.Weights),
+		attribute.Int("start", gen.next),
+		attribute.Bool("resume", resume),
+	)
+	err := gen.read(ctx, resume)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+func (gen *generation) read(ctx context.Context, resume bool) error {
+	gen.result.begin()
+	gen.working = true
+	stream, err := gen.open(ctx, resume)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	gen.incarnation = stream.Incarnation()
+	gen.pinned, gen.adapter = gen.call.Target.Weights, gen.call.Target.Adapter
+	for {
+		gen.result.wait()
+		token, err := stream.Next()
+		if err != nil {
+			return err
+		}
+		if token.Done {
+			return gen.finish(token)
+		}
+		stream.Pause()
+		if err := gen.take(token, stream.Buffered()); err != nil {
+			return err
+		}
+		stream.Continue()
+	}
+}
+
+func (gen *generation) open(ctx context.Context, resume bool) (*sycstream.Stream, error) {
+	if resume {
+		return gen.x.g.engines.Resume(ctx, gen.call, gen.incarnation)
+	}
+	return gen.x.g.engines.Start(ctx, gen.call)
+}
+
+// take passes one token on.
+func (gen *generation) take(t sycstream.Token, more bool) error {
+	if gen.result.token() && gen.grant != nil {
+		gen.grant.FirstToken()
+	}
+	gen.next = t.Index + 1
+	gen.text.WriteString(t.Text)
+	gen.plan.Progress(gen.next)
+	if t.Index < gen.skip {
+		return nil
+	}
+	return gen.out.token(t, more)
+}
+
+// finish passes the end of the answer on.
+func (gen *generation) finish(t sycstream.Token) error {
+	usage := t.Usage
+	gen.result.usage = usage
+	gen.working = false
+	gen.leave(sycwork.Succeeded)
+	usage.Completion = t.Index
+	if gen.call.Start > 0 {
+		usage.Prompt = sycblock.Tokens(gen.req.Prompt())
+	}
+	usage.Cached = min(usage.Cached, usage.Prompt)
+	promptTokensTotal.Add(usage.Prompt)
+	cachedTokensTotal.Add(usage.Cached)
+	tokensTotal.Add(usage.Completion)
+	return gen.out.finish(t.Reason, usage)
+}
+
+// streamID is the name by which the caller finds the answer again.
+func (gen *generation) streamID() string {
+	return sycstream.ID{
+		Endpoint: gen.call.Target.Endpoint,
+		Stream:   gen.call.Stream,
+		Weights:  gen.call.Target.Weights,
+		Adapter:  gen.call.Target.Adapter,
+		Digest:   gen.digest(),
+	}.String()
+}
+
+func (gen *generation) digest() string {
+	return sycstream.Digest(gen.x.route.Name(), gen.req.Model(), gen.req.Prompt(), gen.req.MaxTokens())
+}
+
+// givenUp is the final answer after the last attempt failed.
+func (gen *generation) givenUp(ctx context.Context, err error, notRun bool) error {
+	var denied *sycapi.Failure
+	if errors.As(err, &denied) {
+		return denied
+	}
+	var missing *noTarget
+	if errors.As(err, &missing) {
+		return gen.x.refusal(ctx, missing.cause, notRun)
+	}
+	var fault *sycstream.Error
+	if !errors.As(err, &fault) {
+		return err
+	}
+	return engineFailure(fault, notRun)
+}
+
+func engineFailure(fault *sycstream.Error, notRun bool) *sycapi.Failure {
+	f := &sycapi.Failure{
+		Status:     http.StatusBadGateway,
+		Code:       "endpoint_failed",
+		Message:    "the endpoints failed to answer: " + fault.Fault.String(),
+		Outcome:    sycapi.Unknown,
+		RetryAfter: max(fault.RetryAfter, time.Second),
+	}
+	if notRun {
+		f.Status = http.StatusServiceUnavailable
+		f.Code = string(sycwork.NoEndpoint)
+		f.Outcome = sycapi.NotRun
+	}
+	return f
+}
+
+// noTarget is a failure to choose an endpoint.
+type noTarget struct {
+	cause error
+}
+
+// Error describes the failure.
+func (e *noTarget) Error() string { return "no endpoint: " + e.cause.Error() }
+
+// Unwrap returns the chooser's error.
+func (e *noTarget) Unwrap() error { return e.cause }
+
+// errCallerGone means that the caller doesn't take its answer any more.
+var errCallerGone = errors.New("the caller went away")
+
+// outcome tells the chooser how an attempt failed.
+func outcome(err error) sycwork.Outcome {
+	var fault *sycstream.Error
+	if errors.As(err, &fault) && fault.Fault == sycstream.Refused {
+		return sycwork.Refused
+	}
+	return sycwork.Failed
+}
+
+// event translates a failed attempt for the plan.
+func (gen *generation) event(err error) sycattempt.Event {
+	var missing *noTarget
+	if errors.As(err, &missing) {
+		return sycattempt.NoTarget
+	}
+	var fault *sycstream.Error
+	if !errors.As(err, &fault) {
+		return sycattempt.Expired
+	}
+	switch fault.Fault {
+	case sycstream.Connect:
+		return sycattempt.Unsent
+	case sycstream.Refused:
+		gen.working = false
+		return sycattempt.Refused
+	case sycstream.Gone:
+		gen.working = false
+		return sycattempt.Lost
+	case sycstream.Cut:
+		return sycattempt.Broken
+	case sycstream.Crossed:
+		crossedTotal.Inc()
+		return sycattempt.Broken
+	}
+	return sycattempt.Lost
+}
+
+// pause waits and reports whether the context is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/traffic/sycgateway/service.go
@@ -0,0 +1,362 @@
+package sycgateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
+	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycauth"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
+)
+
+// serviceCall runs one request to a plain service.
+type serviceCall struct {
+	x      *exchange
+	plan   *sycattempt.Plan
+	kind   sycattempt.Kind
+	ticket sycclaim.Ticket
+	header http.Header
+	// target is the escaped path and query that the service gets.
+	target   string
+	grant    sycwork.Grant
+	excluded []string
+}
+
+// serveService answers a request on a service route.
+func (x *exchange) serveService(ctx context.Context) error {
+	call := &serviceCall{x: x, kind: sycattempt.Once}
+	if x.route.Repeatable() {
+		call.kind = sycattempt.Repeatable
+	}
+	call.plan = x.plan(call.kind)
+	if err := call.prepare(); err != nil {
+		return err
+	}
+	if err := x.admit(ctx); err != nil {
+		return err
+	}
+	done, err := call.claim(ctx)
+	if done || err != nil {
+		return err
+	}
+	return call.run(ctx)
+}
+
+// prepare builds what the service gets: nothing of the caller's key, and
+// nothing that only the gateway may say.
+func (c *serviceCall) prepare() error {
+	x := c.x
+	scrub := sycauth.NewScrubber(x.identity, x.config.Owner)
+	if scrub.Path(x.r.URL.Path) || scrub.Body(x.body) {
+		return sycapi.Invalid(http.StatusBadRequest, "misplaced_key", "a key must be sent in the Authorization header only")
+	}
+	c.header = sycproxy.Forwarded(x.r.Header)
+	scrub.Header(c.header)
+	if customer := x.customer(); customer != "" {
+		c.header.Set(sycapi.HeaderCustomer, customer)
+	}
+	c.target = x.escapedRest()
+	if query := scrub.Query(x.r.URL.RawQuery); query != "" {
+		c.target += "?" + query
+	}
+	return nil
+}
+
+// escapedRest is the path below the route's prefix, as the caller escaped it.
+func (x *exchange) escapedRest() string {
+	prefix := strings.TrimSuffix(x.route.Prefix(), "/")
+	if rest, ok := strings.CutPrefix(x.r.URL.EscapedPath(), prefix); ok && strings.HasPrefix(rest, "/") {
+		return rest
+	}
+	return x.rest
+}
+
+// run makes attempts until the answer is whole or given up.
+func (c *serviceCall) run(ctx context.Context) error {
+	defer c.leave(sycwork.Result{Outcome: sycwork.Cancelled})
+	if c.ticket != nil {
+		// A caller that goes away may repeat the request and ask how it went.
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.x.deadline)
+		defer cancel()
+		ctx = detached
+	}
+	err := c.attempts(ctx)
+	c.settle()
+	return err
+}
+
+func (c *serviceCall) attempts(ctx context.Context) error {
+	for {
+		err := c.step(ctx)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, errCallerGone) {
+			c.plan.Note(sycattempt.Lost)
+			return callerGone()
+		}
+		action := c.plan.On(c.x.g.now(), c.event(ctx, err), c.spend)
+		c.abandon(err)
+		if action.Step == sycattempt.GiveUp || !pause(ctx, action.Wait) {
+			return c.givenUp(ctx, err)
+		}
+	}
+}
+
+func (c *serviceCall) spend() bool {
+	if c.grant == nil {
+		return true
+	}
+	return c.x.spend(c.grant.Target().Endpoint)
+}
+
+// step makes one attempt.
+func (c *serviceCall) step(ctx context.Context) error {
+	if err := c.choose(ctx); err != nil {
+		return err
+	}
+	ctx, span := c.x.g.tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	attempt := uuid.NewString()
+	span.SetAttributes(
+		attribute.String("endpoint", c.grant.Target().Endpoint),
+		attribute.String("attempt", attempt),
+	)
+	err := c.send(ctx, attempt)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
+}
+
+func (c *serviceCall) choose(ctx context.Context) error {
+	x := c.x
+	if err := x.stillAllowed(); err != nil {
+		return err
+	}
+	grant, err := x.choose(ctx, sycwork.Work{
+		Customer: x.customer(),
+		Route:    x.route.Name(),
+		Service:  x.route.Service(),
+		Exclude:  c.excluded,
+		Deadline: x.deadline,
+	})
+	if err != nil {
+		return &noTarget{cause: err}
+	}
+	c.grant = grant
+	return nil
+}
+
+// Faults of service calls that are not errors of the connection.
+var (
+	errCrossed = errors.New("the answer belongs to another attempt")
+	errRefused = errors.New("the service did not run the request")
+	errLength  = errors.New("the answer does not say where it ends")
+)
+
+// send makes the call and passes the answer on.
+func (c *serviceCall) send(ctx context.Context, attempt string) error {
+	header := c.header.Clone()
+	header.Set(sycapi.HeaderAttempt, attempt)
+	sent := time.Now()
+	answer, err := c.x.g.client.Do(ctx, sycproxy.Call{
+		Method: c.x.r.Method,
+		URL:    c.grant.Target().Address + c.target,
+		Header: header,
+		Body:   c.x.body,
+		Fresh:  c.kind == sycattempt.Once,
+		Guard:  c.guard(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := checkAnswer(answer, attempt); err != nil {
+		answer.Discard()
+		return err
+	}
+	c.grant.FirstToken()
+	if err := c.relay(answer); err != nil {
+		answer.Discard()
+		return err
+	}
+	_ = answer.Body.Close()
+	c.leave(sycwork.Result{Outcome: sycwork.Succeeded, FirstToken: time.Since(sent)})
+	return nil
+}
+
+func (c *serviceCall) guard() func() bool {
+	if c.ticket == nil {
+		return nil
+	}
+	return c.ticket.Start
+}
+
+// checkAnswer makes sure that the answer is this attempt's and that a cut
+// would show.
+func checkAnswer(a *sycproxy.Answer, attempt string) error {
+	if a.Header.Get(sycapi.HeaderAttempt) != attempt {
+		crossedTotal.Inc()
+		return errCrossed
+	}
+	if a.Header.Get(sycapi.HeaderNotRun) == "true" && a.StatusCode >= http.StatusBadRequest {
+		return errRefused
+	}
+	if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead {
+		return errLength
+	}
+	return nil
+}
+
+// relay holds the answer back until it is whole, or, where it is long, passes
+// it on as it comes.
+func (c *serviceCall) relay(a *sycproxy.Answer) error {
+	limit := c.x.g.limits.Answer
+	body, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) <= limit {
+		return c.deliver(a, body)
+	}
+	return c.stream(a, body)
+}
+
+// deliver passes a whole answer on.
+func (c *serviceCall) deliver(a *sycproxy.Answer, body []byte) error {
+	x := c.x
+	contentType := a.Header.Get("Content-Type")
+	c.done(sycclaim.Answer{Status: a.StatusCode, ContentType: contentType, Body: body})
+	x.copyHeader(a.Header)
+	if x.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified {
+		x.begun = true
+		x.w.WriteHeader(a.StatusCode)
+		return nil
+	}
+	return x.writeWhole(a.StatusCode, contentType, body)
+}
+
+const copyBuffer = 32 << 10
+
+// stream passes a long answer on as it comes. A cut breaks the caller's
+// connection, too.
+func (c *serviceCall) stream(a *sycproxy.Answer, head []byte) error {
+	x := c.x
+	x.copyHeader(a.Header)
+	x.begun = true
+	c.plan.Delivered()
+	x.w.WriteHeader(a.StatusCode)
+	buffer := make([]byte, copyBuffer)
+	for part := head; ; {
+		x.allowWrite()
+		if _, err := x.w.Write(part); err != nil {
+			return errCallerGone
+		}
+		n, err := a.Body.Read(buffer)
+		part = buffer[:n]
+		if errors.Is(err, io.EOF) && n == 0 {
+			c.done(sycclaim.Answer{Status: a.StatusCode})
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+}
+
+func (x *exchange) copyHeader(from http.Header) {
+	h := x.w.Header()
+	for name, values := range sycproxy.Returned(from) {
+		h[name] = values
+	}
+}
+
+// leave reports the end of the present grant.
+func (c *serviceCall) leave(r sycwork.Result) {
+	if c.grant == nil {
+		return
+	}
+	c.grant.Done(r)
+	c.grant = nil
+}
+
+func (c *serviceCall) abandon(err error) {
+	if c.grant == nil {
+		return
+	}
+	c.excluded = append(c.excluded, c.grant.Target().Endpoint)
+	outcome := sycwork.Failed
+	if errors.Is(err, errRefused) {
+		outcome = sycwork.Refused
+	}
+	c.leave(sycwork.Result{Outcome: outcome})
+}
+
+// event translates a failed attempt for the plan.
+func (c *serviceCall) event(ctx context.Context, err error) sycattempt.Event {
+	var missing *noTarget
+	if errors.As(err, &missing) {
+		return sycattempt.NoTarget
+	}
+	var denied *sycapi.Failure
+	if errors.As(err, &denied) {
+		return sycattempt.Cancelled
+	}
+	if errors.Is(err, errRefused) {
+		return sycattempt.Refused
+	}
+	var send *sycproxy.SendError
+	if errors.As(err, &send) && !send.Sent {
+		if ctx.Err() != nil {
+			return sycattempt.Expired
+		}
+		return sycattempt.Unsent
+	}
+	return sycattempt.Lost
+}
+
+// givenUp is the final answer after the last attempt failed.
+func (c *serviceCall) givenUp(ctx context.Context, err error) error {
+	outcome := sycapi.Unknown
+	if c.plan.NotRun() {
+		outcome = sycapi.NotRun
+	}
+	var denied *sycapi.Failure
+	if errors.As(err, &denied) {
+		denied.Outcome = outcome
+		return denied
+	}
+	var missing *noTarget
+	if errors.As(err, &missing) {
+		return c.x.refusal(ctx, missing.cause, c.plan.NotRun())
+	}
+	if ctx.Err() != nil {
+		return c.x.ended(ctx, outcome)
+	}
+	if outcome == sycapi.NotRun {
+		return &sycapi.Failure{
+			Status:     http.StatusServiceUnavailable,
+			Code:       string(sycwork.NoEndpoint),
+			Message:    "no endpoint took the request",
+			Outcome:    outcome,
+			RetryAfter: time.Second,
+		}
+	}
+	return &sycapi.Failure{
+		Status:  http.StatusBadGateway,
+		Code:    codeUnknown,
+		Message: "the service may have run the request, but its answer did not arrive whole",
+		Outcome: outcome,
+	}
+}
--- /dev/null
+++ b/internal/traffic/sycproxy/client.go
@@ -0,0 +1,205 @@
+package sycproxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// Settings bounds the connections to endpoints.
+type Settings struct {
+	// Connect bounds the time to open a connection.
+	Connect time.Duration
+	// IdlePerEndpoint and Idle bound the idle connections kept.
+	IdlePerEndpoint int
+	Idle            int
+	// IdleTime is how long an idle connection is kept.
+	IdleTime time.Duration
+	// AnswerHeader bounds the bytes of an answer's headers.
+	AnswerHeader int64
+}
+
+// Defaults returns the settings that fit a small VM.
+func Defaults() Settings {
+	return Settings{
+		Connect:         time.Second,
+		IdlePerEndpoint: 64,
+		Idle:            1024,
+		IdleTime:        30 * time.Second,
+		AnswerHeader:    64 << 10,
+	}
+}
+
+// SendError is a request that got no answer.
+type SendError struct {
+	// Sent reports whether any byte of the request can have left.
+	Sent bool
+	Err  error
+}
+
+// Error describes the failure.
+func (e *SendError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Call is one request to an endpoint.
+type Call struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a connection of its own, so that the request can't be
+	// lost on an idle connection that the endpoint is closing.
+	Fresh bool
+	// Guard is asked right before the first byte leaves; nil always allows.
+	Guard func() bool
+}
+
+// Client sends requests to endpoints.
+type Client struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// NewClient returns a client.
+func NewClient(s Settings) *Client {
+	return &Client{kept: transport(s, false), fresh: transport(s, true)}
+}
+
+func transport(s Settings, fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: s.Connect}
+	return &http.Transport{
+		Proxy: nil,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, eris.Wrap(err, "connect")
+			}
+			return &conn{Conn: c}, nil
+		},
+		DisableCompression:     true,
+		DisableKeepAlives:      fresh,
+		MaxIdleConns:           s.Idle,
+		MaxIdleConnsPerHost:    s.IdlePerEndpoint,
+		IdleConnTimeout:        s.IdleTime,
+		MaxResponseHeaderBytes: s.AnswerHeader,
+		ForceAttemptHTTP2:      false,
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// body hides its reader's type, so that the transport has no means to replay it.
+type body struct {
+	io.Reader
+}
+
+func (body) Close() error { return nil }
+
+// Do sends a call and returns the answer once its headers have arrived. It
+// fails with *SendError. The caller closes the answer.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	var sent tracker
+	sent.guard = call.Guard
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
+	req, err := newRequest(ctx, call)
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	t := c.kept
+	if call.Fresh {
+		t = c.fresh
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return nil, &SendError{Sent: sent.seal(), Err: eris.Wrap(err, "endpoint")}
+	}
+	return &Answer{Response: resp, sent: &sent}, nil
+}
+
+func newRequest(ctx context.Context, call Call) (*http.Request, error) {
+	// GetBody stays nil and Body is never nil: the transport resends requests
+	// for which either doesn't hold when a kept connection dies.
+	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, body{bytes.NewReader(call.Body)})
+	if err != nil {
+		return nil, eris.Wrap(err, "endpoint request")
+	}
+	req.GetBody = nil
+	if len(call.Body) > 0 {
+		req.ContentLength = int64(len(call.Body))
+	}
+	if call.Header != nil {
+		req.Header = call.Header
+	}
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "")
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return req, nil
+}
+
+// tracker follows the connection that a request got.
+type tracker struct {
+	guard func() bool
+	mu    sync.Mutex
+	conn  *conn
+	// given is set once the request was given up; a connection that comes
+	// later must not be used.
+	given bool
+}
+
+func (t *tracker) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conn = c
+	c.begin(t.guard)
+	if t.given {
+		c.seal()
+	}
+}
+
+// seal makes sure that nothing more is sent and reports whether anything was.
+func (t *tracker) seal() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.given = true
+	if t.conn == nil {
+		return false
+	}
+	return t.conn.seal()
+}
+
+// Answer is an endpoint's answer.
+type Answer struct {
+	*http.Response
+	sent *tracker
+}
+
+// Discard closes the answer and its connection, which may hold bytes that
+// belong to another request.
+func (a *Answer) Discard() {
+	a.sent.mu.Lock()
+	c := a.sent.conn
+	a.sent.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+	_ = a.Body.Close()
+}
