--- /dev/null
+++ b/internal/decide/sycprefix/bench_test.go
@@ -0,0 +1,43 @@
+package sycprefix_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
+)
+
+// filled returns a cache that holds n blocks, the prompt's among them.
+func filled(n int, prompt []uint64) *sycprefix.Cache {
+	cache := sycprefix.NewCache(sycprefix.Life{})
+	cache.Limit(n)
+	blocks := append(chain(rand.Uint64(), n-len(prompt)), prompt...)
+	cache.Resync(0, "i", 0, blocks)
+	return cache
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, size := range []int{1 << 10, 1 << 13, 1 << 16} {
+		for _, length := range []int{50, 500} {
+			b.Run(fmt.Sprintf("blocks=%d/prompt=%d", size, length), func(b *testing.B) {
+				prompt := chain(7, length)
+				cache := filled(size, prompt)
+				for b.Loop() {
+					cache.Match(0, prompt)
+				}
+				b.ReportMetric(float64(cache.Bytes())/float64(cache.Len()), "B/block")
+			})
+		}
+	}
+}
+
+func BenchmarkStore(b *testing.B) {
+	cache := filled(1<<16, nil)
+	blocks := chain(3, 1<<18)
+	i := 0
+	for b.Loop() {
+		cache.Predict(0, blocks[i:i+1])
+		i = (i + 1) % len(blocks)
+	}
+}
