--- /dev/null
+++ b/internal/decide/sycqueue/heap.go
@@ -0,0 +1,86 @@
+package sycqueue
+
+import "cmp"
+
+// heap orders entries by rank, then by arrival. Entries know their index.
+type heap[T any] struct {
+	entries []*Entry[T]
+}
+
+func (h *heap[T]) len() int { return len(h.entries) }
+
+// first returns up to n entries near the front; the first of them is the least.
+func (h *heap[T]) first(n int) []*Entry[T] {
+	return append([]*Entry[T](nil), h.entries[:min(n, len(h.entries))]...)
+}
+
+func (h *heap[T]) newest() *Entry[T] {
+	newest := h.entries[0]
+	for _, e := range h.entries {
+		if e.arrived > newest.arrived || (e.arrived == newest.arrived && e.rank >= newest.rank) {
+			newest = e
+		}
+	}
+	return newest
+}
+
+func (h *heap[T]) push(e *Entry[T]) {
+	e.index = len(h.entries)
+	h.entries = append(h.entries, e)
+	h.up(e.index)
+}
+
+func (h *heap[T]) remove(e *Entry[T]) {
+	i := e.index
+	last := len(h.entries) - 1
+	h.swap(i, last)
+	h.entries[last] = nil
+	h.entries = h.entries[:last]
+	e.index = -1
+	if i < last {
+		h.down(i)
+		h.up(i)
+	}
+}
+
+func (h *heap[T]) less(i, j int) bool {
+	a, b := h.entries[i], h.entries[j]
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
+		return c < 0
+	}
+	return a.arrived < b.arrived
+}
+
+func (h *heap[T]) swap(i, j int) {
+	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
+	h.entries[i].index = i
+	h.entries[j].index = j
+}
+
+func (h *heap[T]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(i, parent) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *heap[T]) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(h.entries) {
+			return
+		}
+		if child+1 < len(h.entries) && h.less(child+1, child) {
+			child++
+		}
+		if !h.less(child, i) {
+			return
+		}
+		h.swap(i, child)
+		i = child
+	}
+}
