Add the service, KV store and fault proxy stand-ins and their commands

Cause: tests need bookings that are recorded, kept KV cache and faults between processes. Change: sycservice, syckvstore, sycfault (latency, cut, reset, stall, one-way loss, truncation, seeded schedules); commands platform, engine, kvstore, service that print their URL first.

--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -4,7 +4,10 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 )
@@ -12,6 +15,35 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&platformCommand{}, "stand-ins")
+	subcommands.Register(&engineCommand{}, "stand-ins")
+	subcommands.Register(&kvStoreCommand{}, "stand-ins")
+	subcommands.Register(&serviceCommand{}, "stand-ins")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
+
+// standIn is a stand-in that runs until it is closed.
+type standIn interface {
+	URL() string
+	Close() error
+}
+
+// serveUntilSignal prints the stand-in's URL as the first line and runs it
+// until SIGTERM or SIGINT.
+func serveUntilSignal(ctx context.Context, s standIn) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	fmt.Println(s.URL())
+	<-ctx.Done()
+	if err := s.Close(); err != nil {
+		return failed(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// failed prints an error and returns the exit status for it.
+func failed(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "sycamorebench:", err)
+	return subcommands.ExitFailure
+}
--- a/internal/standin/sycengine/engine_test.go
+++ b/internal/standin/sycengine/engine_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -76,10 +77,15 @@
 }
 
 func post(t *testing.T, address string, body any) (*http.Response, error) {
+	t.Helper()
+	return http.Post(address, "application/json", asBody(t, body))
+}
+
+func asBody(t *testing.T, body any) io.Reader {
 	t.Helper()
 	data, err := json.Marshal(body)
 	must.NoError(t, err)
-	return http.Post(address, "application/json", bytes.NewReader(data))
+	return bytes.NewReader(data)
 }
 
 // read collects a stream until its end, clean or not.
--- a/internal/standin/sycplatform/platform.go
+++ b/internal/standin/sycplatform/platform.go
@@ -73,9 +73,9 @@
 		options: o,
 		log:     newLog(o.RetainAge, o.RetainCount),
 		list:    newList(o.ListLag),
-		store:   newStore(o),
 		changed: make(chan struct{}),
 	}
+	p.store = newStore(o, func() bool { return p.Faults().Store.Out })
 	server, err := sycserver.New(o.Address, p.routes())
 	if err != nil {
 		return nil, eris.Wrap(err, "platform stand-in")
--- a/internal/standin/sycplatform/store.go
+++ b/internal/standin/sycplatform/store.go
@@ -21,14 +21,17 @@
 	other          int64
 	limiter        *rate.Limiter
 	inUse          atomic.Int64
+	// out reports an outage, which breaks downloads off.
+	out func() bool
 }
 
-func newStore(o Options) *store {
+func newStore(o Options, out func() bool) *store {
 	return &store{
 		bytesPerSecond: o.StoreBytesPerSecond,
 		weights:        maps.Clone(o.Weights),
 		other:          o.OtherWeights,
 		limiter:        rate.NewLimiter(rate.Limit(o.StoreBytesPerSecond), storeChunk),
+		out:            out,
 	}
 }
 
@@ -65,7 +68,7 @@
 	chunk := make([]byte, storeChunk)
 	for left > 0 {
 		n := min(left, storeChunk)
-		if err := s.limiter.WaitN(r.Context(), int(n)); err != nil {
+		if err := s.limiter.WaitN(r.Context(), int(n)); err != nil || s.out() {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := w.Write(chunk[:n]); err != nil {
