Parse records strictly in both schema versions

Cause: any JSON was folded, and a malformed spec gave zero values. Change: sycrecord.Parse reads schema versions 1 and 2 per record, refuses unknown fields with their path, lists all faults and keeps the envelope of a newer schema. The fold refuses repeated ids (memory of 4096 offsets), former generations, broken references, kinds of the other stream; tombstones keep generations; routes match whole segments; tables share leaves between states.

--- /dev/null
+++ b/internal/decide/sycconfig/check.go
@@ -0,0 +1,130 @@
+package sycconfig
+
+import (
+	"strings"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+)
+
+// rounding is the slack allowed to sums of shares.
+const rounding = 1e-9
+
+// check judges an operation against the other objects.
+func (s *State) check(op sycrecord.Operation, value sycrecord.Value) error {
+	switch v := value.(type) {
+	case nil:
+		return s.checkDelete(op)
+	case sycrecord.Key:
+		return s.checkKey(v)
+	case sycrecord.Route:
+		return s.checkRoute(v)
+	case sycrecord.Version:
+		return s.checkVersion(v)
+	case sycrecord.Slots:
+		return s.checkSlots(v)
+	}
+	return nil
+}
+
+func (s *State) checkDelete(op sycrecord.Operation) error {
+	if !s.exists(op.Kind, op.Name) {
+		return &MissingError{Kind: op.Kind, Name: op.Name}
+	}
+	if op.Kind != sycrecord.KindCustomer {
+		return nil
+	}
+	for name, key := range s.keys.all() {
+		if key.value.Customer() == op.Name {
+			return conflict("name", "customer %q still has key %q", op.Name, name)
+		}
+	}
+	return nil
+}
+
+func (s *State) exists(kind sycrecord.Kind, name string) bool {
+	switch kind {
+	case sycrecord.KindCustomer:
+		return s.customers.exists(name)
+	case sycrecord.KindKey:
+		return s.keys.exists(name)
+	case sycrecord.KindRoute:
+		return s.routes.exists(name)
+	case sycrecord.KindEndpoint:
+		return s.endpoints.exists(name)
+	case sycrecord.KindVersion:
+		return s.versions.exists(name)
+	case sycrecord.KindSlots:
+		return s.slots.exists(name)
+	case sycrecord.KindHolder:
+		return s.holders.exists(name)
+	case sycrecord.KindLease:
+		return s.leases.exists(name)
+	case sycrecord.KindRollout:
+		return s.rollouts.exists(name)
+	}
+	return false
+}
+
+func (s *State) checkKey(key sycrecord.Key) error {
+	if !s.customers.exists(key.Customer()) {
+		return conflict("spec.customer", "customer %q does not exist", key.Customer())
+	}
+	if other, ok := s.hashes.get(key.SHA256()); ok && other != key.Name() {
+		return conflict("spec.sha256", "is that of key %q", other)
+	}
+	return nil
+}
+
+func (s *State) checkRoute(route sycrecord.Route) error {
+	if other, ok := s.prefixes.get(prefixKey(route)); ok && other != route.Name() {
+		return conflict("spec.prefix", "is that of route %q", other)
+	}
+	return nil
+}
+
+func (s *State) checkVersion(version sycrecord.Version) error {
+	if !version.Initial() {
+		return nil
+	}
+	for name, other := range s.versions.all() {
+		same := other.value.Initial() && other.value.Model() == version.Model()
+		if same && name != version.Name() {
+			return conflict("spec.initial", "model %q has the initial version %q", version.Model(), name)
+		}
+	}
+	return nil
+}
+
+func (s *State) checkSlots(slots sycrecord.Slots) error {
+	names := map[string]bool{}
+	addresses := map[string]bool{}
+	for _, slot := range slots.Slots() {
+		names[slot.Name] = true
+		addresses[slot.Address] = true
+	}
+	sum := slots.Share()
+	for domain, other := range s.slots.all() {
+		if domain == slots.FailureDomain() {
+			continue
+		}
+		sum += other.value.Share()
+		for _, slot := range other.value.Slots() {
+			if names[slot.Name] {
+				return conflict("spec.slots", "slot %q is in failure domain %q", slot.Name, domain)
+			}
+			if addresses[slot.Address] {
+				return conflict("spec.slots", "address %q is in failure domain %q", slot.Address, domain)
+			}
+		}
+	}
+	if sum > 1+rounding {
+		return conflict("spec.share", "brings the shares of all failure domains to %g; at most 1 is allowed", sum)
+	}
+	return nil
+}
+
+// prefixKey is a route's prefix without a trailing slash.
+func prefixKey(route sycrecord.Route) string { return strings.TrimSuffix(route.Prefix(), "/") }
+
+// prefixDepth is the number of segments of a route's prefix.
+func prefixDepth(route sycrecord.Route) int { return strings.Count(prefixKey(route), "/") }
--- a/internal/decide/sycconfig/state.go
+++ b/internal/decide/sycconfig/state.go
@@ -4,230 +4,193 @@
 package sycconfig
 
 import (
-	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
 
-	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 )
 
-// Object is the last accepted value of a record.
-type Object[T any] struct {
-	value      T
-	generation uint64
-	offset     uint64
-}
-
-// Value is the object's record.
-func (o Object[T]) Value() T { return o.value }
-
-// Generation counts the accepted operations on the object, from 1.
-func (o Object[T]) Generation() uint64 { return o.generation }
-
-// Offset is the log offset of the last accepted operation.
-func (o Object[T]) Offset() uint64 { return o.offset }
+// Names of the streams that are folded.
+const (
+	ConfigStream = "config"
+	SystemStream = "system"
+)
 
 // State is the immutable result of folding a prefix of a stream.
 type State struct {
+	// stream is the name of the stream; empty takes the kinds of all streams.
+	stream string
 	// next is the offset after the last applied record; it never decreases
 	// from one published state to its successor.
 	next      uint64
-	customers map[string]Object[sycrecord.Customer]
-	keys      map[string]Object[sycrecord.Key]
-	owners    map[string]string
-	routes    map[string]Object[sycrecord.Route]
-	endpoints map[string]Object[sycrecord.Endpoint]
-	versions  map[string]Object[sycrecord.Version]
-	slots     map[string]Object[sycrecord.Slots]
-	holders   map[string]Object[sycrecord.Holder]
-	leases    map[string]Object[sycrecord.Lease]
-	rollouts  map[string]Object[sycrecord.Rollout]
-}
-
-// Result says what became of an operation.
-type Result struct {
-	offset   uint64
-	id       string
-	accepted bool
-	reason   string
-}
-
-// Offset is the operation's log offset.
-func (r Result) Offset() uint64 { return r.offset }
-
-// ID is the operation's id.
-func (r Result) ID() string { return r.id }
-
-// Accepted reports whether the operation took effect.
-func (r Result) Accepted() bool { return r.accepted }
-
-// Reason says why the operation was refused.
-func (r Result) Reason() string { return r.reason }
-
-// NewState returns the state before the first record.
-func NewState() *State {
-	return &State{}
-}
-
-// NewStream returns the state before the first record of the named stream.
-func NewStream(string) *State {
-	return &State{}
-}
+	customers objects[sycrecord.Customer]
+	keys      objects[sycrecord.Key]
+	routes    objects[sycrecord.Route]
+	endpoints objects[sycrecord.Endpoint]
+	versions  objects[sycrecord.Version]
+	slots     objects[sycrecord.Slots]
+	holders   objects[sycrecord.Holder]
+	leases    objects[sycrecord.Lease]
+	rollouts  objects[sycrecord.Rollout]
+
+	// hashes maps the hash of each key that is not deleted to the key's name.
+	hashes table[string, string]
+	// prefixes maps the prefix of each route, without a trailing slash, to the
+	// route's name.
+	prefixes table[string, string]
+	// depth is at least the number of segments of the deepest prefix.
+	depth int
+	// recent remembers the ids of the last records.
+	recent recent
+	// unreadable maps kind and name to the newest operation that this program
+	// could not read, as long as no later one was accepted.
+	unreadable table[string, Unreadable]
+}
+
+// NewState returns the state before the first record, for any stream.
+func NewState() *State { return &State{} }
+
+// NewStream returns the state before the first record of the named stream,
+// which refuses the kinds of other streams.
+func NewStream(stream string) *State { return &State{stream: stream} }
+
+// Stream is the name of the stream, empty if any is taken.
+func (s *State) Stream() string { return s.stream }
 
 // Next is the offset after the last applied record.
 func (s *State) Next() uint64 { return s.next }
 
+// LastID returns the id of the last applied record that had one within the
+// memory of ids.
+func (s *State) LastID() (id string, ok bool) { return s.recent.at(s.next - 1) }
+
 // Customer returns a customer by name.
 func (s *State) Customer(name string) (Object[sycrecord.Customer], bool) {
-	o, ok := s.customers[name]
-	return o, ok
+	return s.customers.get(name)
 }
 
+// Customers returns all customers, ordered by name.
+func (s *State) Customers() []Object[sycrecord.Customer] { return s.customers.list() }
+
+// Key returns a key by name.
+func (s *State) Key(name string) (Object[sycrecord.Key], bool) { return s.keys.get(name) }
+
 // Owner returns the customer whose key has the given SHA-256 in lower-case
 // hexadecimal; withdrawn keys have no owner.
 func (s *State) Owner(sha256 string) (string, bool) {
-	name, ok := s.owners[sha256]
-	return name, ok
+	name, ok := s.hashes.get(sha256)
+	if !ok {
+		return "", false
+	}
+	key, ok := s.keys.get(name)
+	if !ok || key.value.Withdrawn() {
+		return "", false
+	}
+	return key.value.Customer(), true
 }
 
-// Route returns the route with the longest prefix of the path.
+// Route returns the route with the longest prefix of the path. A prefix matches
+// whole segments: /a is a prefix of /a and /a/b but not of /ab.
 func (s *State) Route(path string) (Object[sycrecord.Route], bool) {
-	var best Object[sycrecord.Route]
-	found := false
-	for _, o := range s.routes {
-		p := o.value.Prefix()
-		if !strings.HasPrefix(path, p) {
-			continue
+	candidate := strings.TrimSuffix(segments(path, s.depth), "/")
+	for {
+		if name, ok := s.prefixes.get(candidate); ok {
+			return s.routes.get(name)
 		}
-		if !found || len(p) > len(best.value.Prefix()) {
-			best, found = o, true
+		if candidate == "" {
+			return Object[sycrecord.Route]{}, false
 		}
+		candidate = candidate[:max(0, strings.LastIndexByte(candidate, '/'))]
 	}
-	return best, found
 }
 
+// Routes returns all routes, ordered by name.
+func (s *State) Routes() []Object[sycrecord.Route] { return s.routes.list() }
+
 // Endpoints returns all endpoints, ordered by name.
-func (s *State) Endpoints() []Object[sycrecord.Endpoint] { return sorted(s.endpoints) }
+func (s *State) Endpoints() []Object[sycrecord.Endpoint] { return s.endpoints.list() }
 
 // Endpoint returns an endpoint by name.
 func (s *State) Endpoint(name string) (Object[sycrecord.Endpoint], bool) {
-	o, ok := s.endpoints[name]
-	return o, ok
+	return s.endpoints.get(name)
 }
 
 // Versions returns all versions, ordered by name.
-func (s *State) Versions() []Object[sycrecord.Version] { return sorted(s.versions) }
+func (s *State) Versions() []Object[sycrecord.Version] { return s.versions.list() }
+
+// Version returns a version by name.
+func (s *State) Version(name string) (Object[sycrecord.Version], bool) {
+	return s.versions.get(name)
+}
 
 // Slots returns the slot tables, ordered by failure domain.
-func (s *State) Slots() []Object[sycrecord.Slots] { return sorted(s.slots) }
+func (s *State) Slots() []Object[sycrecord.Slots] { return s.slots.list() }
 
 // Holder returns the VM that took a slot over, if one did.
 func (s *State) Holder(slot string) (Object[sycrecord.Holder], bool) {
-	o, ok := s.holders[slot]
-	return o, ok
+	return s.holders.get(slot)
 }
 
 // Lease returns a lease by name.
 func (s *State) Lease(name string) (Object[sycrecord.Lease], bool) {
-	o, ok := s.leases[name]
-	return o, ok
+	return s.leases.get(name)
 }
 
+// Leases returns all leases, ordered by name.
+func (s *State) Leases() []Object[sycrecord.Lease] { return s.leases.list() }
+
 // Rollout returns the recorded progress of a version's rollout.
 func (s *State) Rollout(version string) (Object[sycrecord.Rollout], bool) {
-	o, ok := s.rollouts[version]
-	return o, ok
+	return s.rollouts.get(version)
 }
 
 // Rollouts returns the progress of all rollouts, ordered by version.
-func (s *State) Rollouts() []Object[sycrecord.Rollout] { return sorted(s.rollouts) }
-
-func sorted[T any](objects map[string]Object[T]) []Object[T] {
-	list := make([]Object[T], 0, len(objects))
-	for _, name := range slices.Sorted(maps.Keys(objects)) {
-		list = append(list, objects[name])
+func (s *State) Rollouts() []Object[sycrecord.Rollout] { return s.rollouts.list() }
+
+// Unreadable returns the operations of a newer schema version that this program
+// could not read; their objects keep the values that they had before.
+func (s *State) Unreadable() []Unreadable {
+	var list []Unreadable
+	for _, u := range s.unreadable.all() {
+		list = append(list, u)
 	}
 	return list
 }
 
-// Apply folds the record at an offset, which must be Next. The state itself is
-// unchanged; a refused record only advances the offset.
-func (s *State) Apply(offset uint64, data []byte) (*State, Result) {
-	next := *s
-	next.next = offset + 1
-	var op sycrecord.Operation
-	if err := json.Unmarshal(data, &op); err != nil {
-		return &next, Result{offset: offset, reason: err.Error()}
-	}
-	result := Result{offset: offset, id: op.ID}
-	if err := next.apply(offset, op); err != nil {
-		result.reason = err.Error()
-		return &next, result
-	}
-	result.accepted = true
-	return &next, result
-}
-
-func (s *State) apply(offset uint64, op sycrecord.Operation) error {
-	switch op.Kind {
+// Generation returns the generation that an operation on an object has to
+// expect; 0 if the object never was.
+func (s *State) Generation(kind sycrecord.Kind, name string) uint64 {
+	switch kind {
 	case sycrecord.KindCustomer:
-		return put(&s.customers, offset, op, sycrecord.NewCustomer)
+		return s.customers.generation(name)
 	case sycrecord.KindKey:
-		err := put(&s.keys, offset, op, sycrecord.NewKey)
-		s.owners = owners(s.keys)
-		return err
+		return s.keys.generation(name)
 	case sycrecord.KindRoute:
-		return put(&s.routes, offset, op, sycrecord.NewRoute)
+		return s.routes.generation(name)
 	case sycrecord.KindEndpoint:
-		return put(&s.endpoints, offset, op, sycrecord.NewEndpoint)
+		return s.endpoints.generation(name)
 	case sycrecord.KindVersion:
-		return put(&s.versions, offset, op, sycrecord.NewVersion)
+		return s.versions.generation(name)
 	case sycrecord.KindSlots:
-		return put(&s.slots, offset, op, sycrecord.NewSlots)
+		return s.slots.generation(name)
 	case sycrecord.KindHolder:
-		return put(&s.holders, offset, op, sycrecord.NewHolder)
+		return s.holders.generation(name)
 	case sycrecord.KindLease:
-		return put(&s.leases, offset, op, sycrecord.NewLease)
+		return s.leases.generation(name)
 	case sycrecord.KindRollout:
-		return put(&s.rollouts, offset, op, sycrecord.NewRollout)
-	}
-	return eris.Errorf("kind %q is unknown", op.Kind)
-}
-
-func put[F, T any](objects *map[string]Object[T], offset uint64, op sycrecord.Operation, build func(string, F) T) error {
-	old := (*objects)[op.Name]
-	if op.Expect != nil && *op.Expect != old.generation {
-		return eris.Errorf("generation is %d, not %d", old.generation, *op.Expect)
-	}
-	changed := maps.Clone(*objects)
-	if changed == nil {
-		changed = map[string]Object[T]{}
-	}
-	*objects = changed
-	if op.Verb == sycrecord.Delete {
-		delete(changed, op.Name)
-		return nil
-	}
-	var fields F
-	if err := json.Unmarshal(op.Spec, &fields); err != nil {
-		return eris.Wrap(err, "spec")
-	}
-	changed[op.Name] = Object[T]{
-		value:      build(op.Name, fields),
-		generation: old.generation + 1,
-		offset:     offset,
+		return s.rollouts.generation(name)
 	}
-	return nil
+	return 0
 }
 
-func owners(keys map[string]Object[sycrecord.Key]) map[string]string {
-	m := make(map[string]string, len(keys))
-	for _, o := range keys {
-		if !o.value.Withdrawn() {
-			m[o.value.SHA256()] = o.value.Customer()
+// segments cuts a path after its first n segments.
+func segments(path string, n int) string {
+	end := 0
+	for range n {
+		next := strings.IndexByte(path[min(end+1, len(path)):], '/')
+		if next < 0 {
+			return path
 		}
+		end += 1 + next
 	}
-	return m
+	return path[:end]
 }
