Carry out rollouts on the VM that holds the lease

Cause: the rollout decisions need the evidence of all VMs and one leader. Change: sycversion records attempts by class, shares cumulative counts and vetoes with peers, keeps the lease through the log, orders engines under the lease's offset as fencing number, and records each step.

--- /dev/null
+++ b/internal/traffic/sycversion/judge.go
@@ -0,0 +1,163 @@
+package sycversion
+
+import (
+	"maps"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+)
+
+// stage is the present stage of a model's rollout, as this VM sees it.
+type stage struct {
+	subject sycrollout.Subject
+	state   string
+	share   float64
+	// since is when this VM first saw the stage.
+	since time.Duration
+	// baseline holds the counts from before the stage.
+	baseline sycrollout.Totals
+	verdict  sycrollout.Verdict
+	recent   sycrollout.Verdict
+	// engines, ready and loadTime are known on the leader only.
+	engines  int
+	ready    int
+	loadTime time.Duration
+}
+
+// Status shows operators a rollout.
+type Status struct {
+	Model    string  `json:"model"`
+	Version  string  `json:"version"`
+	State    string  `json:"state"`
+	Share    float64 `json:"share"`
+	Reason   string  `json:"reason,omitempty"`
+	Waiting  string  `json:"waiting_for,omitempty"`
+	Veto     string  `json:"veto,omitempty"`
+	Requests uint64  `json:"requests_in_stage"`
+}
+
+// judge compares versions under rollout with their predecessors and publishes
+// the shares. It runs on the control loop.
+func (m *Manager) judge(now time.Duration) {
+	config := m.options.Store.Config()
+	system := m.options.Store.System()
+	wall := m.options.Wall()
+	if lease, ok := system.Lease(LeaseName); ok {
+		m.tracker.Observe(now, lease)
+	}
+	next := &view{
+		shares: map[string][]sycwork.VersionShare{},
+		judged: map[string]uint64{},
+	}
+	_, next.leading = m.tracker.Holds(now)
+	recent := m.ledger.Recent(now)
+	sum := m.ledger.Sum()
+	for _, model := range sycrollout.Models(config) {
+		l := sycrollout.NewLineup(model, config, system)
+		if l.HasCandidate {
+			s := m.stage(now, model, l, sum)
+			m.judgeStage(s, l, sum, recent)
+			next.judge(l)
+			next.rollouts = append(next.rollouts, m.status(now, wall, model, l, s))
+		}
+		next.shares[model] = l.Shares(wall, m.vetoed)
+	}
+	m.ledger.Keep(func(version string, generation uint64) bool {
+		return next.judged[version] == generation
+	})
+	maps.DeleteFunc(m.vetoes, func(s sycrollout.Subject, _ string) bool {
+		return next.judged[s.Version] != s.Generation
+	})
+	m.view.Store(next)
+}
+
+// judge has the requests of the candidate and the base recorded.
+func (v *view) judge(l sycrollout.Lineup) {
+	candidate, base := l.Subjects()
+	v.judged[candidate.Version] = candidate.Generation
+	if l.HasBase {
+		v.judged[base.Version] = base.Generation
+	}
+}
+
+// stage returns the present stage, begun anew when the progress has changed.
+func (m *Manager) stage(now time.Duration, model string, l sycrollout.Lineup, sum sycrollout.Totals) *stage {
+	candidate, _ := l.Subjects()
+	s := m.stages[model]
+	if s != nil && s.subject == candidate && s.state == l.Progress.State && s.share == l.Progress.Share {
+		return s
+	}
+	s = &stage{
+		subject:  candidate,
+		state:    l.Progress.State,
+		share:    l.Progress.Share,
+		since:    now,
+		baseline: sum,
+	}
+	m.stages[model] = s
+	return s
+}
+
+// judgeStage vetoes the candidate as soon as its evidence shows a fault.
+func (m *Manager) judgeStage(s *stage, l sycrollout.Lineup, sum, recent sycrollout.Totals) {
+	candidate, base := l.Subjects()
+	s.verdict = sycrollout.Compare(sum.Since(s.baseline), candidate, base)
+	s.recent = sycrollout.Compare(recent, candidate, base)
+	for _, v := range []sycrollout.Verdict{s.verdict, s.recent} {
+		if v.Bad {
+			m.veto(candidate, v.Reason)
+		}
+	}
+}
+
+func (m *Manager) veto(s sycrollout.Subject, reason string) {
+	if m.vetoed(s) {
+		return
+	}
+	m.vetoes[s] = reason
+	log.Warnf("version %s gets no more work: %s", s.Version, reason)
+}
+
+func (m *Manager) vetoed(s sycrollout.Subject) bool {
+	_, ok := m.vetoes[s]
+	return ok
+}
+
+// decision gathers what the rollout is decided on.
+func (m *Manager) decision(now time.Duration, wall time.Time, l sycrollout.Lineup, s *stage) sycrollout.View {
+	return sycrollout.View{
+		Wall:     wall,
+		Lineup:   l,
+		InState:  now - s.since,
+		Stage:    s.verdict,
+		Recent:   s.recent,
+		Veto:     m.vetoes[s.subject],
+		Engines:  s.engines,
+		Ready:    s.ready,
+		LoadTime: s.loadTime,
+	}
+}
+
+func (m *Manager) status(now time.Duration, wall time.Time, model string, l sycrollout.Lineup, s *stage) Status {
+	status := Status{
+		Model:    model,
+		Version:  s.subject.Version,
+		State:    l.Progress.State,
+		Share:    l.Progress.Share,
+		Reason:   l.Progress.Reason,
+		Veto:     m.vetoes[s.subject],
+		Requests: s.verdict.Requests,
+	}
+	if _, ok := m.tracker.Holds(now); ok {
+		status.Waiting = sycrollout.Waiting(m.decision(now, wall, l, s))
+	}
+	return status
+}
+
+// Rollouts returns the rollouts that are not yet done or rolled back, and
+// whether this VM leads them.
+func (m *Manager) Rollouts() (rollouts []Status, leading bool) {
+	v := m.view.Load()
+	return v.rollouts, v.leading
+}
--- /dev/null
+++ b/internal/traffic/sycversion/manager.go
@@ -0,0 +1,135 @@
+// Package sycversion carries out rollouts: it records how versions fare,
+// publishes the share of traffic of each, and, on the VM that holds the lease,
+// gives engines their orders and records each rollout's progress.
+package sycversion
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/syclease"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
+)
+
+const (
+	// LeaseName is the lease of the VM that leads rollouts.
+	LeaseName = "rollout"
+	// DefaultLease is how long the leader's lease lasts without renewal.
+	DefaultLease = 12 * time.Second
+	// TickPeriod is the time between judgements and between a leader's rounds.
+	TickPeriod = 250 * time.Millisecond
+)
+
+var log = syclogging.New("rollout")
+
+// Store is the VM's access to the folded streams.
+type Store interface {
+	Config() *sycconfig.State
+	System() *sycconfig.State
+	Propose(ctx context.Context, stream string, op sycrecord.Operation) (sycconfig.Result, error)
+}
+
+// Options configure a Manager.
+type Options struct {
+	Loop  *sycloop.Loop
+	Store Store
+	// Address and Incarnation identify this VM as a holder of the lease.
+	Address     string
+	Incarnation string
+	// Lease is how long the lease lasts.
+	Lease time.Duration
+	// Wall is the wall clock that deadlines are compared with.
+	Wall func() time.Time
+}
+
+// Defaults fills the fields that are zero.
+func (o *Options) Defaults() {
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+}
+
+// Manager owns the VM's part in rollouts.
+type Manager struct {
+	tomb    tomb.Tomb
+	options Options
+	engines *sycorder.Client
+	// view is what traffic goroutines read.
+	view atomic.Pointer[view]
+
+	// The fields below belong to the control loop.
+	ledger  *sycrollout.Ledger
+	tracker *syclease.Tracker
+	vetoes  map[sycrollout.Subject]string
+	stages  map[string]*stage
+	loads   map[loadKey]loadTime
+}
+
+// view is an immutable snapshot for traffic goroutines and status.
+type view struct {
+	shares map[string][]sycwork.VersionShare
+	// judged holds the generations of versions whose requests are recorded.
+	judged   map[string]uint64
+	rollouts []Status
+	leading  bool
+}
+
+// New starts the VM's part in rollouts.
+func New(o Options) *Manager {
+	o.Defaults()
+	m := &Manager{
+		options: o,
+		engines: sycorder.NewClient(),
+		ledger:  sycrollout.NewLedger(),
+		tracker: syclease.NewTracker(o.Address, o.Incarnation, o.Lease),
+		vetoes:  map[sycrollout.Subject]string{},
+		stages:  map[string]*stage{},
+		loads:   map[loadKey]loadTime{},
+	}
+	m.view.Store(&view{})
+	o.Loop.Every(TickPeriod, m.judge)
+	m.tomb.Go(func() error {
+		ticker := time.NewTicker(TickPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-m.tomb.Dying():
+				return nil
+			case <-ticker.C:
+				m.lead(m.tomb.Context(context.Background()))
+			}
+		}
+	})
+	return m
+}
+
+// Close stops leading and waits.
+func (m *Manager) Close() error {
+	m.tomb.Kill(nil)
+	err := m.tomb.Wait()
+	m.engines.Close()
+	return err
+}
+
+// Refresh works the shares out anew; it is called on the control loop when a
+// folded state has changed.
+func (m *Manager) Refresh(now time.Duration) {
+	m.judge(now)
+}
+
+// Versions returns the shares of a model's versions.
+func (m *Manager) Versions(model string) []sycwork.VersionShare {
+	return m.view.Load().shares[model]
+}
