--- a/internal/standin/sycengine/completion.go
+++ b/internal/standin/sycengine/completion.go
@@ -125,6 +125,7 @@
 	case v.ran:
 		return fail(w, v.status, v.code, v.message)
 	case v.status != 0:
+		w.Header().Set("Sycamorecart-Attempt", q.Attempt)
 		return refuse(w, v.status, v.code, v.message)
 	}
 	if !wait(r.Context(), v.late) {
--- /dev/null
+++ b/internal/traffic/sycclaims/settings.go
@@ -0,0 +1,105 @@
+// Package sycclaims lets a request run at most once over all VMs. It appends
+// claims to the platform's log and folds the stream on the control loop.
+package sycclaims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+)
+
+// Stream is the name of the log's stream.
+const Stream = "claims"
+
+// Log is the part of the platform's log that claims need.
+type Log interface {
+	Append(ctx context.Context, stream string, entries ...syclog.Entry) (uint64, error)
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (syclog.Page, error)
+}
+
+// Peers asks another VM about a claim of its own.
+type Peers interface {
+	Outcome(ctx context.Context, address string, in *sycpeerpb.OutcomeRequest) (*sycpeerpb.OutcomeReply, error)
+}
+
+// Options are the parts and bounds of a driver.
+type Options struct {
+	Loop *sycloop.Loop
+	Log  Log
+	// Peers may be nil; outcomes are then known from the log only.
+	Peers Peers
+	// VM is this VM's peer address, and Incarnation is unique to this process.
+	VM          string
+	Incarnation string
+
+	// Lifetime is how long a key is remembered. It is the same on all VMs.
+	Lifetime time.Duration
+	// Retention is the shortest time for which the log keeps records.
+	Retention time.Duration
+	// Flush is the time for which claims are gathered into one append, and
+	// FlushMax what it grows to while the log refuses.
+	Flush    time.Duration
+	FlushMax time.Duration
+	// Decide bounds the wait for the log's decision.
+	Decide time.Duration
+	// Start bounds the time from making a claim to sending the call.
+	Start time.Duration
+	// Ask is the time between questions about a call that is still running,
+	// and Unreachable the time after which a silent holder is given up.
+	Ask         time.Duration
+	Unreachable time.Duration
+	// Inline is the largest body that goes into the log.
+	Inline int
+	// Pending bounds the records waiting for an append, Batch those of one append.
+	Pending int
+	Batch   int
+	// Answers bounds the bytes of answers held, of this VM's own calls and of
+	// all calls each.
+	Answers int
+}
+
+// Defaults fills the fields that are zero.
+func (o *Options) Defaults() {
+	set(&o.Lifetime, 10*time.Minute)
+	set(&o.Retention, time.Hour)
+	set(&o.Flush, 20*time.Millisecond)
+	set(&o.FlushMax, time.Second)
+	set(&o.Decide, 3*time.Second)
+	set(&o.Start, 5*time.Second)
+	set(&o.Ask, 200*time.Millisecond)
+	set(&o.Unreachable, 2*time.Second)
+	set(&o.Inline, 4<<10)
+	set(&o.Pending, 4096)
+	set(&o.Batch, 512)
+	set(&o.Answers, 32<<20)
+}
+
+func set[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate reports all options that don't fit together.
+func (o *Options) Validate() error {
+	var faults []error
+	if o.Loop == nil || o.Log == nil {
+		faults = append(faults, eris.New("claims: a loop and a log are needed"))
+	}
+	if o.VM == "" || o.Incarnation == "" {
+		faults = append(faults, eris.New("claims: the VM's address and incarnation are needed"))
+	}
+	if o.Retention < 2*o.Lifetime {
+		faults = append(faults, eris.Errorf("claims: the log must keep records for twice the lifetime of claims, %s, not %s", o.Lifetime, o.Retention))
+	}
+	if o.Start*4 > o.Lifetime {
+		faults = append(faults, eris.Errorf("claims: a call must start within a quarter of the lifetime of claims, %s, not %s", o.Lifetime, o.Start))
+	}
+	return errors.Join(faults...)
+}
--- a/internal/traffic/sycstream/engine.go
+++ b/internal/traffic/sycstream/engine.go
@@ -277,9 +277,7 @@
 	if err == nil && json.Unmarshal(data, &wire) == nil {
 		e.Code = wire.Error.Code
 	}
-	if s, err := strconv.Atoi(a.Header.Get("Retry-After")); err == nil && s > 0 {
-		e.RetryAfter = time.Duration(s) * time.Second
-	}
+	e.RetryAfter = retryAfter(a.Header)
 	if x.resumed && a.StatusCode == http.StatusNotFound {
 		e.Fault = Gone
 		return e
@@ -289,3 +287,17 @@
 	}
 	return e
 }
+
+// maxRetryAfter bounds the wait that an engine may ask for.
+const maxRetryAfter = time.Minute
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || s <= 0 {
+		return 0
+	}
+	if s > maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return time.Duration(s * float64(time.Second))
+}
