Run the whole path: serve puts the parts of a VM together

Cause: a newcomer's request must go through a real router to an engine and back. Change: sycvm and the serve command; requests are not yet limited, since the rate limits are still being built.

--- a/cmd/sycamorecart/main.go
+++ b/cmd/sycamorecart/main.go
@@ -12,6 +12,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(newServe(), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/internal/operate/sycvm/vm.go
@@ -0,0 +1,231 @@
+// Package sycvm puts the parts of a VM together and takes them down in order.
+package sycvm
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/operate/sycoperator"
+	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycversion"
+)
+
+var log = syclogging.New("vm")
+
+// VM is a running VM of the system.
+type VM struct {
+	settings    *sycsetting.Settings
+	address     string
+	incarnation string
+
+	callersListener   net.Listener
+	operatorsListener net.Listener
+	peersListener     net.Listener
+
+	loop     *sycloop.Loop
+	log      *syclog.Client
+	store    *sycstate.Store
+	versions *sycversion.Manager
+	gateway  *sycgateway.Gateway
+	callers  *http.Server
+	operator *http.Server
+	draining drainFlag
+	closers  closers
+}
+
+// New starts a VM. It returns when the listeners are open; Ready tells when
+// the VM can serve.
+func New(s *sycsetting.Settings) (*VM, error) {
+	v := &VM{settings: s, incarnation: uuid.NewString()}
+	if err := v.listen(); err != nil {
+		v.closers.close()
+		return nil, err
+	}
+	v.startState()
+	v.startTraffic()
+	v.startServers()
+	log.Infof("serves callers at %s, operators at %s, peers at %s", v.Callers(), v.Operators(), v.address)
+	return v, nil
+}
+
+// Callers is the address that callers reach the VM at.
+func (v *VM) Callers() string { return v.callersListener.Addr().String() }
+
+// Operators is the address that operators reach the VM at.
+func (v *VM) Operators() string { return v.operatorsListener.Addr().String() }
+
+// Address is the address that other VMs reach the VM at, which is its id.
+func (v *VM) Address() string { return v.address }
+
+func (v *VM) listen() error {
+	listeners := []struct {
+		name    string
+		address string
+		to      *net.Listener
+	}{
+		{"callers", v.settings.Callers().String(), &v.callersListener},
+		{"operators", v.settings.Operators().String(), &v.operatorsListener},
+		{"peers", v.settings.Peers().String(), &v.peersListener},
+	}
+	for _, l := range listeners {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen for %s", l.name)
+		}
+		*l.to = listener
+		v.closers.add(func() error {
+			listener.Close()
+			return nil
+		})
+	}
+	v.address = v.peersListener.Addr().String()
+	return nil
+}
+
+func (v *VM) startState() {
+	v.loop = sycloop.New()
+	v.closers.add(v.loop.Close)
+	v.log = syclog.New(syclog.Options{Address: v.settings.LogURL()})
+	v.closers.add(v.log.Close)
+	v.store = sycstate.New(sycstate.Options{
+		Loop:      v.loop,
+		Log:       v.log,
+		Self:      v.address + "/" + v.incarnation,
+		Retention: v.settings.LogRetention(),
+	})
+	v.closers.add(v.store.Close)
+}
+
+func (v *VM) startTraffic() {
+	v.versions = sycversion.New(sycversion.Options{
+		Loop:        v.loop,
+		Store:       v.store,
+		Address:     v.address,
+		Incarnation: v.incarnation,
+	})
+	v.closers.add(v.versions.Close)
+	v.store.OnChange(v.versions.Refresh)
+	chooser := sycchoose.New(sycchoose.Options{
+		Loop:          v.loop,
+		Config:        v.store.Config,
+		FailureDomain: v.settings.FailureDomain(),
+		Seed:          seed(v.address),
+		Versions:      v.versions.Versions,
+	})
+	v.gateway = sycgateway.New(sycgateway.Options{
+		Config:  v.store.Config,
+		Ready:   v.store.Ready,
+		Chooser: v.versions.Chooser(chooser),
+		Limiter: allowAll{},
+		VM:      v.address,
+		Limits:  v.gatewayLimits(),
+	})
+	v.closers.add(v.gateway.Close)
+}
+
+func (v *VM) gatewayLimits() sycgateway.Limits {
+	limits := sycgateway.Defaults()
+	limits.Body = v.settings.MaxBody()
+	limits.HeaderBytes = int(v.settings.MaxHeader())
+	return limits
+}
+
+func (v *VM) startServers() {
+	limits := v.gatewayLimits()
+	v.callers = &http.Server{
+		Handler:           v.gateway,
+		ReadHeaderTimeout: limits.HeaderRead,
+		IdleTimeout:       limits.Idle,
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+	v.operator = &http.Server{
+		Handler: sycoperator.New(sycoperator.Options{
+			Ready:  v.Ready,
+			Status: func() any { return v.Status() },
+			Token:  v.settings.OperatorToken(),
+			Pprof:  v.settings.Pprof(),
+		}),
+		ReadHeaderTimeout: limits.HeaderRead,
+	}
+	v.serve(v.callers, v.callersListener)
+	v.serve(v.operator, v.operatorsListener)
+}
+
+// Ready reports whether the VM may get traffic, and why not.
+func (v *VM) Ready() (bool, string) {
+	if v.draining.set() {
+		return false, "the VM is shutting down"
+	}
+	if !v.store.Ready() {
+		return false, "the VM has no configuration yet"
+	}
+	return true, ""
+}
+
+// Status is what operators see of the VM.
+type Status struct {
+	Address       string              `json:"address"`
+	Incarnation   string              `json:"incarnation"`
+	FailureDomain string              `json:"failure_domain"`
+	Ready         bool                `json:"ready"`
+	Why           string              `json:"why,omitempty"`
+	Applied       map[string]uint64   `json:"applied"`
+	Leading       bool                `json:"leads_rollouts"`
+	Rollouts      []sycversion.Status `json:"rollouts"`
+}
+
+// Status returns the VM's present state.
+func (v *VM) Status() Status {
+	ready, why := v.Ready()
+	config, system := v.store.Applied()
+	rollouts, leading := v.versions.Rollouts()
+	return Status{
+		Address:       v.address,
+		Incarnation:   v.incarnation,
+		FailureDomain: v.settings.FailureDomain(),
+		Ready:         ready,
+		Why:           why,
+		Applied:       map[string]uint64{sycstate.ConfigStream: config, sycstate.SystemStream: system},
+		Leading:       leading,
+		Rollouts:      rollouts,
+	}
+}
+
+// Drain takes the VM out of service: it stays open until the balancer has
+// noticed, finishes every request and then stops.
+func (v *VM) Drain(ctx context.Context) error {
+	if limit := v.settings.DrainTimeout(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	v.draining.raise()
+	log.Infof("leaves the list and finishes its requests")
+	select {
+	case <-ctx.Done():
+	case <-time.After(v.settings.DrainSettle()):
+	}
+	v.callers.SetKeepAlivesEnabled(false)
+	err := v.callers.Shutdown(ctx)
+	if err != nil {
+		return eris.Wrap(err, "drain")
+	}
+	return nil
+}
+
+// Close stops the VM at once and waits for its goroutines. Drain comes first
+// when requests must not be cut.
+func (v *VM) Close() error {
+	v.draining.raise()
+	return v.closers.close()
+}
--- a/internal/peer/sycpeer/client.go
+++ b/internal/peer/sycpeer/client.go
@@ -53,9 +53,11 @@
 	return c
 }
 
-// Close ends all pooled connections.
+// Close ends all pooled connections. That a peer has already reset one of them
+// is no error.
 func (c *Client) Close() error {
-	return eris.Wrap(c.pool.Close(), "close peer connections")
+	c.pool.Close()
+	return nil
 }
 
 // Hello introduces this VM to a peer.
