Choose by predicted time to first token

Cause: least in flight ignores what engines hold and how fast they are. Change: sycroute predicts the time to the first token per candidate (load corrected by own work, measured speed, held blocks, import from another cache) and has three baselines; sycdispatch keeps load, health, speed and cache mirror per endpoint, fair queues per pool, draws versions, and takes other VMs' digests. Tests: go test -race ./internal/decide/... ./internal/traffic/sycchoose.

--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -1,72 +1,84 @@
 // Package sycdispatch matches waiting requests with endpoints. It holds the
-// queues, the load and the health of endpoints, and the index of cached
-// prefixes of one VM.
+// queues, the load and the health of endpoints, and the mirrors of their caches
+// of one VM.
 //
 // A Dispatcher is a pure state machine: it is told the time, which is
 // monotonic, and every event, and its decisions depend on nothing else.
 package sycdispatch
 
 import (
-	"slices"
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+	"sycamorecart.example/sycamorecart/internal/decide/sycqueue"
+	"sycamorecart.example/sycamorecart/internal/decide/sycroute"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
+// sweepSlots is the number of cache entries per endpoint whose age is checked in a tick.
+const sweepSlots = 512
+
 // Options configures a dispatcher.
 type Options struct {
 	FailureDomain string
 	Seed          uint64
+	// Limits bounds each queue.
+	Limits sycqueue.Limits
 	// Versions returns the shares of a model's versions now.
 	Versions func(model string) []sycwork.VersionShare
 }
 
-// Dispatcher decides where requests run.
-type Dispatcher struct {
+// Dispatcher decides where requests run, by a policy.
+type Dispatcher[P sycroute.Policy] struct {
 	options   Options
+	policy    P
 	config    *sycconfig.State
 	endpoints map[string]*endpoint
 	// order lists the endpoints by name, so that decisions don't depend on map order.
 	order   []*endpoint
+	initial map[string]bool
 	pools   map[string]*pool
 	running map[uint64]*attempt
-	out     []Decision
-}
-
-// attempt is a request that was given an endpoint.
-type attempt struct {
-	request  *Request
-	endpoint *endpoint
-	target   sycwork.Target
-	started  time.Duration
-	// prefilled is set once the first token has arrived.
-	prefilled bool
-}
-
-// pool holds the requests that wait for the same set of endpoints.
-type pool struct {
-	waiting []waiting
-}
-
+	waiting map[uint64]waiting
+	peers   map[string]*peer
+	// typical is the speed of all endpoints together.
+	typical *sycroute.Speed
+	hot     *sycroute.Hot
+	outputs outputs
+	drawn   map[string]float64
+	// field is reused between decisions.
+	field field
+	out   []Decision
+}
+
+// waiting is a request in a queue.
 type waiting struct {
-	request *Request
-	arrived time.Duration
+	pool  *pool
+	entry *sycqueue.Entry[*Request]
 }
 
 // New returns a dispatcher that knows no endpoints.
-func New(o Options) *Dispatcher {
-	return &Dispatcher{
+func New[P sycroute.Policy](o Options, policy P) *Dispatcher[P] {
+	return &Dispatcher[P]{
 		options:   o,
+		policy:    policy,
+		config:    sycconfig.NewState(),
 		endpoints: map[string]*endpoint{},
+		initial:   map[string]bool{},
 		pools:     map[string]*pool{},
 		running:   map[uint64]*attempt{},
+		waiting:   map[uint64]waiting{},
+		peers:     map[string]*peer{},
+		typical:   sycroute.NewSpeed(),
+		hot:       sycroute.NewHot(),
+		drawn:     map[string]float64{},
 	}
 }
 
 // Configure takes over a new configuration. Endpoints that left it or are
 // leaving get no further work.
-func (d *Dispatcher) Configure(now time.Duration, s *sycconfig.State) {
+func (d *Dispatcher[P]) Configure(now time.Duration, s *sycconfig.State) {
 	if s == nil || s == d.config {
 		return
 	}
@@ -78,105 +90,98 @@
 		record := o.Value()
 		e := known[record.Name()]
 		if e == nil || e.record.Address() != record.Address() {
-			e = &endpoint{}
+			e = newEndpoint(record, d.options.Seed, d.typical.Estimate())
 		}
 		e.record = record
 		d.endpoints[record.Name()] = e
 		d.order = append(d.order, e)
 	}
+	clear(d.initial)
+	for _, o := range s.Versions() {
+		d.initial[o.Value().Name()] = o.Value().Initial()
+	}
 	d.dispatchAll(now)
 }
 
 // Submit adds a request. Its decision is returned by this or a later call of Take.
-func (d *Dispatcher) Submit(now time.Duration, r *Request) {
-	if refusal := d.impossible(r); refusal != nil {
+func (d *Dispatcher[P]) Submit(now time.Duration, r *Request) {
+	if refusal := d.impossible(now, r); refusal != nil {
 		d.refuse(r.ID, refusal)
 		return
 	}
+	r.drawn = d.draw(r)
 	p := d.pool(r.pool())
-	p.waiting = append(p.waiting, waiting{request: r, arrived: now})
+	d.enqueue(now, p, r)
 	d.dispatch(now, p)
 }
 
 // Cancel removes a request that still waits and ends one that runs.
-func (d *Dispatcher) Cancel(now time.Duration, id uint64) {
-	if _, ok := d.running[id]; ok {
-		d.Finish(now, id, sycwork.Result{Outcome: sycwork.Cancelled})
+func (d *Dispatcher[P]) Cancel(now time.Duration, id uint64) {
+	if w, ok := d.waiting[id]; ok {
+		w.pool.queue.Remove(w.entry)
+		delete(d.waiting, id)
 		return
 	}
-	for _, p := range d.pools {
-		p.waiting = slices.DeleteFunc(p.waiting, func(w waiting) bool { return w.request.ID == id })
-	}
+	d.Finish(now, id, sycwork.Result{Outcome: sycwork.Cancelled})
 }
 
-// Finish ends a running attempt; unknown ids are ignored.
-func (d *Dispatcher) Finish(now time.Duration, id uint64, _ sycwork.Result) {
+// FirstToken tells that an attempt's prefill is over.
+func (d *Dispatcher[P]) FirstToken(now time.Duration, id uint64) {
 	a := d.running[id]
 	if a == nil {
 		return
 	}
-	delete(d.running, id)
-	a.endpoint.inFlight--
+	d.firstToken(now, a, now-a.started)
 	d.dispatchAll(now)
 }
 
-// Report takes a load report that describes the endpoint as it was at the given time.
-func (d *Dispatcher) Report(now, at time.Duration, name string, r Report) {
-	e := d.endpoints[name]
-	if e == nil {
+// Finish ends a running attempt; unknown ids are ignored.
+func (d *Dispatcher[P]) Finish(now time.Duration, id uint64, r sycwork.Result) {
+	a := d.running[id]
+	if a == nil {
 		return
 	}
-	e.reported = true
-	e.report = r
-	e.reportedAt = at
+	delete(d.running, id)
+	a.endpoint.release(now, a)
+	a.endpoint.judge(now, a, r)
+	switch r.Outcome {
+	case sycwork.Succeeded:
+		if r.FirstToken > 0 {
+			d.firstToken(now, a, r.FirstToken)
+		}
+		d.learn(now, a, r)
+	case sycwork.Failed, sycwork.Refused:
+		a.pool.queue.Correct(a.request.Customer, -a.work)
+	case sycwork.Cancelled:
+	}
 	d.dispatchAll(now)
 }
 
-// Tick refuses requests whose deadline has passed.
-func (d *Dispatcher) Tick(now time.Duration) {
+// Tick refuses requests whose deadline has passed and does what is due by time.
+func (d *Dispatcher[P]) Tick(now time.Duration) {
+	d.forgetPeers(now)
+	for _, e := range d.order {
+		e.cache.Sweep(now, sweepSlots)
+		e.health.Observe(now, sychealth.Elapsed)
+	}
 	for _, name := range d.poolNames() {
 		p := d.pools[name]
-		p.waiting = slices.DeleteFunc(p.waiting, func(w waiting) bool {
-			if now < w.request.Deadline {
-				return false
-			}
-			d.refuse(w.request.ID, overloaded(time.Second))
-			return true
-		})
+		for _, e := range p.queue.Expired(now) {
+			d.drop(now, p, e)
+		}
+		p.queue.Forget(customersKept)
+		d.dispatch(now, p)
+		p.measure(now)
 	}
 }
 
 // Take returns the decisions made since the last call.
-func (d *Dispatcher) Take() []Decision {
+func (d *Dispatcher[P]) Take() []Decision {
 	out := d.out
 	d.out = nil
 	return out
 }
 
-func (d *Dispatcher) refuse(id uint64, r *sycwork.Refusal) {
+func (d *Dispatcher[P]) refuse(id uint64, r *sycwork.Refusal) {
 	d.out = append(d.out, Decision{ID: id, Refusal: r})
 }
-
-func (d *Dispatcher) pool(name string) *pool {
-	p := d.pools[name]
-	if p == nil {
-		p = &pool{}
-		d.pools[name] = p
-	}
-	return p
-}
-
-func overloaded(after time.Duration) *sycwork.Refusal {
-	return &sycwork.Refusal{
-		Reason:     sycwork.Overloaded,
-		Message:    "all endpoints are busy; the request was not run",
-		RetryAfter: after,
-	}
-}
-
-// FirstToken tells that an attempt's prefill is over.
-func (d *Dispatcher) FirstToken(_ time.Duration, id uint64) {
-	if a := d.running[id]; a != nil {
-		a.prefilled = true
-	}
-}
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -4,12 +4,31 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycroute"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
-// DefaultConcurrent is the concurrency of endpoints whose record states none.
-const DefaultConcurrent = 16
+const (
+	// DefaultConcurrent is the concurrency of endpoints whose record states none.
+	DefaultConcurrent = 16
+	// reportLife is how long a load report counts.
+	reportLife = 3 * time.Second
+	// trustStep is the weight of a new observation of how much of a prediction
+	// was found in the cache.
+	trustStep = 0.1
+	// firstTrust is the trust in an endpoint's predictions before any observation.
+	firstTrust = 0.7
+	// stayStep is the weight of a new observation of how long requests stay.
+	stayStep = 0.1
+	// firstStay is assumed of an endpoint that has finished no request.
+	firstStay = time.Second
+	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
+	suspectPenalty = 200 * time.Millisecond
+)
 
 // Report is what an engine said of its load.
 type Report struct {
@@ -31,12 +50,46 @@
 // endpoint is what a dispatcher knows of an endpoint.
 type endpoint struct {
 	record sycrecord.Endpoint
-	// inFlight counts this VM's attempts that have not ended.
-	inFlight int
+	hash   uint64
+	health *sychealth.Health
+	cache  *sycprefix.Cache
+	speed  *sycroute.Speed
+	// attempts are this VM's that have not ended, oldest first.
+	attempts []*attempt
+	// peers is the load that other VMs told of.
+	peers load
+	// known is the load of this VM and its peers over time.
+	known history[load]
+	// unknown is the part of the last report that known did not explain.
+	unknown load
 	// reported is false until the first load report.
 	reported   bool
 	report     Report
 	reportedAt time.Duration
+	// network is the shortest round trip seen lately.
+	network time.Duration
+	// trust is the part of predicted blocks that engines have found, 0 to 1.
+	trust float64
+	// stay is how long a request stays.
+	stay time.Duration
+	// importPerBlock is the measured time to import a block.
+	importPerBlock time.Duration
+	// pausedUntil is the end of a pause that a refusal for want of room asked for.
+	pausedUntil time.Duration
+}
+
+func newEndpoint(record sycrecord.Endpoint, seed uint64, speed sycroute.Estimate) *endpoint {
+	hash := xxhash.Sum64String(record.Name())
+	return &endpoint{
+		record:         record,
+		hash:           hash,
+		health:         sychealth.New(seed ^ hash),
+		cache:          sycprefix.NewCache(sycprefix.Life{}),
+		speed:          sycroute.NewSpeedLike(speed),
+		trust:          firstTrust,
+		stay:           firstStay,
+		importPerBlock: firstImportPerBlock,
+	}
 }
 
 func (e *endpoint) slots() int {
@@ -61,3 +114,66 @@
 func (e *endpoint) offers(service string) bool {
 	return e.record.Type() == sycrecord.EndpointService && e.record.Service() == service
 }
+
+// usable reports whether the endpoint's state and health allow new work.
+func (e *endpoint) usable(now time.Duration) bool {
+	if e.record.Leaving() {
+		return false
+	}
+	e.health.Observe(now, sychealth.Elapsed)
+	switch e.health.State() {
+	case sychealth.Out:
+		return false
+	case sychealth.Probing:
+		return len(e.attempts) == 0
+	default:
+		return true
+	}
+}
+
+func (e *endpoint) penalty() time.Duration {
+	if e.health.State() == sychealth.Healthy {
+		return 0
+	}
+	return suspectPenalty
+}
+
+// own is the load that this VM has put on the endpoint.
+func (e *endpoint) own(now time.Duration) load {
+	l := load{requests: len(e.attempts)}
+	for _, a := range e.attempts {
+		l.prefill += a.remaining(now)
+	}
+	return l
+}
+
+// load estimates the endpoint's load by all VMs.
+func (e *endpoint) load(now time.Duration) load {
+	l := e.own(now).plus(e.peers)
+	if now-e.reportedAt < reportLife {
+		l = l.plus(e.unknown)
+	}
+	return l
+}
+
+// note records the known load after it has changed.
+func (e *endpoint) note(now time.Duration) {
+	e.known.add(now, e.own(now).plus(e.peers))
+}
+
+// take takes a report that shows the load at a time.
+func (e *endpoint) take(at time.Duration, r Report) {
+	e.reported = true
+	e.report = r
+	e.reportedAt = at
+	seen := load{requests: r.Running + r.Waiting, prefill: r.PrefillTokens}
+	e.unknown = seen.beyond(e.known.at(at))
+	e.cache.Limit(r.CacheBlocks)
+	e.cache.Meet(r.Incarnation)
+}
+
+// release removes an attempt that has ended.
+func (e *endpoint) release(now time.Duration, a *attempt) {
+	e.attempts = slices.DeleteFunc(e.attempts, func(b *attempt) bool { return a == b })
+	e.note(now)
+}
--- /dev/null
+++ b/internal/decide/sycdispatch/field.go
@@ -0,0 +1,195 @@
+package sycdispatch
+
+import (
+	"slices"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycroute"
+)
+
+const (
+	// mostBacklog is the prefill time from which on an endpoint gets no further
+	// request; what waits here keeps its fair order.
+	mostBacklog = 400 * time.Millisecond
+	// claimOver is the part by which a VM's claim to its share may exceed an
+	// endpoint's concurrency until the others have heard of it.
+	claimOver = 0.25
+)
+
+// field is the endpoints that can serve a request, in the same order in each slice.
+type field struct {
+	candidates []sycroute.Candidate
+	endpoints  []*endpoint
+	matches    []sycprefix.Match
+	// source is where missing blocks can be imported from.
+	source *endpoint
+}
+
+func (f *field) reset() {
+	f.candidates = f.candidates[:0]
+	f.endpoints = f.endpoints[:0]
+	f.matches = f.matches[:0]
+	f.source = nil
+}
+
+// gather fills the field with the endpoints that can run a request with an option.
+func (d *Dispatcher[P]) gather(now time.Duration, r *Request, o Option, part float64) {
+	f := &d.field
+	f.reset()
+	source := sycroute.Source{}
+	for _, e := range d.order {
+		if e.record.Type() == sycrecord.EndpointService && r.Model != "" {
+			continue
+		}
+		m := e.cache.Match(now, o.Chain)
+		if m.Confirmed > source.Held && e.health.State() != sychealth.Out {
+			source = sycroute.Source{Name: e.record.Name(), Held: m.Confirmed}
+			f.source = e
+		}
+		if !d.eligible(now, e, r, o) {
+			continue
+		}
+		f.endpoints = append(f.endpoints, e)
+		f.matches = append(f.matches, m)
+		f.candidates = append(f.candidates, d.candidate(now, e, r, o, m, part))
+	}
+	if f.source != nil {
+		f.offer(source)
+	}
+}
+
+// offer makes the source known to all candidates but itself.
+func (f *field) offer(source sycroute.Source) {
+	for i, e := range f.endpoints {
+		if e == f.source {
+			continue
+		}
+		s := source
+		s.PerBlock = e.importPerBlock
+		s.Overhead = importOverhead + f.source.network
+		f.candidates[i].Source = &s
+	}
+}
+
+// eligible reports whether an endpoint may run the request at all.
+func (d *Dispatcher[P]) eligible(now time.Duration, e *endpoint, r *Request, o Option) bool {
+	if !d.fits(e, r, o) {
+		return false
+	}
+	return e.usable(now)
+}
+
+func (d *Dispatcher[P]) fits(e *endpoint, r *Request, o Option) bool {
+	if e.record.Leaving() || slices.Contains(r.Exclude, e.record.Name()) {
+		return false
+	}
+	if r.Service != "" {
+		return e.offers(r.Service)
+	}
+	return e.serves(r.Model, o.Version, d.initial[o.Version.Version])
+}
+
+func (d *Dispatcher[P]) candidate(now time.Duration, e *endpoint, r *Request, o Option, m sycprefix.Match, part float64) sycroute.Candidate {
+	l := e.load(now)
+	speed := e.speed.Estimate()
+	c := sycroute.Candidate{
+		Name:     e.record.Name(),
+		Hash:     e.hash,
+		InFlight: l.requests,
+		Near:     e.record.FailureDomain() == d.options.FailureDomain,
+		Network:  e.network,
+		Penalty:  e.penalty(),
+		Prefill:  float64(l.prefill + r.PromptTokens),
+		Held:     expected(m, e.trust),
+		Speed:    speed,
+	}
+	c.Room, c.RoomWait = e.room(now, l, speed, part)
+	c.Coming, c.ComingWait = e.coming(now, o.Chain, m.Depth)
+	return c
+}
+
+// expected weighs predicted blocks by the trust in predictions.
+func expected(m sycprefix.Match, trust float64) float64 {
+	return float64(m.Confirmed) + trust*float64(m.Depth-m.Confirmed)
+}
+
+// room reports whether the endpoint may get another request, and otherwise
+// estimates how long that will take.
+func (e *endpoint) room(now time.Duration, l load, speed sycroute.Estimate, part float64) (bool, time.Duration) {
+	if now < e.pausedUntil {
+		return false, e.pausedUntil - now
+	}
+	slots := e.slots()
+	backlog := speed.Prefill(float64(l.prefill))
+	if l.requests < slots && (backlog <= mostBacklog || l.requests == 0) {
+		return true, 0
+	}
+	if e.claims(now, l, backlog, part) {
+		return true, 0
+	}
+	over := max(l.requests+1-slots, 0)
+	wait := e.stay * time.Duration(over) / time.Duration(slots)
+	return false, max(wait, backlog-mostBacklog)
+}
+
+// claims reports whether this VM has less than its part of a full endpoint.
+func (e *endpoint) claims(now time.Duration, l load, backlog time.Duration, part float64) bool {
+	if e.peers.requests == 0 {
+		return false
+	}
+	slots := float64(e.slots())
+	own := e.own(now)
+	if float64(own.requests) >= max(part*slots, 1) || float64(l.requests) >= (1+claimOver)*slots {
+		return false
+	}
+	if backlog <= mostBacklog {
+		return true
+	}
+	ownPart := float64(own.prefill) / float64(max(l.prefill, 1))
+	return ownPart < part && backlog <= 2*mostBacklog
+}
+
+// coming looks for a prefill under way that covers more of the chain than the
+// cache does, and estimates when it ends.
+func (e *endpoint) coming(now time.Duration, chain []uint64, depth int) (int, time.Duration) {
+	most, wait := depth, time.Duration(0)
+	for _, a := range e.attempts {
+		if a.prefilled || len(a.option.Chain) <= most || len(chain) <= most {
+			continue
+		}
+		if n := common(a.option.Chain, chain); n > most {
+			most, wait = n, a.remainingTime(now)
+		}
+	}
+	if most == depth {
+		return 0, 0
+	}
+	return most, wait
+}
+
+// common is the number of leading blocks that two chains share. A chain's hash
+// covers all blocks before it, so that bisection finds the end.
+func common(a, b []uint64) int {
+	low, high := 0, min(len(a), len(b))
+	for low < high {
+		middle := (low + high + 1) / 2
+		if a[middle-1] == b[middle-1] {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return low
+}
+
+// imported returns the blocks that the source holds beyond the candidate's own.
+func (f *field) imported(i int, chain []uint64) []uint64 {
+	return chain[min(f.matches[i].Depth, f.candidates[i].Source.Held):f.candidates[i].Source.Held]
+}
+
+// tokens is the length of a number of blocks.
+func tokens(blocks int) int { return blocks * sycblock.TokensPerBlock }
--- a/internal/decide/sycdispatch/request.go
+++ b/internal/decide/sycdispatch/request.go
@@ -33,6 +33,8 @@
 	MaxTokens    int
 	// Deadline is when the request is given up, on the loop's clock.
 	Deadline time.Duration
+	// drawn is the name of the version that the request should run on.
+	drawn string
 }
 
 // pool names the set of endpoints that the request competes for.
@@ -43,13 +45,18 @@
 	return "model/" + r.Model
 }
 
-// Decision is the answer to a request: exactly one of Target and Refusal is set.
+// Decision is the answer to a request: Target, Refusal or Stale is set.
 type Decision struct {
 	ID      uint64
 	Target  *sycwork.Target
 	Refusal *sycwork.Refusal
+	// Stale means that the request's versions get no requests any more; it may
+	// be submitted again with others.
+	Stale bool
 	// Waited is the time in the queue.
 	Waited time.Duration
-	// CachedTokens is the number of prompt tokens expected in the endpoint's cache.
-	CachedTokens int
+	// CachedTokens is the number of prompt tokens expected in the endpoint's
+	// cache, ImportedTokens those to be imported.
+	CachedTokens   int
+	ImportedTokens int
 }
--- /dev/null
+++ b/internal/decide/sycdispatch/share.go
@@ -0,0 +1,187 @@
+package sycdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycqueue"
+)
+
+const (
+	// peerLife is how long another VM's digest counts.
+	peerLife = 2 * time.Second
+	// hotShared is the number of hot prefixes in a digest.
+	hotShared = 16
+	// chargeLead is the time of a pool's work by which service at other VMs can
+	// set a customer back.
+	chargeLead = 2 * time.Second
+	// leastLead is the work of the same meaning while the pool's rate is unknown.
+	leastLead = 20_000
+)
+
+// EndpointLoad is the load that a VM has put on an endpoint.
+type EndpointLoad struct {
+	Endpoint string
+	Requests int
+	Prefill  int
+}
+
+// PoolService is the service of a customer in a pool at a VM.
+type PoolService struct {
+	Pool string
+	sycqueue.Service
+}
+
+// Digest is what a VM tells the others of its failure domain.
+type Digest struct {
+	Loads    []EndpointLoad
+	Services []PoolService
+}
+
+// peer is the last digest of another VM.
+type peer struct {
+	at     time.Duration
+	digest Digest
+}
+
+// ShareOut returns this VM's digest.
+func (d *Dispatcher[P]) ShareOut(now time.Duration) Digest {
+	var out Digest
+	for _, e := range d.order {
+		if l := e.own(now); l.requests > 0 {
+			out.Loads = append(out.Loads, EndpointLoad{
+				Endpoint: e.record.Name(),
+				Requests: l.requests,
+				Prefill:  l.prefill,
+			})
+		}
+	}
+	for _, name := range d.poolNames() {
+		for _, s := range d.pools[name].queue.Services() {
+			out.Services = append(out.Services, PoolService{Pool: name, Service: s})
+		}
+	}
+	return out
+}
+
+// ShareIn takes the digest of another VM, named by its process.
+func (d *Dispatcher[P]) ShareIn(now time.Duration, from string, in Digest) {
+	before := d.peers[from]
+	d.peers[from] = &peer{at: now, digest: in}
+	if before != nil {
+		d.charge(before.digest, in)
+	}
+	d.sumPeers(now)
+	d.dispatchAll(now)
+}
+
+// charge charges customers for what they were served elsewhere since the last digest.
+func (d *Dispatcher[P]) charge(before, after Digest) {
+	type key struct{ pool, customer string }
+	served := make(map[key]float64, len(before.Services))
+	for _, s := range before.Services {
+		served[key{s.Pool, s.Customer}] = s.Served
+	}
+	for _, s := range after.Services {
+		work := s.Served - served[key{s.Pool, s.Customer}]
+		if work == 0 {
+			continue
+		}
+		p := d.pool(s.Pool)
+		lead := max(p.rate*chargeLead.Seconds(), leastLead)
+		p.queue.Charge(s.Customer, d.weight(s.Customer), work, lead)
+	}
+}
+
+// forgetPeers drops the digests of VMs that have fallen silent.
+func (d *Dispatcher[P]) forgetPeers(now time.Duration) {
+	dropped := false
+	for from, p := range d.peers {
+		if now-p.at > peerLife {
+			delete(d.peers, from)
+			dropped = true
+		}
+	}
+	if dropped {
+		d.sumPeers(now)
+	}
+}
+
+func (d *Dispatcher[P]) sumPeers(now time.Duration) {
+	sums := map[string]load{}
+	for _, p := range d.peers {
+		for _, l := range p.digest.Loads {
+			sums[l.Endpoint] = sums[l.Endpoint].plus(load{requests: l.Requests, prefill: l.Prefill})
+		}
+	}
+	for _, e := range d.order {
+		if sum := sums[e.record.Name()]; sum != e.peers {
+			e.peers = sum
+			e.note(now)
+		}
+	}
+}
+
+// entitlement is the part of a pool's endpoints that this VM's waiting
+// requests may claim: the fair share of each waiting customer, divided over
+// the VMs by the customer's waiting work.
+func (d *Dispatcher[P]) entitlement(p *pool) float64 {
+	var queued sums
+	for _, s := range p.queue.Services() {
+		queued.add(s, true)
+	}
+	for _, from := range slices.Sorted(maps.Keys(d.peers)) {
+		for _, s := range d.peers[from].digest.Services {
+			if s.Pool == p.name {
+				queued.add(s.Service, false)
+			}
+		}
+	}
+	return queued.fairPart(d.weight)
+}
+
+// sum is the waiting work of a customer.
+type sum struct {
+	customer   string
+	own, total float64
+}
+
+// sums is ordered by first mention, so that additions are always done in the
+// same order.
+type sums struct {
+	list  []sum
+	index map[string]int
+}
+
+func (s *sums) add(service sycqueue.Service, own bool) {
+	if service.Queued <= 0 {
+		return
+	}
+	i, ok := s.index[service.Customer]
+	if !ok {
+		if s.index == nil {
+			s.index = map[string]int{}
+		}
+		i = len(s.list)
+		s.index[service.Customer] = i
+		s.list = append(s.list, sum{customer: service.Customer})
+	}
+	s.list[i].total += service.Queued
+	if own {
+		s.list[i].own += service.Queued
+	}
+}
+
+func (s *sums) fairPart(weight func(string) float64) float64 {
+	weights, part := 0.0, 0.0
+	for _, c := range s.list {
+		w := weight(c.customer)
+		weights += w
+		part += w * c.own / c.total
+	}
+	if weights == 0 {
+		return 1
+	}
+	return part / weights
+}
--- a/internal/decide/sycprefix/cache.go
+++ b/internal/decide/sycprefix/cache.go
@@ -66,6 +66,8 @@
 	// synced is false from a gap in the events until the next Resync. Without
 	// it no entry counts as confirmed.
 	synced bool
+	// lost is true from Lost until the engine is heard of anew.
+	lost bool
 }
 
 // NewCache returns the mirror of an engine that was not heard yet.
@@ -112,16 +114,16 @@
 	c.incarnation = incarnation
 	c.next = 0
 	c.synced = false
+	c.lost = false
 	return true
 }
 
-// Lost tells that the engine's process is gone; all entries are dropped at once.
+// Lost tells that nothing listens at the engine's address; all entries are
+// dropped at once. Events count again after the next Resync or incarnation.
 func (c *Cache) Lost() {
-	if c.incarnation != "" {
-		c.forget()
-	}
 	c.table = newTable(c.table.limit)
 	c.synced = false
+	c.lost = true
 }
 
 func (c *Cache) forget() {
@@ -136,7 +138,7 @@
 // Apply takes a batch of events that starts at sequence number first. Events
 // that were seen before are ignored; a gap ends the trust in the entries.
 func (c *Cache) Apply(now time.Duration, incarnation string, first, next uint64, events []Event) {
-	if !c.Meet(incarnation) {
+	if !c.Meet(incarnation) || c.lost {
 		return
 	}
 	if first > c.next {
@@ -194,6 +196,7 @@
 	}
 	c.next = next
 	c.synced = true
+	c.lost = false
 }
 
 // Predict adds the blocks of a prompt that was sent to the engine.
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -26,6 +26,8 @@
 	// Config returns the present configuration; nil while there is none.
 	Config        func() *sycconfig.State
 	FailureDomain string
+	// Policy is one of the names of package sycroute; empty stands for "prefix".
+	Policy string
 	// Seed makes the choices of VMs differ from one another.
 	Seed uint64
 	// Versions returns the shares of a model's versions; nil serves the
@@ -40,7 +42,7 @@
 	versions func(model string) []sycwork.VersionShare
 	ids      atomic.Uint64
 	// dispatcher and waiting belong to the loop.
-	dispatcher *sycdispatch.Dispatcher
+	dispatcher machine
 	waiting    map[uint64]chan sycdispatch.Decision
 }
 
@@ -55,46 +57,58 @@
 	if c.versions == nil {
 		c.versions = c.initialVersions
 	}
-	c.dispatcher = sycdispatch.New(sycdispatch.Options{
+	c.dispatcher = newMachine(o.Policy, sycdispatch.Options{
 		FailureDomain: o.FailureDomain,
 		Seed:          o.Seed,
 		Versions:      c.versions,
 	})
 	c.loop.Every(TickPeriod, func(now time.Duration) {
-		c.act(now, func(d *sycdispatch.Dispatcher) { d.Tick(now) })
+		c.act(now, func(d machine) { d.Tick(now) })
 	})
 	return c
 }
 
+// staleTries is the number of times that a request whose versions got out of
+// use while it waited is submitted again.
+const staleTries = 3
+
 // Choose waits until an endpoint has room for the request. It fails with
 // *sycwork.Refusal, which always means that the request was not run.
 func (c *Chooser) Choose(ctx context.Context, w sycwork.Work) (sycwork.Grant, error) {
 	if c.config() == nil {
 		return nil, notReady()
 	}
-	r := c.request(w)
+	for range staleTries {
+		d, err := c.ask(ctx, c.request(w))
+		switch {
+		case err != nil:
+			return nil, err
+		case d.Refusal != nil:
+			return nil, d.Refusal
+		case d.Target != nil:
+			return &grant{chooser: c, id: d.ID, target: *d.Target}, nil
+		}
+	}
+	return nil, changed()
+}
+
+// ask submits a request and waits for its decision.
+func (c *Chooser) ask(ctx context.Context, r *sycdispatch.Request) (sycdispatch.Decision, error) {
 	answer := make(chan sycdispatch.Decision, 1)
 	posted := c.loop.Post(func(now time.Duration) {
 		c.waiting[r.ID] = answer
-		c.act(now, func(d *sycdispatch.Dispatcher) { d.Submit(now, r) })
+		c.act(now, func(d machine) { d.Submit(now, r) })
 	})
 	if !posted {
-		return nil, notReady()
+		return sycdispatch.Decision{}, notReady()
 	}
 	select {
 	case d := <-answer:
-		return c.granted(d)
+		return d, nil
 	case <-ctx.Done():
 		c.cancel(r.ID)
-		return nil, cancelled()
-	}
-}
-
-func (c *Chooser) granted(d sycdispatch.Decision) (sycwork.Grant, error) {
-	if d.Refusal != nil {
-		return nil, d.Refusal
+		return sycdispatch.Decision{}, cancelled()
 	}
-	return &grant{chooser: c, id: d.ID, target: *d.Target}, nil
 }
 
 // cancel withdraws a request whose caller no longer waits; an endpoint that
@@ -102,12 +116,12 @@
 func (c *Chooser) cancel(id uint64) {
 	c.loop.Post(func(now time.Duration) {
 		delete(c.waiting, id)
-		c.act(now, func(d *sycdispatch.Dispatcher) { d.Cancel(now, id) })
+		c.act(now, func(d machine) { d.Cancel(now, id) })
 	})
 }
 
 // act runs an event on the loop and hands out the decisions that follow.
-func (c *Chooser) act(now time.Duration, event func(*sycdispatch.Dispatcher)) {
+func (c *Chooser) act(now time.Duration, event func(machine)) {
 	c.dispatcher.Configure(now, c.config())
 	event(c.dispatcher)
 	for _, d := range c.dispatcher.Take() {
@@ -163,6 +177,14 @@
 	}
 }
 
+func changed() error {
+	return &sycwork.Refusal{
+		Reason:     sycwork.NoEndpoint,
+		Message:    "the model's versions are changing; the request was not run",
+		RetryAfter: time.Second,
+	}
+}
+
 func cancelled() error {
 	return &sycwork.Refusal{
 		Reason:     sycwork.Overloaded,
--- a/internal/traffic/sycchoose/grant.go
+++ b/internal/traffic/sycchoose/grant.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
@@ -25,7 +24,7 @@
 	if g.first.Swap(true) {
 		return
 	}
-	g.post(func(now time.Duration, d *sycdispatch.Dispatcher) { d.FirstToken(now, g.id) })
+	g.post(func(now time.Duration, d machine) { d.FirstToken(now, g.id) })
 }
 
 // Done releases the endpoint; calls after the first do nothing.
@@ -33,12 +32,12 @@
 	if g.done.Swap(true) {
 		return
 	}
-	g.post(func(now time.Duration, d *sycdispatch.Dispatcher) { d.Finish(now, g.id, r) })
+	g.post(func(now time.Duration, d machine) { d.Finish(now, g.id, r) })
 }
 
-func (g *grant) post(event func(time.Duration, *sycdispatch.Dispatcher)) {
+func (g *grant) post(event func(time.Duration, machine)) {
 	c := g.chooser
 	c.loop.Post(func(now time.Duration) {
-		c.act(now, func(d *sycdispatch.Dispatcher) { event(now, d) })
+		c.act(now, func(d machine) { event(now, d) })
 	})
 }
--- /dev/null
+++ b/internal/traffic/sycchoose/machine.go
@@ -0,0 +1,43 @@
+package sycchoose
+
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+	"sycamorecart.example/sycamorecart/internal/decide/sycroute"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+)
+
+// machine is a dispatcher of any policy.
+type machine interface {
+	Configure(now time.Duration, s *sycconfig.State)
+	Submit(now time.Duration, r *sycdispatch.Request)
+	Cancel(now time.Duration, id uint64)
+	FirstToken(now time.Duration, id uint64)
+	Finish(now time.Duration, id uint64, r sycwork.Result)
+	Tick(now time.Duration)
+	Take() []sycdispatch.Decision
+	Report(now, at time.Duration, name string, r sycdispatch.Report)
+	RoundTrip(name string, took time.Duration)
+	Unreachable(now time.Duration, name string)
+	Events(now time.Duration, name string, b sycdispatch.Batch) sycdispatch.Position
+	Resync(now time.Duration, name, incarnation string, next uint64, blocks []uint64) sycdispatch.Position
+	Position(name string) sycdispatch.Position
+	ShareOut(now time.Duration) sycdispatch.Digest
+	ShareIn(now time.Duration, from string, in sycdispatch.Digest)
+}
+
+// newMachine returns a dispatcher with the named policy.
+func newMachine(policy string, o sycdispatch.Options) machine {
+	switch policy {
+	case sycroute.NameRoundRobin:
+		return sycdispatch.New(o, &sycroute.RoundRobin{})
+	case sycroute.NameLeastLoaded:
+		return sycdispatch.New(o, sycroute.LeastLoaded{})
+	case sycroute.NameRendezvous:
+		return sycdispatch.New(o, sycroute.Rendezvous{})
+	default:
+		return sycdispatch.New(o, &sycroute.Prefix{})
+	}
+}
