Drive routers with the named workloads and check every answer

Change: sycload plans seeded open-loop arrivals (morning and evening peaks, nested shared prefixes, popularity that shifts, one customer over its rate, bookings), streams and compares each answer with the engine's, and measures each customer with HdrHistogram. Conclusion: not yet run against a real router.

--- /dev/null
+++ b/internal/standin/sycload/exchange.go
@@ -0,0 +1,210 @@
+package sycload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+)
+
+// verdict says how an exchange ended.
+type verdict int
+
+const (
+	// right is a whole answer with every byte as expected.
+	right verdict = iota
+	// wrong is an answer that claims to be whole and is not the expected one.
+	wrong
+	// refused is an answer that says that the request was not run.
+	refused
+	// failed is an answer of unknown outcome, or one that visibly broke off.
+	failed
+)
+
+// outcome is what one exchange came to.
+type outcome struct {
+	verdict verdict
+	// reason is a stable code for refusals and a description of faults.
+	reason string
+	// first is the time from the planned start to the first token; 0 without one.
+	first time.Duration
+	// gaps are the times between tokens.
+	gaps  []time.Duration
+	usage usage
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+// exchange is one request to a model and its answer.
+type exchange struct {
+	runner  *runner
+	arrival *arrival
+	// prompt is the text that the engine is to receive.
+	prompt string
+	// tokens are those received.
+	tokens []string
+	// last is when the last token came.
+	last time.Time
+	o    outcome
+}
+
+func newExchange(r *runner, a *arrival) *exchange {
+	return &exchange{runner: r, arrival: a, prompt: sycblock.Flatten(a.messages)}
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type requestBody struct {
+	Model         string             `json:"model"`
+	Messages      []sycblock.Message `json:"messages,omitempty"`
+	Prompt        string             `json:"prompt,omitempty"`
+	MaxTokens     int                `json:"max_tokens"`
+	Stream        bool               `json:"stream"`
+	StreamOptions *streamOptions     `json:"stream_options,omitempty"`
+}
+
+func (x *exchange) request() (path string, body requestBody) {
+	body = requestBody{Model: x.runner.options.Model, MaxTokens: x.arrival.output}
+	path = "/v1/chat/completions"
+	if x.arrival.form == textStream {
+		path = "/v1/completions"
+		body.Prompt = x.prompt
+	} else {
+		body.Messages = x.arrival.messages
+	}
+	if x.arrival.form != chatWhole {
+		body.Stream = true
+		body.StreamOptions = &streamOptions{IncludeUsage: true}
+	}
+	return path, body
+}
+
+func (x *exchange) run(ctx context.Context) outcome {
+	path, body := x.request()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return outcome{verdict: failed, reason: err.Error()}
+	}
+	response, err := x.runner.post(ctx, x.arrival, path, data, nil)
+	if err != nil {
+		return outcome{verdict: failed, reason: "no answer: " + cause(err)}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return failure(response)
+	}
+	if x.arrival.form == chatWhole {
+		x.readWhole(response)
+	} else {
+		x.readStream(response)
+	}
+	if x.o.verdict == right {
+		x.check(response.Header.Get("Sycamorecart-Weights"))
+	}
+	return x.o
+}
+
+// check compares the whole text with the expected one.
+func (x *exchange) check(weights string) {
+	want := strings.Join(sycengine.Answer(weights, "", x.prompt, x.arrival.output), "")
+	got := strings.Join(x.tokens, "")
+	if got == want {
+		return
+	}
+	x.o.verdict = wrong
+	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", weights, len(got), got, len(want), want)
+}
+
+// breakOff marks an answer that visibly did not arrive whole.
+func (x *exchange) breakOff(reason string) {
+	x.o.verdict = failed
+	x.o.reason = reason
+}
+
+// token takes in one token of a stream.
+func (x *exchange) token(text string) {
+	now := time.Now()
+	if len(x.tokens) == 0 {
+		x.o.first = now.Sub(x.runner.start.Add(x.arrival.at))
+	} else {
+		x.o.gaps = append(x.o.gaps, now.Sub(x.last))
+	}
+	x.last = now
+	x.tokens = append(x.tokens, text)
+}
+
+// post sends a request to the arrival's router. A router that can't be
+// connected to is passed over, as a balancer would.
+func (r *runner) post(ctx context.Context, a *arrival, path string, body []byte, header http.Header) (*http.Response, error) {
+	routers := r.options.Routers
+	var err error
+	for i := range routers {
+		router := routers[(a.router+i)%len(routers)]
+		var request *http.Request
+		request, err = http.NewRequestWithContext(ctx, http.MethodPost, router+path, bytes.NewReader(body))
+		if err != nil {
+			return nil, err
+		}
+		for name, values := range header {
+			request.Header[name] = values
+		}
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("Authorization", "Bearer "+r.options.Keys[r.options.Workload.customers[a.customer].name])
+		var response *http.Response
+		response, err = r.client.Do(request)
+		if err == nil || !notConnected(err) {
+			return response, err
+		}
+	}
+	return nil, err
+}
+
+// notConnected reports whether nothing can have been sent.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+type errorBody struct {
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// failure reads an answer that is not 200.
+func failure(response *http.Response) outcome {
+	var body errorBody
+	_ = json.NewDecoder(response.Body).Decode(&body)
+	reason := fmt.Sprintf("%d %s", response.StatusCode, body.Error.Code)
+	if response.Header.Get("Sycamorecart-Outcome") == "not-run" {
+		return outcome{verdict: refused, reason: reason}
+	}
+	return outcome{verdict: failed, reason: reason}
+}
+
+// cause is the innermost message of an error, without addresses.
+func cause(err error) string {
+	for {
+		inner := errors.Unwrap(err)
+		if inner == nil {
+			return err.Error()
+		}
+		err = inner
+	}
+}
--- /dev/null
+++ b/internal/standin/sycload/run_test.go
@@ -0,0 +1,239 @@
+package sycload_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+)
+
+// router answers as a router does, with a fault.
+type router struct {
+	fault string
+	mu    sync.Mutex
+	// bodies holds what each key sent.
+	bodies map[string][]string
+}
+
+type chatRequest struct {
+	Messages  []sycblock.Message
+	Prompt    string
+	MaxTokens int `json:"max_tokens"`
+	Stream    bool
+	Slot      string
+}
+
+func (h *router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var q chatRequest
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	prompt := q.Prompt + sycblock.Flatten(q.Messages)
+	h.mu.Lock()
+	key := r.Header.Get("Authorization")
+	h.bodies[key] = append(h.bodies[key], prompt)
+	h.mu.Unlock()
+	if h.fault == "refuses" {
+		w.Header().Set("Sycamorecart-Outcome", "not-run")
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(w, `{"error":{"code":"rate_limited"}}`)
+		return
+	}
+	if h.fault == "fails" {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, "/book") {
+		if h.fault == "crosses" {
+			q.Slot = "other"
+		}
+		fmt.Fprintf(w, `{"booking":{"slot":%q,"confirmation":1}}`, q.Slot)
+		return
+	}
+	if h.fault == "crosses" {
+		prompt += "other"
+	}
+	w.Header().Set("Sycamorecart-Weights", "w1")
+	tokens := sycengine.Answer("w1", "", prompt, q.MaxTokens)
+	if q.Stream {
+		h.stream(w, r.URL.Path, tokens)
+		return
+	}
+	answer, _ := json.Marshal(strings.Join(tokens, ""))
+	if h.fault == "cuts" {
+		answer = answer[:1]
+	}
+	fmt.Fprintf(w, `{"choices":[{"message":{"content":%s}}],"usage":{"prompt_tokens":100,"prompt_tokens_details":{"cached_tokens":64}}}`, answer)
+}
+
+func (h *router) stream(w http.ResponseWriter, path string, tokens []string) {
+	for _, token := range tokens {
+		if strings.Contains(path, "chat") {
+			fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+			continue
+		}
+		fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", token)
+	}
+	if h.fault == "cuts" {
+		return
+	}
+	fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n")
+	fmt.Fprint(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"prompt_tokens_details\":{\"cached_tokens\":64}}}\n\n")
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func options(t *testing.T, routers ...string) sycload.Options {
+	t.Helper()
+	workload, ok := sycload.FindWorkload("bottlers")
+	must.True(t, ok)
+	keys := map[string]string{}
+	for _, c := range workload.Customers() {
+		keys[c.Name()] = "key-" + c.Name()
+	}
+	return sycload.Options{
+		Workload: workload, Routers: routers, Keys: keys, Seed: 3,
+		BookPath: "/rota/book", Duration: 300 * time.Millisecond,
+		RateFactor: 5, MaxRequests: 60,
+	}
+}
+
+func run(t *testing.T, fault string) (sycload.Result, *router) {
+	t.Helper()
+	h := &router{fault: fault, bodies: map[string][]string{}}
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	// The first router can't be connected to and is passed over.
+	result, err := sycload.Run(context.Background(), options(t, "http://127.0.0.1:1", server.URL))
+	must.NoError(t, err)
+	return result, h
+}
+
+func TestVerdicts(t *testing.T) {
+	tests := []struct {
+		fault string
+		count func(sycload.CustomerResult) int
+	}{
+		{"", func(r sycload.CustomerResult) int { return r.Right }},
+		{"crosses", func(r sycload.CustomerResult) int { return r.Wrong }},
+		{"refuses", func(r sycload.CustomerResult) int { return r.Refused }},
+		{"fails", func(r sycload.CustomerResult) int { return r.Failed }},
+	}
+	for _, tt := range tests {
+		t.Run("router "+tt.fault, func(t *testing.T) {
+			result, _ := run(t, tt.fault)
+			must.Positive(t, result.Total.Sent)
+			must.Eq(t, result.Total.Sent, tt.count(result.Total), must.Sprint(result.Faults))
+			must.Eq(t, tt.fault != "crosses", result.Sound())
+			must.Eq(t, tt.fault == "refuses", result.Total.RefusedWithinRate == result.Total.WithinRate)
+		})
+	}
+	result, _ := run(t, "cuts")
+	must.Eq(t, result.Total.Sent-result.Bookings.Sent, result.Total.Failed)
+}
+
+func TestMeasuresTokens(t *testing.T) {
+	result, h := run(t, "")
+	senders := 0
+	for _, c := range result.Customers {
+		if c.Sent > 0 {
+			senders++
+		}
+		if c.Sent < 5 {
+			continue
+		}
+		must.Positive(t, c.FirstToken.P50)
+		must.Eq(t, 0.64, c.HitRate())
+		must.Positive(t, c.ReusableTokens)
+		must.Less(t, c.ReusableTokens, c.RecomputedTokens)
+	}
+	must.MapLen(t, senders, h.bodies)
+}
+
+func TestRunsAreSeeded(t *testing.T) {
+	_, one := run(t, "")
+	_, two := run(t, "")
+	for key, bodies := range one.bodies {
+		must.SliceContainsAll(t, bodies, two.bodies[key])
+	}
+}
+
+func TestAuditFindsDoubledBookings(t *testing.T) {
+	result, _ := run(t, "refuses")
+	slots := result.RefusedSlots()
+	must.Positive(t, len(slots))
+	tests := []struct {
+		name            string
+		booked          []string
+		doubled, denied int
+	}{
+		{"none", nil, 0, 0},
+		{"others", []string{"a", "b"}, 0, 0},
+		{"twice", []string{"a", "a", "a"}, 1, 0},
+		{"denied", slots[:1], 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := result
+			r.Audit(tt.booked)
+			must.Eq(t, tt.doubled, r.Bookings.Doubled)
+			must.Eq(t, tt.denied, r.Bookings.FalselyRefused)
+			must.Eq(t, tt.doubled+tt.denied == 0, r.Sound())
+		})
+	}
+}
+
+func TestResultIsReadBack(t *testing.T) {
+	result, _ := run(t, "")
+	path := filepath.Join(t.TempDir(), "result.json")
+	must.NoError(t, result.Save(path))
+	got, err := sycload.ReadResult(path)
+	must.NoError(t, err)
+	must.Eq(t, result.Customers, got.Customers)
+}
+
+func TestPromptsFromFolder(t *testing.T) {
+	dir := t.TempDir()
+	_, err := sycload.Prompts(dir)
+	must.Error(t, err)
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "a.md"), []byte("first"), 0o600))
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "b.txt"), []byte(strings.Repeat("é", 20000)), 0o600))
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "c.bin"), []byte("no"), 0o600))
+	documents, err := sycload.Prompts(dir)
+	must.NoError(t, err)
+	must.Len(t, 2, documents)
+	must.Eq(t, "first", documents[0])
+	must.Eq(t, 24<<10, len(documents[1]))
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*sycload.Options)
+	}{
+		{"workload", func(o *sycload.Options) { o.Workload = sycload.Workload{} }},
+		{"routers", func(o *sycload.Options) { o.Routers = nil }},
+		{"keys", func(o *sycload.Options) { delete(o.Keys, "rota") }},
+		{"rate", func(o *sycload.Options) { o.RateFactor = -1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := options(t, "http://127.0.0.1:1")
+			tt.change(&o)
+			_, err := sycload.Run(context.Background(), o)
+			must.Error(t, err)
+		})
+	}
+}
--- a/internal/standin/sycservice/answer.go
+++ b/internal/standin/sycservice/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/uptrace/bunrouter"
@@ -11,6 +12,9 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
+// bookPath ends the path of a booking, whatever prefix its route has.
+const bookPath = "/book"
+
 // effect is what a call comes to.
 type effect struct {
 	ran    bool
@@ -74,7 +78,7 @@
 		e.status = http.StatusServiceUnavailable
 		return e
 	}
-	if call.Method == http.MethodPost && call.Path == "/book" {
+	if call.Method == http.MethodPost && strings.HasSuffix(call.Path, bookPath) {
 		e.answer.Booking = s.book(call.Body)
 	}
 	e.lose = takeOne(&s.faults.Lose)
--- a/internal/standin/sycservice/service.go
+++ b/internal/standin/sycservice/service.go
@@ -83,7 +83,6 @@
 		bunrouter.WithNotFoundHandler(s.answer),
 		bunrouter.WithMethodNotAllowedHandler(s.answer),
 	)
-	router.POST("/book", s.answer)
 	router.GET("/admin/calls", s.getCalls)
 	router.GET("/admin/bookings", s.getBookings)
 	router.GET("/admin/faults", s.getFaults)
