Prove claims and attempts by properties and duplicates

Cause: a reader that begins in the middle of the stream could take a claim for certain while an older one, unseen, was in force (found by rapid: doubt ended with the first doubtful claim). A claim that meets a doubtful one is doubtful now. The question carries the claim's id now (field added to OutcomeRequest).

--- /dev/null
+++ b/internal/decide/sycattempt/plan_test.go
@@ -0,0 +1,152 @@
+package sycattempt_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
+)
+
+func always() bool { return true }
+func never() bool  { return false }
+
+func TestSteps(t *testing.T) {
+	const (
+		gen  = sycattempt.Generation
+		rep  = sycattempt.Repeatable
+		once = sycattempt.Once
+	)
+	type on struct {
+		event sycattempt.Event
+		step  sycattempt.Step
+	}
+	cases := []struct {
+		name      string
+		kind      sycattempt.Kind
+		delivered bool
+		position  int
+		spend     func() bool
+		events    []on
+		notRun    bool
+	}{
+		{"once, unsent", once, false, 0, always, []on{{sycattempt.Unsent, sycattempt.Elsewhere}}, true},
+		{"once, refused", once, false, 0, always, []on{{sycattempt.Refused, sycattempt.Elsewhere}}, true},
+		{"once, broken", once, false, 0, always, []on{{sycattempt.Broken, sycattempt.GiveUp}}, false},
+		{"once, lost", once, false, 0, always, []on{{sycattempt.Lost, sycattempt.GiveUp}}, false},
+		{"repeatable, broken", rep, false, 0, always, []on{{sycattempt.Broken, sycattempt.Elsewhere}}, false},
+		{"repeatable, under way", rep, true, 0, always, []on{{sycattempt.Broken, sycattempt.GiveUp}}, false},
+		{"repeatable, no budget", rep, false, 0, never, []on{{sycattempt.Lost, sycattempt.GiveUp}}, false},
+		{"unsent needs no budget", rep, false, 0, never, []on{{sycattempt.Unsent, sycattempt.Elsewhere}}, true},
+		{"refusal needs budget", rep, false, 0, never, []on{{sycattempt.Refused, sycattempt.GiveUp}}, true},
+		{"no target", gen, false, 0, always, []on{{sycattempt.NoTarget, sycattempt.GiveUp}}, true},
+		{
+			"generation resumes, then moves", gen, true, 3, never,
+			[]on{{sycattempt.Broken, sycattempt.ResumeSame}, {sycattempt.Lost, sycattempt.Elsewhere}},
+			false,
+		},
+		{
+			"generation before its first token", gen, false, 0, never,
+			[]on{{sycattempt.Broken, sycattempt.ResumeSame}, {sycattempt.Lost, sycattempt.GiveUp}},
+			false,
+		},
+		{"generation starts again unseen", gen, false, 3, always, []on{{sycattempt.NoTarget, sycattempt.Restart}}, false},
+		{"generation gives up when seen", gen, true, 3, always, []on{{sycattempt.NoTarget, sycattempt.GiveUp}}, false},
+		{"cancelled", gen, true, 3, always, []on{{sycattempt.Cancelled, sycattempt.GiveUp}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := sycattempt.New(c.kind, 1, time.Hour, sycattempt.Defaults())
+			p.Progress(c.position)
+			if c.delivered {
+				p.Delivered()
+			}
+			for _, e := range c.events {
+				must.Eq(t, e.step, p.On(0, e.event, c.spend).Step)
+			}
+			must.Eq(t, c.notRun, p.NotRun())
+		})
+	}
+}
+
+func TestDeadlineEndsAtOnce(t *testing.T) {
+	p := sycattempt.New(sycattempt.Repeatable, 1, time.Second, sycattempt.Defaults())
+	must.Eq(t, sycattempt.GiveUp, p.On(time.Second, sycattempt.Unsent, always).Step)
+}
+
+// TestPlanInvariants draws any order of events and checks what must hold in all.
+func TestPlanInvariants(t *testing.T) {
+	settings := sycattempt.Defaults()
+	rapid.Check(t, func(r *rapid.T) {
+		kind := sycattempt.Kind(rapid.IntRange(0, 2).Draw(r, "kind"))
+		seed := rapid.Uint64().Draw(r, "seed")
+		p := sycattempt.New(kind, seed, time.Hour, settings)
+		twin := sycattempt.New(kind, seed, time.Hour, settings)
+		mayHaveRun, delivered := false, false
+		position, failures := 0, 0
+		for {
+			if kind == sycattempt.Generation && rapid.Bool().Draw(r, "progress") {
+				position++
+				p.Progress(position)
+				twin.Progress(position)
+				mayHaveRun = true
+			}
+			if position > 0 && rapid.Bool().Draw(r, "delivered") {
+				p.Delivered()
+				twin.Delivered()
+				delivered = true
+			}
+			event := sycattempt.Event(rapid.IntRange(0, 6).Draw(r, "event"))
+			ran := event == sycattempt.Broken || event == sycattempt.Lost
+			mayHaveRun = mayHaveRun || ran
+			action := p.On(0, event, always)
+			must.Eq(r, action, twin.On(0, event, always))
+			failures++
+			must.LessEq(r, settings.Total, failures)
+			must.Between(r, 0, action.Wait, settings.Max)
+			must.Eq(r, !mayHaveRun, p.NotRun())
+			if action.Step == sycattempt.GiveUp {
+				must.Eq(r, !mayHaveRun, action.NotRun)
+				return
+			}
+			must.False(r, kind == sycattempt.Once && mayHaveRun)
+			must.False(r, delivered && action.Step == sycattempt.Restart)
+			if action.Step == sycattempt.Restart {
+				position = 0
+			}
+		}
+	})
+}
+
+// TestOutageDoesNotMultiplyLoad retries every request of an outage as often as
+// it is allowed to.
+func TestOutageDoesNotMultiplyLoad(t *testing.T) {
+	const requests, perSecond = 2000, 100
+	allowance := sycattempt.Allowance{Share: 0.2, Floor: 10}
+	budgets := sycattempt.NewBudgets(allowance)
+	retries := 0
+	for i := range requests {
+		now := time.Duration(i) * time.Second / perSecond
+		b := budgets.Get(now, "endpoint")
+		b.Request(now)
+		for b.Allows(now) {
+			b.Spend(now)
+			retries++
+		}
+	}
+	t.Logf("%d requests in an outage, %d retries", requests, retries)
+	windows := float64(requests) / perSecond / 10
+	must.LessEq(t, int(0.2*requests+10*(windows+1)), retries)
+	must.Positive(t, retries)
+}
+
+func TestBudgetsForgetIdleNames(t *testing.T) {
+	budgets := sycattempt.NewBudgets(sycattempt.Allowance{Floor: 1})
+	for _, name := range []string{"a", "b", "c"} {
+		budgets.Get(0, name).Request(0)
+	}
+	must.Eq(t, 3, budgets.Len())
+	budgets.Get(time.Minute, "d").Request(time.Minute)
+	must.Eq(t, 1, budgets.Len())
+}
--- a/internal/decide/sycclaim/fold.go
+++ b/internal/decide/sycclaim/fold.go
@@ -196,12 +196,19 @@
 	c.started = true
 }
 
+// claim takes a claim in. One that meets a doubtful claim is doubtful itself:
+// the older claim that casts the doubt may have ended in between. The doubt
+// ends once a name has seen no claim for a whole lifetime.
 func (c *Claims) claim(r Record) {
+	doubtful := c.latest.Before(c.known.Add(c.settings.Lifetime))
 	if e, ok := c.entries[r.Name]; ok && !c.expired(e, c.latest) {
-		return
+		if e.state != Doubtful {
+			return
+		}
+		doubtful = true
 	}
 	e := &Entry{id: r.ID, holder: r.Holder, digest: r.Digest, claimed: c.latest}
-	if !c.known.IsZero() && c.latest.Before(c.known.Add(c.settings.Lifetime)) {
+	if doubtful {
 		e.state = Doubtful
 	}
 	c.entries[r.Name] = e
@@ -258,7 +265,7 @@
 
 func (c *Claims) release(r Record) {
 	e := c.own(r)
-	if e == nil || e.state == Answered || e.state == Lost {
+	if e == nil || e.state != Claimed {
 		return
 	}
 	delete(c.entries, r.Name)
--- /dev/null
+++ b/internal/decide/sycclaim/fold_test.go
@@ -0,0 +1,152 @@
+package sycclaim_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var settings = sycclaim.Settings{Lifetime: time.Minute, AnswerBytes: 100}
+
+// step is one record at a second of the log's time.
+type step struct {
+	second int
+	record sycclaim.Record
+}
+
+func apply(t *testing.T, c *sycclaim.Claims, offset uint64, s step) {
+	t.Helper()
+	data, err := json.Marshal(s.record)
+	must.NoError(t, err)
+	c.Apply(offset, epoch.Add(time.Duration(s.second)*time.Second), data)
+}
+
+func claim(id string) sycclaim.Record {
+	return sycclaim.Record{Kind: sycclaim.KindClaim, Name: "n", ID: id, Holder: "vm-" + id, Digest: "d"}
+}
+
+func record(kind sycclaim.Kind, id string) sycclaim.Record {
+	return sycclaim.Record{Kind: kind, Name: "n", ID: id}
+}
+
+func answer(id, body string) sycclaim.Record {
+	r := record(sycclaim.KindAnswer, id)
+	r.Answer = &sycclaim.Answer{Status: 200, Body: []byte(body)}
+	return r
+}
+
+func TestFold(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []step
+		// id is the claim in force at the end; empty for none.
+		id    string
+		state sycclaim.State
+	}{
+		{"first wins", []step{{0, claim("a")}, {0, claim("b")}}, "a", sycclaim.Claimed},
+		{"expires by the log's time", []step{{0, claim("a")}, {60, claim("b")}}, "b", sycclaim.Claimed},
+		{"holds until then", []step{{0, claim("a")}, {59, claim("b")}}, "a", sycclaim.Claimed},
+		{"time never goes back", []step{{60, claim("a")}, {0, claim("b")}, {61, claim("c")}}, "a", sycclaim.Claimed},
+		{"answered", []step{{0, claim("a")}, {1, answer("a", "x")}}, "a", sycclaim.Answered},
+		{"answer of another", []step{{0, claim("a")}, {1, answer("b", "x")}}, "a", sycclaim.Claimed},
+		{"released", []step{{0, claim("a")}, {1, record(sycclaim.KindRelease, "a")}, {2, claim("b")}}, "b", sycclaim.Claimed},
+		{"release by another", []step{{0, claim("a")}, {1, record(sycclaim.KindRelease, "b")}}, "a", sycclaim.Claimed},
+		{"release after an answer", []step{{0, claim("a")}, {1, answer("a", "x")}, {2, record(sycclaim.KindRelease, "a")}}, "a", sycclaim.Answered},
+		{"release after a loss", []step{{0, claim("a")}, {1, record(sycclaim.KindLost, "a")}, {2, record(sycclaim.KindRelease, "a")}}, "a", sycclaim.Lost},
+		{"loss after an answer", []step{{0, claim("a")}, {1, answer("a", "x")}, {2, record(sycclaim.KindLost, "a")}}, "a", sycclaim.Answered},
+		{"repeated claim record", []step{{0, claim("a")}, {0, claim("a")}, {1, answer("a", "x")}, {2, claim("a")}}, "a", sycclaim.Answered},
+		{"forgotten", []step{{0, claim("a")}, {100, sycclaim.Record{Kind: sycclaim.KindClaim, Name: "other", ID: "o"}}}, "", 0},
+		{"oldest body dropped", []step{{0, claim("a")}, {1, answer("a", string(make([]byte, 101)))}}, "a", sycclaim.Answered},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fold := sycclaim.New(settings)
+			for i, s := range c.steps {
+				apply(t, fold, uint64(i), s)
+			}
+			entry, ok := fold.Lookup("n")
+			must.Eq(t, c.id != "", ok)
+			must.Eq(t, c.id, entry.ID())
+			must.Eq(t, c.state, entry.State())
+			if c.state == sycclaim.Answered {
+				got, whole := entry.Answer()
+				must.Eq(t, 200, got.Status)
+				must.Eq(t, c.name != "oldest body dropped", whole)
+			}
+		})
+	}
+}
+
+func TestGapMakesClaimsDoubtful(t *testing.T) {
+	cases := []struct {
+		name  string
+		known time.Duration
+		state sycclaim.State
+	}{
+		{"dropped records may be recent", 30 * time.Second, sycclaim.Doubtful},
+		{"dropped records are old", -time.Minute, sycclaim.Claimed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fold := sycclaim.New(settings)
+			fold.Skip(5, epoch.Add(c.known))
+			apply(t, fold, 5, step{10, claim("a")})
+			entry, _ := fold.Lookup("n")
+			must.Eq(t, c.state, entry.State())
+		})
+	}
+	fold := sycclaim.New(settings)
+	apply(t, fold, 0, step{0, claim("a")})
+	apply(t, fold, 7, step{61, claim("b")})
+	entry, _ := fold.Lookup("n")
+	must.Eq(t, sycclaim.Doubtful, entry.State())
+}
+
+// TestWhereReadingBeganDoesNotMatter folds the same records from their start
+// and from a later offset: whoever holds a claim for certain is the same.
+func TestWhereReadingBeganDoesNotMatter(t *testing.T) {
+	kinds := []sycclaim.Kind{sycclaim.KindClaim, sycclaim.KindClaim, sycclaim.KindRelease, sycclaim.KindLost}
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(r, "records")
+		begin := rapid.IntRange(0, n-1).Draw(r, "begin")
+		whole, late := sycclaim.New(settings), sycclaim.New(settings)
+		now := 0
+		for i := range n {
+			now += rapid.IntRange(0, 30).Draw(r, "seconds")
+			id := fmt.Sprint(rapid.IntRange(0, 5).Draw(r, "id"))
+			rec := record(rapid.SampledFrom(kinds).Draw(r, "kind"), id)
+			apply(t, whole, uint64(i), step{now, rec})
+			if i < begin {
+				continue
+			}
+			apply(t, late, uint64(i), step{now, rec})
+			sure, ok := late.Lookup("n")
+			if !ok || sure.State() != sycclaim.Claimed {
+				continue
+			}
+			known, found := whole.Lookup("n")
+			must.True(r, found)
+			must.Eq(r, known.ID(), sure.ID())
+		}
+	})
+}
+
+func TestNamesSeparateScopes(t *testing.T) {
+	names := map[string]bool{}
+	for _, c := range []sycclaim.Call{
+		{Customer: "c", Route: "r", Key: "k"},
+		{Customer: "cr", Route: "", Key: "k"},
+		{Customer: "c", Route: "rk", Key: ""},
+		{Customer: "", Route: "cr", Key: "k"},
+	} {
+		names[c.Name()] = true
+	}
+	must.MapLen(t, 4, names)
+}
--- a/internal/traffic/sycclaims/claim.go
+++ b/internal/traffic/sycclaims/claim.go
@@ -161,7 +161,7 @@
 		d.release(w.name, w.id)
 		return verdict{err: unavailable()}
 	}
-	d.own.start(&ownCall{name: w.name, customer: w.call.Customer, id: w.id})
+	d.own.start(&ownCall{customer: w.call.Customer, id: w.id})
 	return verdict{ticket: &ticket{
 		driver:  d,
 		name:    w.name,
--- a/internal/traffic/sycclaims/outcome.go
+++ b/internal/traffic/sycclaims/outcome.go
@@ -20,18 +20,20 @@
 func (d *Driver) Outcome(_ context.Context, in *sycpeerpb.OutcomeRequest) (*sycpeerpb.OutcomeReply, error) {
 	reply := &sycpeerpb.OutcomeReply{State: stateUnknown}
 	d.options.Loop.Do(func(time.Duration) {
-		c, ok := d.own.byName[in.GetClaim()]
-		if !ok || c.customer != in.GetCustomer() || c.lost {
-			return
-		}
-		if !c.done {
+		c, ok := d.own.byID[in.GetId()]
+		switch {
+		case !ok && d.mine(in.GetId()):
+			// The claim is not decided here yet, or is about to be released.
+			reply.State = stateRunning
+		case !ok, c.customer != in.GetCustomer(), c.lost:
+		case !c.done:
 			reply.State = stateRunning
-			return
+		default:
+			reply.State = stateDone
+			reply.Status = int32(c.answer.Status)
+			reply.ContentType = c.answer.ContentType
+			reply.Body = c.answer.Body
 		}
-		reply.State = stateDone
-		reply.Status = int32(c.answer.Status)
-		reply.ContentType = c.answer.ContentType
-		reply.Body = c.answer.Body
 	})
 	return reply, nil
 }
@@ -48,8 +50,8 @@
 func (d *Driver) outcome(ctx context.Context, call sycclaim.Call, entry sycclaim.Entry) (*sycclaim.Answer, bool, error) {
 	heard := time.Now()
 	for {
-		if answer, done, err := settled(entry); done && !partial(entry) {
-			return answer, false, err
+		if !open(entry) && !partial(entry) {
+			return settled(entry)
 		}
 		reply, err := d.ask(ctx, call, entry)
 		if err == nil {
@@ -65,6 +67,9 @@
 		case stateUnknown:
 			return d.last(call.Name(), entry)
 		}
+		if partial(entry) && err == nil {
+			return settled(entry)
+		}
 		if time.Since(heard) > d.options.Unreachable {
 			return d.last(call.Name(), entry)
 		}
@@ -79,19 +84,21 @@
 	}
 }
 
-// settled returns an outcome that the log holds.
+// open reports whether the log holds no outcome yet.
+func open(entry sycclaim.Entry) bool {
+	return entry.State() == sycclaim.Claimed || entry.State() == sycclaim.Doubtful
+}
+
+// settled returns the outcome that the log holds.
 func settled(entry sycclaim.Entry) (*sycclaim.Answer, bool, error) {
-	switch entry.State() {
-	case sycclaim.Answered:
-		answer, whole := entry.Answer()
-		if whole {
-			return &answer, true, nil
-		}
-		return nil, true, &sycclaim.Error{Reason: sycclaim.NotKept, Status: answer.Status}
-	case sycclaim.Lost:
-		return nil, true, &sycclaim.Error{Reason: sycclaim.OutcomeUnknown}
+	answer, whole := entry.Answer()
+	switch {
+	case whole:
+		return &answer, false, nil
+	case entry.State() == sycclaim.Answered:
+		return nil, false, &sycclaim.Error{Reason: sycclaim.NotKept, Status: answer.Status}
 	}
-	return nil, false, nil
+	return nil, false, &sycclaim.Error{Reason: sycclaim.OutcomeUnknown}
 }
 
 // partial reports whether only the holder can have the answer's body.
@@ -107,10 +114,7 @@
 	if !found || next.ID() != entry.ID() {
 		return nil, true, nil
 	}
-	if answer, done, err := settled(next); done {
-		return answer, false, err
-	}
-	return nil, false, &sycclaim.Error{Reason: sycclaim.OutcomeUnknown}
+	return settled(next)
 }
 
 // errNoPeers means that other VMs can't be asked.
@@ -118,7 +122,7 @@
 
 // ask asks the holder of a claim, which may be this VM.
 func (d *Driver) ask(ctx context.Context, call sycclaim.Call, entry sycclaim.Entry) (*sycpeerpb.OutcomeReply, error) {
-	in := &sycpeerpb.OutcomeRequest{Claim: call.Name(), Customer: call.Customer}
+	in := &sycpeerpb.OutcomeRequest{Claim: call.Name(), Customer: call.Customer, Id: entry.ID()}
 	if entry.Holder() == d.options.VM {
 		return d.Outcome(ctx, in)
 	}
--- a/internal/traffic/sycclaims/record.go
+++ b/internal/traffic/sycclaims/record.go
@@ -37,7 +37,6 @@
 
 // ownCall is a call that this VM runs or ran.
 type ownCall struct {
-	name     string
 	customer string
 	id       string
 	// done is set once the call has ended, and lost where its outcome is unknown.
@@ -49,9 +48,8 @@
 // ownCalls holds this VM's calls. Those that have ended are dropped, oldest
 // first, once their answers take too much room.
 type ownCalls struct {
-	byID   map[string]*ownCall
-	byName map[string]*ownCall
-	ended  []*ownCall
+	byID  map[string]*ownCall
+	ended []*ownCall
 	// bytes is the size of the ended calls; at most limit.
 	bytes int
 	limit int
@@ -61,19 +59,15 @@
 const callOverhead = 256
 
 func newOwnCalls(limit int) *ownCalls {
-	return &ownCalls{byID: map[string]*ownCall{}, byName: map[string]*ownCall{}, limit: limit}
+	return &ownCalls{byID: map[string]*ownCall{}, limit: limit}
 }
 
 func (o *ownCalls) start(c *ownCall) {
 	o.byID[c.id] = c
-	o.byName[c.name] = c
 }
 
 func (o *ownCalls) remove(c *ownCall) {
 	delete(o.byID, c.id)
-	if o.byName[c.name] == c {
-		delete(o.byName, c.name)
-	}
 }
 
 // knows reports whether the claim was granted here and not released.
