Resume streams through every fault and never resume a crossed one

A crossed answer made the gateway resume the same stream at the engine, which held another's text: 10 of 10 answers wrong. It goes elsewhere now. An engine that breaks off again and again after a token or two used up all attempts; it is left after three resumes: 2 of 80 wrong before, 0 after.

Streams cut at 40 lengths, crashes, resets, stalls, refusals, errors and lost VMs: 0 answers wrong of those tried (counts in the test's log).

--- a/internal/decide/sycattempt/plan.go
+++ b/internal/decide/sycattempt/plan.go
@@ -75,6 +75,9 @@
 	Tries int
 	// Total bounds all attempts.
 	Total int
+	// Resumes bounds how often one endpoint is asked to resume, so that an
+	// endpoint that breaks off again and again is left.
+	Resumes int
 	// Base and Max bound the wait, which grows twofold with each try and is
 	// drawn evenly from zero to its bound.
 	Base time.Duration
@@ -83,7 +86,7 @@
 
 // Defaults returns the settings in use.
 func Defaults() Settings {
-	return Settings{Tries: 4, Total: 16, Base: 20 * time.Millisecond, Max: time.Second}
+	return Settings{Tries: 4, Total: 16, Resumes: 3, Base: 20 * time.Millisecond, Max: time.Second}
 }
 
 // Plan follows one request. It is not safe for use by several goroutines.
@@ -101,8 +104,10 @@
 	delivered bool
 	// position is the number of tokens received; it decreases only on Restart.
 	position int
-	// resumed is set while the present endpoint was already asked to resume.
+	// resumed is set while the present endpoint was already asked to resume
+	// without progress since, and resumes counts how often it was asked.
 	resumed bool
+	resumes int
 }
 
 // New returns the plan of a request that must end by the deadline.
@@ -174,7 +179,7 @@
 	}
 	switch p.kind {
 	case Generation:
-		if e == Broken && !p.resumed {
+		if e == Broken && !p.resumed && p.resumes < p.settings.Resumes {
 			return ResumeSame
 		}
 		return Elsewhere
@@ -225,6 +230,11 @@
 
 func (p *Plan) enter(step Step) {
 	p.resumed = step == ResumeSame
+	if p.resumed {
+		p.resumes++
+		return
+	}
+	p.resumes = 0
 	if step == Restart {
 		p.position = 0
 	}
--- a/internal/traffic/sycgateway/generate.go
+++ b/internal/traffic/sycgateway/generate.go
@@ -407,8 +407,8 @@
 	case sycstream.Cut:
 		return sycattempt.Broken
 	case sycstream.Crossed:
+		// What the engine has under this stream's name may be another's.
 		crossedTotal.Inc()
-		return sycattempt.Broken
 	}
 	return sycattempt.Lost
 }
--- /dev/null
+++ b/internal/traffic/sycgateway/stream_test.go
@@ -0,0 +1,365 @@
+package sycgateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
+)
+
+const tokens = 24
+
+// newEngine starts a fast engine stand-in.
+func newEngine(t *testing.T) *sycengine.Engine {
+	e, err := sycengine.New(sycengine.Options{
+		Models:       map[string]string{"m": "w1"},
+		DecodeStep:   time.Millisecond,
+		RestartDelay: 20 * time.Millisecond,
+		LoadLag:      time.Millisecond,
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, e.Close()) })
+	return e
+}
+
+func newProxy(t *testing.T, target string) *sycfault.Proxy {
+	p, err := sycfault.New(target, sycfault.Options{Seed: 1})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, p.Close()) })
+	return p
+}
+
+// pair is a gateway before an engine behind a proxy and an engine without one.
+type pair struct {
+	*rig
+	first, second *sycengine.Engine
+	proxy         *sycfault.Proxy
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{first: newEngine(t), second: newEngine(t)}
+	p.proxy = newProxy(t, p.first.Address())
+	p.rig = newRig(t, func(o *sycgateway.Options) {
+		o.Limits.FirstToken = time.Second
+		o.Limits.BetweenTokens = 200 * time.Millisecond
+	}, engineTarget("e1", p.proxy.URL()), engineTarget("e2", p.second.URL()))
+	p.state = fold(t, p.state,
+		operation{"endpoint", "e1", map[string]any{"address": p.first.URL(), "type": "engine", "failure_domain": "a", "models": []string{"m"}}},
+		operation{"endpoint", "e2", map[string]any{"address": p.second.URL(), "type": "engine", "failure_domain": "a", "models": []string{"m"}}},
+	)
+	return p
+}
+
+func completionBody(prompt string, streamed bool) string {
+	return fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, tokens, streamed)
+}
+
+func wanted(prompt string) string {
+	return strings.Join(sycengine.Answer("w1", "", prompt, tokens), "")
+}
+
+// received is what a caller got of a streamed answer.
+type received struct {
+	text  string
+	next  int
+	ended bool
+	fault string
+	err   error
+}
+
+// follow reads a streamed answer to its end. It calls each for every token.
+func follow(resp *http.Response, from int, each func(n int)) received {
+	defer resp.Body.Close()
+	r := received{next: from}
+	lines := bufio.NewScanner(resp.Body)
+	event, id := "", -1
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case line == "":
+			event, id = "", -1
+		case strings.HasPrefix(line, "event: "):
+			event = line[len("event: "):]
+		case strings.HasPrefix(line, "id: "):
+			id, r.err = strconv.Atoi(line[len("id: "):])
+		case line == "data: [DONE]":
+			r.ended = true
+		case event == "error":
+			r.fault = line
+		case strings.HasPrefix(line, "data: "):
+			r.take(line[len("data: "):], id, each)
+		}
+	}
+	if r.err == nil {
+		r.err = lines.Err()
+	}
+	return r
+}
+
+func (r *received) take(data string, id int, each func(n int)) {
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		r.err = err
+		return
+	}
+	if id < 0 {
+		return
+	}
+	if id != r.next {
+		r.err = fmt.Errorf("token %d came in place of %d", id, r.next)
+	}
+	r.next++
+	r.text += c.text()
+	if each != nil {
+		each(id)
+	}
+}
+
+// right reports whether the answer is whole, exact and in order.
+func (r *received) right(prompt string) bool {
+	return r.err == nil && r.ended && r.fault == "" && r.next == tokens && r.text == wanted(prompt)
+}
+
+func TestStreamsSurviveFaults(t *testing.T) {
+	hang := sycengine.Faults{NoAnswer: 1}
+	cases := []struct {
+		name  string
+		tries int
+		// before sets the fault of a try; during is called at each token.
+		before func(p *pair, try int)
+		during func(p *pair, try, token int)
+	}{
+		{"no fault", 5, nil, nil},
+		{"refused before connect", 5, func(p *pair, _ int) { p.proxy.Set(sycfault.Fault{Cut: true}) }, nil},
+		{"crash before connect", 5, func(p *pair, _ int) { p.first.Crash() }, nil},
+		{"answer cut at every length", 40, func(p *pair, try int) {
+			p.proxy.Set(sycfault.Fault{TruncateAfter: int64(1 + try*57)})
+		}, nil},
+		{"crash in mid-stream", 10, nil, func(p *pair, try, token int) {
+			if token == try*2 {
+				p.first.Crash()
+			}
+		}},
+		{"reset in mid-stream", 10, nil, func(p *pair, try, token int) {
+			if token == try*2 {
+				p.proxy.Set(sycfault.Fault{Reset: true})
+			}
+		}},
+		{"stall in mid-stream", 2, nil, func(p *pair, try, token int) {
+			if token == 3+try {
+				p.proxy.Set(sycfault.Fault{Stall: true})
+			}
+		}},
+		{"delay", 3, func(p *pair, _ int) { p.proxy.Set(sycfault.Fault{Latency: 20 * time.Millisecond, Jitter: 5 * time.Millisecond}) }, nil},
+		{"crossed answer", 5, func(p *pair, _ int) { p.first.SetFaults(sycengine.Faults{Cross: 1}) }, nil},
+		{"no answer", 1, func(p *pair, _ int) { p.first.SetFaults(hang) }, nil},
+		{"refusal", 5, func(p *pair, _ int) { p.first.SetFaults(sycengine.Faults{Refuse: true}) }, nil},
+		{"error", 5, func(p *pair, _ int) {
+			p.first.SetFaults(sycengine.Faults{Failures: []sycengine.Failure{{Share: 1, Mode: sycengine.ModeError}}})
+		}, nil},
+		{"cut by the engine", 5, func(p *pair, _ int) {
+			p.first.SetFaults(sycengine.Faults{Failures: []sycengine.Failure{{Share: 1, Mode: sycengine.ModeCut}}})
+		}, nil},
+	}
+	for _, c := range cases {
+		modes := []bool{true, false}
+		if c.during != nil {
+			modes = modes[:1]
+		}
+		for _, streamed := range modes {
+			t.Run(fmt.Sprintf("%s, streamed %t", c.name, streamed), func(t *testing.T) {
+				p := newPair(t)
+				wrong := 0
+				for try := range c.tries {
+					p.proxy.Set(sycfault.Fault{})
+					if c.before != nil {
+						c.before(p, try)
+					}
+					prompt := fmt.Sprintf("%s %d", c.name, try)
+					if !p.ask(t, prompt, streamed, func(n int) {
+						if c.during != nil {
+							c.during(p, try, n)
+						}
+					}) {
+						wrong++
+					}
+				}
+				t.Logf("%d requests tried, %d wrong", c.tries, wrong)
+				must.Eq(t, 0, wrong)
+			})
+		}
+	}
+}
+
+// ask makes one request and reports whether its answer was right.
+func (p *pair) ask(t *testing.T, prompt string, streamed bool, each func(n int)) bool {
+	resp := p.post(t, "/v1/completions", completionBody(prompt, streamed))
+	if resp.StatusCode != http.StatusOK {
+		t.Logf("status %d: %s", resp.StatusCode, read(t, resp))
+		return false
+	}
+	if !streamed {
+		return wholeText(t, read(t, resp)) == wanted(prompt)
+	}
+	got := follow(resp, 0, each)
+	if !got.right(prompt) {
+		t.Logf("next %d, ended %t, fault %q, error %v", got.next, got.ended, got.fault, got.err)
+	}
+	return got.right(prompt)
+}
+
+func TestCutThatCannotBeResumedShows(t *testing.T) {
+	p := newPair(t)
+	const tries = 5
+	wrong := 0
+	for try := range tries {
+		resp := p.post(t, "/v1/completions", completionBody("cut", true))
+		got := follow(resp, 0, func(n int) {
+			if n == 3 {
+				p.dir.mu.Lock()
+				p.dir.targets = p.dir.targets[:1]
+				p.dir.mu.Unlock()
+				p.proxy.Set(sycfault.Fault{Cut: true})
+			}
+		})
+		if got.ended || got.err == nil || !strings.Contains(got.fault, `"code"`) {
+			t.Logf("try %d: ended %t, fault %q, error %v", try, got.ended, got.fault, got.err)
+			wrong++
+		}
+		p.proxy.Set(sycfault.Fault{})
+	}
+	t.Logf("%d streams cut, %d ended cleanly or without a reason", tries, wrong)
+	must.Eq(t, 0, wrong)
+}
+
+func TestCallerResumesAtAnotherVM(t *testing.T) {
+	cases := []struct {
+		name string
+		// lost is what became of the engine while the caller was away.
+		lost func(p *pair)
+		// asked is how the caller asks.
+		prior bool
+	}{
+		{"engine still has the stream", func(*pair) {}, false},
+		{"engine restarted empty", func(p *pair) { p.first.Crash() }, false},
+		{"engine restarted empty, caller sends its text", func(p *pair) { p.first.Crash() }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t)
+			other := newRig(t, nil, engineTarget("e2", p.second.URL()))
+			other.state = p.state
+			wrong := 0
+			for at := range 4 {
+				prompt := fmt.Sprintf("%s %d", c.name, at)
+				text, stream := p.leave(t, prompt, at*5)
+				c.lost(p)
+				body := completionBody(prompt, true)
+				if c.prior {
+					body = fmt.Sprintf(`%s,"text_so_far":%q}`, strings.TrimSuffix(body, "}"), text)
+				}
+				resp := other.post(t, "/v1/completions", body, "Sycamorecart-Stream", stream, "Last-Event-ID", strconv.Itoa(at*5))
+				got := follow(resp, at*5+1, nil)
+				got.text = text + got.text
+				if !got.right(prompt) {
+					t.Logf("next %d, ended %t, error %v, text %q", got.next, got.ended, got.err, got.text)
+					wrong++
+				}
+				p.proxy.Set(sycfault.Fault{})
+			}
+			t.Logf("4 streams resumed, %d wrong", wrong)
+			must.Eq(t, 0, wrong)
+		})
+	}
+}
+
+// leave reads a stream up to a token, then loses its VM: neither the caller
+// nor the engine hears from it again.
+func (p *pair) leave(t *testing.T, prompt string, last int) (text, stream string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.server.URL+"/v1/completions", strings.NewReader(completionBody(prompt, true)))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	follow(resp, 0, func(n int) {
+		if n == last {
+			p.proxy.Set(sycfault.Fault{Cut: true})
+			cancel()
+		}
+	})
+	return strings.Join(sycengine.Answer("w1", "", prompt, last+1), ""), resp.Header.Get("Sycamorecart-Stream")
+}
+
+func TestStreamBelongsToItsRequest(t *testing.T) {
+	p := newPair(t)
+	resp := p.post(t, "/v1/completions", completionBody("mine", true))
+	stream := resp.Header.Get("Sycamorecart-Stream")
+	must.True(t, strings.Contains(read(t, resp), "[DONE]"))
+	t.Run("another request", func(t *testing.T) {
+		resp := p.post(t, "/v1/completions", completionBody("other", true), "Sycamorecart-Stream", stream)
+		must.Eq(t, http.StatusUnprocessableEntity, resp.StatusCode)
+		must.StrContains(t, read(t, resp), "stream_mismatch")
+	})
+	t.Run("another customer", func(t *testing.T) {
+		before := len(p.first.Requests()) + len(p.second.Requests())
+		resp := p.post(t, "/v1/completions", completionBody("mine", true),
+			"Authorization", "Bearer "+testKey+"-2", "Sycamorecart-Stream", stream)
+		must.StrContains(t, read(t, resp), "[DONE]")
+		// The engine denied the stream, so that the answer was generated anew.
+		requests := append(p.first.Requests(), p.second.Requests()...)
+		must.Eq(t, before+1, len(requests))
+		salts := map[string]bool{}
+		for _, r := range requests {
+			salts[r.Salt] = true
+		}
+		must.MapContainsKey(t, salts, sycblock.Salt("c1", "m", "", "w1"))
+		must.MapContainsKey(t, salts, sycblock.Salt("c2", "m", "", "w1"))
+	})
+	t.Run("nonsense", func(t *testing.T) {
+		resp := p.post(t, "/v1/completions", completionBody("mine", true), "Sycamorecart-Stream", "%%")
+		must.Eq(t, http.StatusBadRequest, resp.StatusCode)
+		must.StrContains(t, read(t, resp), "invalid_stream")
+	})
+}
+
+func TestCancelReachesTheEngine(t *testing.T) {
+	p := newPair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	body := `{"model":"m","prompt":"long","max_tokens":16000,"stream":true}`
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.server.URL+"/v1/completions", strings.NewReader(body))
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	must.NoError(t, err)
+	must.Eq(t, 1, running(t, p.first))
+	cancel()
+	for running(t, p.first) > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func running(t *testing.T, e *sycengine.Engine) int {
+	t.Helper()
+	resp, err := http.Get(e.URL() + "/v1/load")
+	must.NoError(t, err)
+	var load struct{ Running, Waiting int }
+	must.NoError(t, json.Unmarshal([]byte(read(t, resp)), &load))
+	return load.Running + load.Waiting
+}
