Prove service calls against the service's own record

A repeatable call to an endpoint that had gone silent used up the whole timeout; its first attempt gets half now. An error of the service carries the outcome unknown. The standard transport's resending is shown by a control (3 requests for 2 calls) and is absent here (2 for 2).

11 faults, 5 requests each on both kinds of routes, and 8 faults with duplicate keys at two gateways (32 requests for 8 keys each): 0 wrong.

--- a/internal/traffic/sycgateway/gateway_test.go
+++ b/internal/traffic/sycgateway/gateway_test.go
@@ -125,8 +125,8 @@
 		operation{"key", "k2", map[string]any{"customer": "c2", "sha256": hash(testKey + "-2")}},
 		operation{"version", "v1", map[string]any{"model": "m", "weights": "w1", "initial": true}},
 		operation{"route", "chat", map[string]any{"prefix": "/", "type": "model", "models": []string{"m"}}},
-		operation{"route", "slots", map[string]any{"prefix": "/slots", "type": "service", "service": "slots", "repeatable": true}},
-		operation{"route", "book", map[string]any{"prefix": "/book", "type": "service", "service": "slots"}},
+		operation{"route", "slots", map[string]any{"prefix": "/slots", "type": "service", "service": "slots", "repeatable": true, "timeout": "600ms"}},
+		operation{"route", "book", map[string]any{"prefix": "/book", "type": "service", "service": "slots", "timeout": "600ms"}},
 		operation{"route", "open", map[string]any{"prefix": "/open", "type": "service", "service": "slots", "repeatable": true, "open": true}},
 	)
 }
--- a/internal/traffic/sycgateway/service.go
+++ b/internal/traffic/sycgateway/service.go
@@ -171,6 +171,8 @@
 	header := c.header.Clone()
 	header.Set(sycapi.HeaderAttempt, attempt)
 	sent := time.Now()
+	ctx, cancel := c.attemptContext(ctx, sent)
+	defer cancel()
 	answer, err := c.x.g.client.Do(ctx, sycproxy.Call{
 		Method: c.x.r.Method,
 		URL:    c.grant.Target().Address + c.target,
@@ -196,6 +198,15 @@
 	return nil
 }
 
+// attemptContext leaves time for another attempt where one is allowed: an
+// endpoint that has gone silent gets half of the time.
+func (c *serviceCall) attemptContext(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
+	if c.kind != sycattempt.Repeatable || len(c.excluded) > 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, c.x.deadline.Sub(now)/2)
+}
+
 func (c *serviceCall) guard() func() bool {
 	if c.ticket == nil {
 		return nil
@@ -239,6 +250,9 @@
 	contentType := a.Header.Get("Content-Type")
 	c.done(sycclaim.Answer{Status: a.StatusCode, ContentType: contentType, Body: body})
 	x.copyHeader(a.Header)
+	if a.StatusCode >= http.StatusInternalServerError {
+		x.w.Header().Set(sycapi.HeaderOutcome, string(sycapi.Unknown))
+	}
 	if x.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified {
 		x.begun = true
 		x.w.WriteHeader(a.StatusCode)
--- /dev/null
+++ b/internal/traffic/sycgateway/service_test.go
@@ -0,0 +1,280 @@
+package sycgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
+)
+
+func newService(t *testing.T) *sycservice.Service {
+	s, err := sycservice.New(sycservice.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, s.Close()) })
+	return s
+}
+
+func serviceTarget(name, address string) sycwork.Target {
+	return sycwork.Target{Endpoint: name, Address: address}
+}
+
+// ran counts the calls that took effect, by body.
+func ran(services ...*sycservice.Service) map[string]int {
+	counts := map[string]int{}
+	for _, s := range services {
+		for _, c := range s.Calls() {
+			if c.Ran {
+				counts[c.Body]++
+			}
+		}
+	}
+	return counts
+}
+
+// verdict compares an answer with what the services record.
+func verdict(status int, outcome string, runs int, once bool) string {
+	switch {
+	case once && runs > 1:
+		return "ran twice"
+	case status < 300 && runs == 0:
+		return "answered without running"
+	case outcome == "not-run" && runs > 0:
+		return "ran although it was said not to"
+	case status >= 500 && outcome == "":
+		return "no outcome told"
+	}
+	return ""
+}
+
+func TestServiceCallsUnderFaults(t *testing.T) {
+	late := sycrecord.Duration(30 * time.Millisecond)
+	cases := []struct {
+		name   string
+		faults sycservice.Faults
+		link   sycfault.Fault
+		// answered is set where a repeatable call must be answered in spite of
+		// the fault, and once where a call that may not be repeated must.
+		answered, once bool
+	}{
+		{"no fault", sycservice.Faults{}, sycfault.Fault{}, true, true},
+		{"cut after connecting", sycservice.Faults{}, sycfault.Fault{Cut: true}, true, false},
+		{"refusal", sycservice.Faults{Refuse: 1}, sycfault.Fault{}, true, true},
+		{"late answer", sycservice.Faults{Late: late}, sycfault.Fault{}, true, true},
+		{"lost answer", sycservice.Faults{Lose: 1}, sycfault.Fault{}, true, false},
+		{"crossed answer", sycservice.Faults{Cross: 1}, sycfault.Fault{}, true, false},
+		{"cut in the headers", sycservice.Faults{}, sycfault.Fault{TruncateAfter: 20}, true, false},
+		{"cut in the body", sycservice.Faults{}, sycfault.Fault{TruncateAfter: 260}, true, false},
+		{"request lost", sycservice.Faults{}, sycfault.Fault{LoseToTarget: true}, true, false},
+		{"answer lost", sycservice.Faults{}, sycfault.Fault{LoseToClient: true}, true, false},
+		{"error", sycservice.Faults{Fail: 1}, sycfault.Fault{}, false, false},
+	}
+	const tries = 5
+	for _, c := range cases {
+		for _, route := range []string{"/book", "/slots"} {
+			t.Run(c.name+route, func(t *testing.T) {
+				first, second := newService(t), newService(t)
+				proxy := newProxy(t, first.Address())
+				r := newRig(t, nil, serviceTarget("service1", proxy.URL()), serviceTarget("service2", second.URL()))
+				wrong := 0
+				for try := range tries {
+					proxy.Set(c.link)
+					first.SetFaults(c.faults)
+					body := fmt.Sprintf(`{"slot":"%d"}`, try)
+					resp := r.post(t, route+"/book", body)
+					text := read(t, resp)
+					proxy.Set(sycfault.Fault{})
+					fault := verdict(resp.StatusCode, resp.Header.Get("Sycamorecart-Outcome"), ran(first, second)[body], route == "/book")
+					must := c.answered && (route == "/slots" || c.once)
+					if must && (resp.StatusCode != http.StatusOK || !strings.Contains(text, fmt.Sprintf(`\"%d\"`, try))) {
+						fault = "no answer of its own"
+					}
+					if fault != "" {
+						t.Logf("%s: status %d, %s", fault, resp.StatusCode, text)
+						wrong++
+					}
+				}
+				t.Logf("%d requests tried, %d wrong", tries, wrong)
+				must.Eq(t, 0, wrong)
+			})
+		}
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	s := newService(t)
+	gone := newService(t)
+	must.NoError(t, gone.Close())
+	r := newRig(t, nil, serviceTarget("service1", gone.URL()), serviceTarget("service2", s.URL()))
+	alone := newRig(t, nil, serviceTarget("service1", gone.URL()))
+	const tries = 10
+	for try := range tries {
+		body := fmt.Sprint(try)
+		resp := r.post(t, "/book/book", body)
+		must.StrContains(t, read(t, resp), body)
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		must.Eq(t, 1, ran(s)[body])
+	}
+	resp := alone.post(t, "/book/book", "alone")
+	must.StrContains(t, read(t, resp), "no_endpoint")
+	must.Eq(t, "not-run", resp.Header.Get("Sycamorecart-Outcome"))
+	must.Eq(t, "1", resp.Header.Get("Retry-After"))
+}
+
+// TestConnectionsDieBetweenCalls resets every connection after each call.
+func TestConnectionsDieBetweenCalls(t *testing.T) {
+	s := newService(t)
+	proxy := newProxy(t, s.Address())
+	r := newRig(t, nil, serviceTarget("service1", proxy.URL()))
+	const tries = 20
+	wrong := 0
+	for try := range tries {
+		body := fmt.Sprint(try)
+		resp := r.post(t, "/book/x", body)
+		_ = read(t, resp)
+		if resp.StatusCode != http.StatusOK || ran(s)[body] != 1 {
+			wrong++
+		}
+		proxy.Set(sycfault.Fault{Reset: true})
+	}
+	t.Logf("%d requests tried, %d wrong", tries, wrong)
+	must.Eq(t, 0, wrong)
+}
+
+// claimants are two gateways with claims on one log.
+type claimants struct {
+	platform *sycplatform.Platform
+	service  *sycservice.Service
+	proxy    *sycfault.Proxy
+	rigs     []*rig
+}
+
+func newClaimants(t *testing.T) *claimants {
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	c := &claimants{platform: platform, service: newService(t)}
+	c.proxy = newProxy(t, c.service.Address())
+	for i := range 2 {
+		loop := sycloop.New()
+		log := syclog.New(syclog.Options{Address: platform.URL(), Tries: 1})
+		claims, err := sycclaims.New(sycclaims.Options{
+			Loop: loop, Log: log, VM: fmt.Sprint(i), Incarnation: fmt.Sprint("i", i),
+			Decide: time.Second, Ask: 5 * time.Millisecond, Unreachable: 100 * time.Millisecond,
+		})
+		must.NoError(t, err)
+		t.Cleanup(func() {
+			must.NoError(t, claims.Close())
+			must.NoError(t, loop.Close())
+			must.NoError(t, log.Close())
+		})
+		c.rigs = append(c.rigs, newRig(t, func(o *sycgateway.Options) {
+			o.Claims = claims
+		}, serviceTarget("service1", c.proxy.URL())))
+	}
+	return c
+}
+
+func TestDuplicateKeysAtTwoGateways(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults sycservice.Faults
+		log    sycplatform.Faults
+		link   sycfault.Fault
+		// status is that of at least one answer for each key; 0 for any.
+		status int
+	}{
+		{"no fault", sycservice.Faults{}, sycplatform.Faults{}, sycfault.Fault{}, 200},
+		{"late answers", sycservice.Faults{Late: sycrecord.Duration(50 * time.Millisecond)}, sycplatform.Faults{}, sycfault.Fault{}, 200},
+		{"lost answers", sycservice.Faults{Lose: 1000}, sycplatform.Faults{}, sycfault.Fault{}, 0},
+		{"answer cut", sycservice.Faults{}, sycplatform.Faults{}, sycfault.Fault{TruncateAfter: 50}, 0},
+		{"crossed answers", sycservice.Faults{Cross: 1000}, sycplatform.Faults{}, sycfault.Fault{}, 0},
+		{"service away", sycservice.Faults{}, sycplatform.Faults{}, sycfault.Fault{Cut: true}, 0},
+		{"lost answers of the log", sycservice.Faults{}, sycplatform.Faults{LoseAppends: 4}, sycfault.Fault{}, 200},
+		{"log away", sycservice.Faults{}, sycplatform.Faults{Log: sycplatform.Fault{Out: true}}, sycfault.Fault{}, 503},
+	}
+	const keys, repeats = 8, 4
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newClaimants(t)
+			cl.service.SetFaults(c.faults)
+			cl.platform.SetFaults(c.log)
+			cl.proxy.Set(c.link)
+			var wrong atomic.Int32
+			var found [keys]atomic.Bool
+			var group sync.WaitGroup
+			for n := range keys * repeats {
+				key := n % keys
+				r := cl.rigs[n/keys%2]
+				group.Go(func() {
+					body := fmt.Sprintf(`{"slot":"%d"}`, key)
+					resp := r.post(t, "/book/book", body, "Idempotency-Key", fmt.Sprint(key))
+					text := read(t, resp)
+					own := resp.StatusCode != http.StatusOK || strings.Contains(text, fmt.Sprintf(`\"%d\"`, key))
+					if !own || verdict(resp.StatusCode, resp.Header.Get("Sycamorecart-Outcome"), ran(cl.service)[body], true) != "" {
+						t.Logf("status %d: %s", resp.StatusCode, text)
+						wrong.Add(1)
+					}
+					if c.status == 0 || resp.StatusCode == c.status {
+						found[key].Store(true)
+					}
+				})
+			}
+			group.Wait()
+			for body, n := range ran(cl.service) {
+				if n > 1 {
+					t.Logf("%s ran %d times", body, n)
+					wrong.Add(1)
+				}
+			}
+			for key := range found {
+				if !found[key].Load() {
+					t.Logf("key %d had no answer with status %d", key, c.status)
+					wrong.Add(1)
+				}
+			}
+			t.Logf("%d requests for %d keys tried, %d wrong", keys*repeats, keys, wrong.Load())
+			must.Eq(t, int32(0), wrong.Load())
+		})
+	}
+}
+
+func TestRepeatsWithAKey(t *testing.T) {
+	cl := newClaimants(t)
+	first := cl.rigs[0].post(t, "/book/book", "a", "Idempotency-Key", "k")
+	text := read(t, first)
+	cases := []struct {
+		name, body, key, code string
+		header                []string
+		status                int
+	}{
+		{"same", "a", "k", "", nil, 200},
+		{"another body", "b", "k", "idempotency_key_reused", nil, 422},
+		{"another customer", "a", "k", "", []string{"Authorization", "Bearer " + testKey + "-2"}, 200},
+		{"too long a key", "a", strings.Repeat("k", 256), "invalid_idempotency_key", nil, 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp := cl.rigs[1].post(t, "/book/book", c.body, append(c.header, "Idempotency-Key", c.key)...)
+			body := read(t, resp)
+			must.Eq(t, c.status, resp.StatusCode)
+			must.StrContains(t, body, c.code)
+			must.Eq(t, c.name == "same", body == text)
+			must.Eq(t, c.name == "same", resp.Header.Get("Sycamorecart-Replayed") == "true")
+		})
+	}
+	must.Eq(t, 2, len(cl.service.Calls()))
+}
--- /dev/null
+++ b/internal/traffic/sycproxy/client_test.go
@@ -0,0 +1,157 @@
+package sycproxy_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// dying answers the first request of each connection and closes the
+// connection without an answer on the second.
+type dying struct {
+	listener net.Listener
+	requests atomic.Int32
+}
+
+func newDying(t *testing.T) *dying {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	d := &dying{listener: listener}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { d.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	return d
+}
+
+func (d *dying) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		d.requests.Add(1)
+		if n > 0 {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (d *dying) url() string { return "http://" + d.listener.Addr().String() + "/" }
+
+// TestNeverResends repeats the case in which the standard transport sends a
+// request again by itself, with that transport as a control.
+func TestNeverResends(t *testing.T) {
+	header := func() http.Header { return http.Header{"Idempotency-Key": {"k"}} }
+	t.Run("standard transport", func(t *testing.T) {
+		d := newDying(t)
+		transport := &http.Transport{}
+		defer transport.CloseIdleConnections()
+		for range 2 {
+			req, err := http.NewRequest(http.MethodPost, d.url(), strings.NewReader("x"))
+			must.NoError(t, err)
+			req.Header = header()
+			resp, err := transport.RoundTrip(req)
+			must.NoError(t, err)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		must.Eq(t, int32(3), d.requests.Load())
+	})
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		for _, body := range []string{"", "x"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				d := newDying(t)
+				c := sycproxy.NewClient(sycproxy.Defaults())
+				defer c.Close()
+				call := sycproxy.Call{Method: method, URL: d.url(), Header: header(), Body: []byte(body)}
+				answer, err := c.Do(context.Background(), call)
+				must.NoError(t, err)
+				_, _ = io.Copy(io.Discard, answer.Body)
+				must.NoError(t, answer.Body.Close())
+				call.Header = header()
+				_, err = c.Do(context.Background(), call)
+				var fault *sycproxy.SendError
+				must.True(t, errors.As(err, &fault))
+				must.True(t, fault.Sent)
+				must.Eq(t, int32(2), d.requests.Load())
+			})
+		}
+	}
+}
+
+func TestKnowsWhatWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	closed := "http://" + listener.Addr().String()
+	must.NoError(t, listener.Close())
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	d := newDying(t)
+	cases := []struct {
+		name  string
+		ctx   context.Context
+		url   string
+		guard func() bool
+	}{
+		{"nobody listens", context.Background(), closed, nil},
+		{"cancelled before", cancelled, d.url(), nil},
+		{"guard refuses", context.Background(), d.url(), func() bool { return false }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := sycproxy.NewClient(sycproxy.Defaults())
+			defer client.Close()
+			_, err := client.Do(c.ctx, sycproxy.Call{Method: http.MethodPost, URL: c.url, Body: []byte("x"), Guard: c.guard})
+			var fault *sycproxy.SendError
+			must.True(t, errors.As(err, &fault))
+			must.False(t, fault.Sent)
+		})
+	}
+	must.Eq(t, int32(0), d.requests.Load())
+}
+
+func TestHeaders(t *testing.T) {
+	in := http.Header{
+		"Connection":            {"close, X-Private"},
+		"X-Private":             {"1"},
+		"Te":                    {"trailers"},
+		"Upgrade":               {"h2c"},
+		"Transfer-Encoding":     {"chunked"},
+		"Sycamorecart-Customer": {"forged"},
+		"Traceparent":           {"00-0-0-0"},
+		"Content-Type":          {"text/plain"},
+	}
+	must.Eq(t, http.Header{"Content-Type": {"text/plain"}}, sycproxy.Forwarded(in))
+	out := sycproxy.Returned(http.Header{"X-Request-Id": {"1"}, "Sycamorecart-Outcome": {"not-run"}, "Etag": {"e"}, "Keep-Alive": {"1"}})
+	must.Eq(t, http.Header{"Etag": {"e"}}, out)
+	must.True(t, sycproxy.Forgeable(http.Header{"Sycamorecart_customer": {"x"}}))
+	must.False(t, sycproxy.Forgeable(http.Header{"Sycamorecart-Customer": {"x"}}))
+}
