Demonstrate a whole deployment in one process

Cause: a newcomer needs one command that shows the system at work and proves it. Change: sycsite starts the platform, engines, services and VMs and publishes their records; the demo command drives the bottlers' traffic during a rollout and checks every answer; leases are tested with addresses that the strict records allow.

--- /dev/null
+++ b/cmd/sycamorebench/demo.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycreport"
+	"sycamorecart.example/sycamorecart/internal/standin/sycsite"
+)
+
+const demoUsage = `demo [flags]
+
+Runs a whole deployment in this process on free loopback ports: the platform's
+stand-in, engines, booking services and VMs in several failure domains. Sends
+the traffic of several customers while a new version is rolled out, checks every
+answer byte by byte and prints what each customer saw.
+
+  sycamorebench demo
+  sycamorebench demo -prompts docs -stay
+
+Exit codes: 0 every answer was right, 1 some answer was not, 2 wrong arguments.
+
+`
+
+const (
+	demoDuration = 8 * time.Second
+	// demoDeadline is how long the demonstration's rollout may take.
+	demoDeadline = 40 * time.Second
+	demoBake     = 800 * time.Millisecond
+	demoRate     = 0.8
+)
+
+type demoCommand struct {
+	workload string
+	prompts  string
+	stay     bool
+	seed     uint64
+	verbose  bool
+}
+
+// Name is the command's name.
+func (*demoCommand) Name() string { return "demo" }
+
+// Synopsis describes the command in a line.
+func (*demoCommand) Synopsis() string { return "run a whole deployment in one process" }
+
+// Usage describes the command.
+func (*demoCommand) Usage() string { return demoUsage }
+
+// SetFlags declares the flags.
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.workload, "workload", "bottlers", "`name` of the workload: bottlers or dairies")
+	f.StringVar(&c.prompts, "prompts", "", "make the prompts from the text files of a `folder`")
+	f.BoolVar(&c.stay, "stay", false, "keep running afterwards and print curl commands")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the traffic")
+	f.BoolVar(&c.verbose, "v", false, "show the VMs' logs")
+}
+
+// Execute runs the demonstration.
+func (c *demoCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	workload, ok := sycload.FindWorkload(c.workload)
+	if !ok || f.NArg() > 0 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	level := "error"
+	if c.verbose {
+		level = "info"
+	}
+	if err := syclogging.Setup(os.Stderr, level, "text"); err != nil {
+		return failed(err)
+	}
+	if err := c.run(ctx, workload); err != nil {
+		return failed(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *demoCommand) run(ctx context.Context, workload sycload.Workload) (err error) {
+	documents, err := c.documents()
+	if err != nil {
+		return err
+	}
+	site, err := sycsite.New(ctx, sycsite.Options{Workload: workload, Seed: c.seed})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, site.Close()) }()
+	fmt.Printf("%d VMs in %d failure domains, %d engines and %d booking services are up\n",
+		len(site.VMs()), len(workload.Domains()), len(site.Engines()), len(site.Services()))
+	if err := publishRollout(ctx, site); err != nil {
+		return err
+	}
+	result, err := sycload.Run(ctx, sycload.Options{
+		Workload:   workload,
+		Routers:    site.Routers(),
+		Keys:       site.Keys(),
+		Model:      sycsite.Model,
+		BookPath:   sycsite.BookPath,
+		Documents:  documents,
+		Seed:       c.seed,
+		Duration:   demoDuration,
+		RateFactor: demoRate,
+		Progress:   printProgress,
+	})
+	if err != nil {
+		return err
+	}
+	result.Audit(site.Booked())
+	if err := sycreport.Table(os.Stdout, result); err != nil {
+		return err
+	}
+	printRollout(site)
+	if c.stay {
+		printCurl(site)
+		<-ctx.Done()
+	}
+	return verdict(result)
+}
+
+func (c *demoCommand) documents() ([]string, error) {
+	if c.prompts == "" {
+		return nil, nil
+	}
+	return sycload.Prompts(c.prompts)
+}
+
+func publishRollout(ctx context.Context, site *sycsite.Site) error {
+	return site.Publish(ctx, sycsite.Record{
+		Kind: sycrecord.KindVersion,
+		Name: "second",
+		Fields: sycrecord.VersionFields{
+			Model:    sycsite.Model,
+			Weights:  "w2",
+			Deadline: time.Now().Add(demoDeadline),
+			Canary:   0.1,
+			Steps:    []float64{0.5, 1},
+			Bake:     sycrecord.Duration(demoBake),
+		},
+	})
+}
+
+func printProgress(p sycload.Progress) {
+	fmt.Printf("%d of %d requests answered, %d wrong\n", p.Answered, p.Planned, p.Wrong)
+}
+
+// printRollout shows what the VMs recorded of the rollout.
+func printRollout(site *sycsite.Site) {
+	for _, r := range site.Outcomes() {
+		fmt.Printf("version %s: %s at a share of %g: %s\n", r.Version(), r.Fields().State, r.Fields().Share, r.Fields().Reason)
+	}
+}
+
+func printCurl(site *sycsite.Site) {
+	router := site.Routers()[0]
+	vm := site.VMs()[0]
+	customer := site.Customers()[0]
+	fmt.Println(strings.Join([]string{
+		"",
+		"It keeps running until Ctrl-C. Try:",
+		fmt.Sprintf(`  curl -N -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}' %s/v1/chat/completions`, site.Keys()[customer], sycsite.Model, router),
+		fmt.Sprintf(`  curl -H 'Authorization: Bearer %s' -H 'Idempotency-Key: 1' -d '{"slot":"dock-1"}' %s%s`, site.Keys()[customer], router, sycsite.BookPath),
+		fmt.Sprintf(`  curl http://%s/v1/status`, vm.Operators()),
+		fmt.Sprintf(`  curl http://%s/metrics`, vm.Operators()),
+	}, "\n"))
+}
+
+// verdict fails unless every answer was right.
+func verdict(r sycload.Result) error {
+	if !r.Sound() || r.Total.Failed > 0 {
+		return eris.Errorf("%d answers were wrong, %d failed, %d bookings were doubled: %s",
+			r.Total.Wrong, r.Total.Failed, r.Bookings.Doubled, strings.Join(r.Faults, "; "))
+	}
+	fmt.Println("every answer was right")
+	return nil
+}
--- a/internal/decide/syclease/lease_test.go
+++ b/internal/decide/syclease/lease_test.go
@@ -44,7 +44,7 @@
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var vms []*vm
-		for _, address := range []string{"a", "b", "c"} {
+		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
 			rate := 1 + rapid.Float64Range(-0.02, 0.02).Draw(t, "rate")
 			vms = append(vms, &vm{tracker: syclease.NewTracker(address, "1", duration), rate: rate})
 		}
@@ -110,12 +110,13 @@
 }
 
 func TestTakeover(t *testing.T) {
-	first := syclease.NewTracker("a", "1", duration)
-	second := syclease.NewTracker("b", "1", duration)
+	first := syclease.NewTracker("127.0.0.1:1", "1", duration)
+	second := syclease.NewTracker("127.0.0.1:2", "1", duration)
 	must.True(t, first.Due(0))
 	fields, expect := first.Propose(0)
 	state := grant(t, sycconfig.NewState(), proposal{fields: fields, expect: expect})
-	lease, _ := state.Lease("rollout")
+	lease, ok := state.Lease("rollout")
+	must.True(t, ok)
 	first.Settled()
 	first.Observe(2*time.Second, lease)
 	second.Observe(3*time.Second, lease)
--- a/internal/standin/sycsite/site.go
+++ b/internal/standin/sycsite/site.go
@@ -312,3 +312,28 @@
 	sum := sha256.Sum256([]byte(secret))
 	return hex.EncodeToString(sum[:])
 }
+
+// Customers lists the customers' names.
+func (s *Site) Customers() []string {
+	var names []string
+	for _, c := range s.options.Workload.Customers() {
+		names = append(names, c.Name())
+	}
+	return names
+}
+
+// Outcomes lists the records of rollouts, oldest first.
+func (s *Site) Outcomes() []sycrecord.Rollout {
+	var list []sycrecord.Rollout
+	for _, r := range s.platform.Records(sycstate.SystemStream) {
+		var op sycrecord.Operation
+		var fields sycrecord.RolloutFields
+		if json.Unmarshal(r.Data, &op) != nil || op.Kind != sycrecord.KindRollout {
+			continue
+		}
+		if json.Unmarshal(op.Spec, &fields) == nil {
+			list = append(list, sycrecord.NewRollout(op.Name, fields))
+		}
+	}
+	return list
+}
