--- a/internal/decide/sycconfig/apply.go
+++ b/internal/decide/sycconfig/apply.go
@@ -131,7 +131,9 @@
 	if err := s.admit(op); err != nil {
 		return err
 	}
-	s.advance(offset, op.Kind, op.Name)
+	if c := s.collection(op.Kind); c != nil {
+		c.advance(offset, op.Name)
+	}
 	s.unreadable = s.unreadable.with(unreadableKey(op.Kind, op.Name), Unreadable{
 		kind:   op.Kind,
 		name:   op.Name,
@@ -154,66 +156,30 @@
 	return ConfigStream
 }
 
-// set gives an object its value, or deletes it where the value is nil.
+// set gives an object its value, or deletes it where the value is nil, and
+// keeps the indices.
 func (s *State) set(offset uint64, kind sycrecord.Kind, name string, value sycrecord.Value) {
 	switch kind {
-	case sycrecord.KindCustomer:
-		s.customers = s.customers.apply(offset, name, value)
-	case sycrecord.KindKey:
-		s.setKey(offset, name, value)
-	case sycrecord.KindRoute:
-		s.setRoute(offset, name, value)
-	case sycrecord.KindEndpoint:
-		s.endpoints = s.endpoints.apply(offset, name, value)
-	case sycrecord.KindVersion:
-		s.versions = s.versions.apply(offset, name, value)
-	case sycrecord.KindSlots:
-		s.slots = s.slots.apply(offset, name, value)
-	case sycrecord.KindHolder:
-		s.holders = s.holders.apply(offset, name, value)
-	case sycrecord.KindLease:
-		s.leases = s.leases.apply(offset, name, value)
-	case sycrecord.KindRollout:
-		s.rollouts = s.rollouts.apply(offset, name, value)
-	}
-}
-
-func (s *State) advance(offset uint64, kind sycrecord.Kind, name string) {
-	switch kind {
-	case sycrecord.KindCustomer:
-		s.customers = s.customers.advance(offset, name)
 	case sycrecord.KindKey:
-		s.keys = s.keys.advance(offset, name)
+		s.indexKey(name, value)
 	case sycrecord.KindRoute:
-		s.routes = s.routes.advance(offset, name)
-	case sycrecord.KindEndpoint:
-		s.endpoints = s.endpoints.advance(offset, name)
-	case sycrecord.KindVersion:
-		s.versions = s.versions.advance(offset, name)
-	case sycrecord.KindSlots:
-		s.slots = s.slots.advance(offset, name)
-	case sycrecord.KindHolder:
-		s.holders = s.holders.advance(offset, name)
-	case sycrecord.KindLease:
-		s.leases = s.leases.advance(offset, name)
-	case sycrecord.KindRollout:
-		s.rollouts = s.rollouts.advance(offset, name)
+		s.indexRoute(name, value)
 	}
+	s.collection(kind).apply(offset, name, value)
 }
 
-// setKey keeps the index of hashes.
-func (s *State) setKey(offset uint64, name string, value sycrecord.Value) {
+// indexKey keeps the index of hashes.
+func (s *State) indexKey(name string, value sycrecord.Value) {
 	if old, ok := s.keys.get(name); ok {
 		s.hashes = s.hashes.without(old.value.SHA256())
 	}
 	if key, ok := value.(sycrecord.Key); ok {
 		s.hashes = s.hashes.with(key.SHA256(), name)
 	}
-	s.keys = s.keys.apply(offset, name, value)
 }
 
-// setRoute keeps the index of prefixes.
-func (s *State) setRoute(offset uint64, name string, value sycrecord.Value) {
+// indexRoute keeps the index of prefixes.
+func (s *State) indexRoute(name string, value sycrecord.Value) {
 	if old, ok := s.routes.get(name); ok {
 		s.prefixes = s.prefixes.without(prefixKey(old.value))
 	}
@@ -221,5 +187,4 @@
 		s.prefixes = s.prefixes.with(prefixKey(route), name)
 		s.depth = max(s.depth, prefixDepth(route))
 	}
-	s.routes = s.routes.apply(offset, name, value)
 }
--- /dev/null
+++ b/internal/decide/sycconfig/bench_test.go
@@ -0,0 +1,81 @@
+package sycconfig_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+)
+
+// customers is the number of customers at the size that is designed for.
+const customers = 23_000
+
+// large is a state with all customers and a key for each.
+func large(b *testing.B) *sycconfig.State {
+	b.Helper()
+	state := sycconfig.NewStream(sycconfig.ConfigStream)
+	for i := range customers {
+		name := fmt.Sprintf("customer-%05d", i)
+		state, _ = fold(state, put("customer", name, customerSpec), put("key", name, keySpec(name, i)))
+	}
+	must.Len(b, customers, state.Customers())
+	return state
+}
+
+// BenchmarkFoldAll folds 46,000 records from the first on.
+func BenchmarkFoldAll(b *testing.B) {
+	for b.Loop() {
+		large(b)
+	}
+	b.ReportMetric(float64(2*customers*b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
+// BenchmarkChange revokes and restores keys in the full state.
+func BenchmarkChange(b *testing.B) {
+	state := large(b)
+	for i := 0; b.Loop(); i++ {
+		name := fmt.Sprintf("customer-%05d", i%customers)
+		state, _ = fold(state, put("key", name, keySpec(name, i%customers)))
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	state := large(b)
+	hash := fmt.Sprintf("%064x", customers/2)
+	for b.Loop() {
+		if _, ok := state.Owner(hash); !ok {
+			b.Fatal("no owner")
+		}
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	state := large(b)
+	for i := range 1000 {
+		state, _ = fold(state, put("route", fmt.Sprint(i), fmt.Sprintf(`{"prefix":"/v1/%d","type":"model"}`, i)))
+	}
+	for b.Loop() {
+		if _, ok := state.Route("/v1/500/chat/completions"); !ok {
+			b.Fatal("no route")
+		}
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	state := large(b)
+	for b.Loop() {
+		data, err := state.Encode()
+		must.NoError(b, err)
+		b.ReportMetric(float64(len(data)), "snapshot-bytes")
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	data, err := large(b).Encode()
+	must.NoError(b, err)
+	for b.Loop() {
+		_, err := sycconfig.Decode(data)
+		must.NoError(b, err)
+	}
+}
--- a/internal/decide/sycconfig/check.go
+++ b/internal/decide/sycconfig/check.go
@@ -27,7 +27,7 @@
 }
 
 func (s *State) checkDelete(op sycrecord.Operation) error {
-	if !s.exists(op.Kind, op.Name) {
+	if !s.collection(op.Kind).exists(op.Name) {
 		return &MissingError{Kind: op.Kind, Name: op.Name}
 	}
 	if op.Kind != sycrecord.KindCustomer {
@@ -41,30 +41,6 @@
 	return nil
 }
 
-func (s *State) exists(kind sycrecord.Kind, name string) bool {
-	switch kind {
-	case sycrecord.KindCustomer:
-		return s.customers.exists(name)
-	case sycrecord.KindKey:
-		return s.keys.exists(name)
-	case sycrecord.KindRoute:
-		return s.routes.exists(name)
-	case sycrecord.KindEndpoint:
-		return s.endpoints.exists(name)
-	case sycrecord.KindVersion:
-		return s.versions.exists(name)
-	case sycrecord.KindSlots:
-		return s.slots.exists(name)
-	case sycrecord.KindHolder:
-		return s.holders.exists(name)
-	case sycrecord.KindLease:
-		return s.leases.exists(name)
-	case sycrecord.KindRollout:
-		return s.rollouts.exists(name)
-	}
-	return false
-}
-
 func (s *State) checkKey(key sycrecord.Key) error {
 	if !s.customers.exists(key.Customer()) {
 		return conflict("spec.customer", "customer %q does not exist", key.Customer())
--- /dev/null
+++ b/internal/decide/sycconfig/fold_test.go
@@ -0,0 +1,238 @@
+package sycconfig_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+)
+
+// op is an operation in short.
+type op struct {
+	id     string
+	verb   string
+	kind   string
+	name   string
+	expect int
+	schema int
+	spec   string
+}
+
+// anyGeneration leaves the expected generation out.
+const anyGeneration = -1
+
+func (o op) data() []byte {
+	fields := []string{fmt.Sprintf(`"schema":%d,"id":%q,"op":%q,"kind":%q,"name":%q`, o.schema, o.id, o.verb, o.kind, o.name)}
+	if o.expect != anyGeneration {
+		fields = append(fields, fmt.Sprintf(`"expect":%d`, o.expect))
+	}
+	if o.spec != "" {
+		fields = append(fields, `"spec":`+o.spec)
+	}
+	return []byte("{" + strings.Join(fields, ",") + "}")
+}
+
+func put(kind, name, spec string) op {
+	return op{verb: "put", kind: kind, name: name, expect: anyGeneration, schema: 2, spec: spec}
+}
+
+func del(kind, name string) op {
+	return op{verb: "delete", kind: kind, name: name, expect: anyGeneration, schema: 2}
+}
+
+func (o op) expecting(generation int) op { o.expect = generation; return o }
+func (o op) as(id string) op             { o.id = id; return o }
+func (o op) inSchema(schema int) op      { o.schema = schema; return o }
+
+// fold applies operations, giving ids to those without one.
+func fold(s *sycconfig.State, ops ...op) (*sycconfig.State, []sycconfig.Result) {
+	var results []sycconfig.Result
+	for _, o := range ops {
+		if o.id == "" {
+			o.id = fmt.Sprintf("id-%d", s.Next())
+		}
+		var result sycconfig.Result
+		s, result = s.Apply(s.Next(), o.data())
+		results = append(results, result)
+	}
+	return s, results
+}
+
+const customerSpec = `{"requests_per_second":1,"burst":2}`
+
+func keySpec(customer string, n int) string {
+	return fmt.Sprintf(`{"customer":%q,"sha256":"%064x"}`, customer, n)
+}
+
+func slotsSpec(share float64, slot, address string) string {
+	return fmt.Sprintf(`{"share":%g,"slots":[{"name":%q,"address":%q,"fraction":1}]}`, share, slot, address)
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		ops     []op
+		refusal error
+	}{
+		{"generation", []op{put("customer", "c", customerSpec), put("customer", "c", customerSpec).expecting(0)}, &sycconfig.GenerationError{Have: 1, Want: 0}},
+		{"tombstone keeps the generation", []op{put("customer", "c", customerSpec), del("customer", "c"), put("customer", "c", customerSpec).expecting(1)}, &sycconfig.GenerationError{Have: 2, Want: 1}},
+		{"repeated id", []op{put("customer", "c", customerSpec).as("x"), put("customer", "d", customerSpec).as("x")}, &sycconfig.RepeatedError{ID: "x", Offset: 0}},
+		{"repeated id of a refused operation", []op{del("customer", "c").as("x"), put("customer", "c", customerSpec).as("x")}, &sycconfig.RepeatedError{ID: "x", Offset: 0}},
+		{"kind of the other stream", []op{put("lease", "l", `{"address":"a","incarnation":"1","duration":"1s"}`)}, &sycconfig.StreamError{Kind: "lease", Stream: "config"}},
+		{"key without customer", []op{put("key", "k", keySpec("c", 1))}, &sycconfig.ConflictError{Path: "spec.customer", Message: `customer "c" does not exist`}},
+		{"hash given twice", []op{put("customer", "c", customerSpec), put("key", "k", keySpec("c", 1)), put("key", "l", keySpec("c", 1))}, &sycconfig.ConflictError{Path: "spec.sha256", Message: `is that of key "k"`}},
+		{"customer with a key", []op{put("customer", "c", customerSpec), put("key", "k", keySpec("c", 1)), del("customer", "c")}, &sycconfig.ConflictError{Path: "name", Message: `customer "c" still has key "k"`}},
+		{"prefix taken", []op{put("route", "r", `{"prefix":"/a","type":"model"}`), put("route", "s", `{"prefix":"/a/","type":"model"}`)}, &sycconfig.ConflictError{Path: "spec.prefix", Message: `is that of route "r"`}},
+		{"second initial version", []op{put("version", "v", `{"model":"m","weights":"w","initial":true}`), put("version", "w", `{"model":"m","weights":"x","initial":true}`)}, &sycconfig.ConflictError{Path: "spec.initial", Message: `model "m" has the initial version "v"`}},
+		{"shares above 1", []op{put("slots", "x", slotsSpec(0.6, "a", "127.0.0.1:1")), put("slots", "y", slotsSpec(0.5, "b", "127.0.0.1:2"))}, &sycconfig.ConflictError{Path: "spec.share", Message: "brings the shares of all failure domains to 1.1; at most 1 is allowed"}},
+		{"slot in two domains", []op{put("slots", "x", slotsSpec(0.5, "a", "127.0.0.1:1")), put("slots", "y", slotsSpec(0.5, "a", "127.0.0.1:2"))}, &sycconfig.ConflictError{Path: "spec.slots", Message: `slot "a" is in failure domain "x"`}},
+		{"address in two domains", []op{put("slots", "x", slotsSpec(0.5, "a", "127.0.0.1:1")), put("slots", "y", slotsSpec(0.5, "b", "127.0.0.1:1"))}, &sycconfig.ConflictError{Path: "spec.slots", Message: `address "127.0.0.1:1" is in failure domain "x"`}},
+		{"deletion of nothing", []op{del("route", "r")}, &sycconfig.MissingError{Kind: "route", Name: "r"}},
+		{"newer schema", []op{put("customer", "c", `{"new":1}`).inSchema(3)}, &sycrecord.SchemaError{Schema: 3}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, results := fold(sycconfig.NewStream(sycconfig.ConfigStream), c.ops...)
+			must.Eq(t, c.refusal, results[len(results)-1].Err())
+		})
+	}
+}
+
+func TestMalformedRecordsOnlyAdvance(t *testing.T) {
+	state, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec))
+	for _, data := range []string{"", "null", "{", `{"schema":2}`, strings.Repeat(" ", sycrecord.MaxRecord+1)} {
+		next, result := state.Apply(state.Next(), []byte(data))
+		must.False(t, result.Accepted())
+		must.NotEq(t, "", result.Reason())
+		must.EqOp(t, state.Next()+1, next.Next())
+		must.Len(t, 1, next.Customers())
+		state = next
+	}
+}
+
+func TestKeysComeAndGo(t *testing.T) {
+	hash := fmt.Sprintf("%064x", 1)
+	given, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec), put("key", "k", keySpec("c", 1)))
+	revoked, _ := fold(given, put("key", "k", strings.Replace(keySpec("c", 1), "{", `{"withdrawn":true,`, 1)))
+	changed, _ := fold(given, put("key", "k", keySpec("c", 2)))
+	deleted, _ := fold(given, del("key", "k"))
+	cases := []struct {
+		name  string
+		state *sycconfig.State
+		works bool
+	}{
+		{"given", given, true},
+		{"revoked", revoked, false},
+		{"other secret", changed, false},
+		{"deleted", deleted, false},
+	}
+	for _, c := range cases {
+		owner, ok := c.state.Owner(hash)
+		must.EqOp(t, c.works, ok, must.Sprint(c.name))
+		must.EqOp(t, c.works, owner == "c", must.Sprint(c.name))
+	}
+	again, results := fold(deleted, put("key", "l", keySpec("c", 1)))
+	must.True(t, results[0].Accepted())
+	_, ok := again.Owner(hash)
+	must.True(t, ok)
+}
+
+func TestRouteMatchesWholeSegments(t *testing.T) {
+	state, _ := fold(
+		sycconfig.NewState(),
+		put("route", "a", `{"prefix":"/a","type":"model"}`),
+		put("route", "deep", `{"prefix":"/a/b/c/","type":"model"}`),
+		put("route", "other", `{"prefix":"/other","type":"model"}`),
+	)
+	withRoot, _ := fold(state, put("route", "root", `{"prefix":"/","type":"model"}`), del("route", "other"))
+	cases := []struct {
+		path string
+		want string
+		root string
+	}{
+		{"/a", "a", "a"},
+		{"/a/", "a", "a"},
+		{"/ab", "", "root"},
+		{"/a/b", "a", "a"},
+		{"/a/b/c", "deep", "deep"},
+		{"/a/b/cd", "a", "a"},
+		{"/a/b/c/d/e/f/g", "deep", "deep"},
+		{"/other/x", "other", "root"},
+		{"/", "", "root"},
+		{"", "", "root"},
+	}
+	for _, c := range cases {
+		route, _ := state.Route(c.path)
+		must.EqOp(t, c.want, route.Value().Name(), must.Sprint(c.path))
+		route, _ = withRoot.Route(c.path)
+		must.EqOp(t, c.root, route.Value().Name(), must.Sprint(c.path))
+	}
+}
+
+func TestNewerSchemaKeepsTheLastValue(t *testing.T) {
+	state, results := fold(
+		sycconfig.NewState(),
+		put("customer", "c", customerSpec),
+		put("customer", "c", `{"later":true}`).inSchema(3).expecting(1),
+		put("customer", "c", customerSpec).expecting(1),
+	)
+	must.False(t, results[2].Accepted())
+	customer, ok := state.Customer("c")
+	must.True(t, ok)
+	must.EqOp(t, 1.0, customer.Value().Rate())
+	must.EqOp(t, uint64(2), customer.Generation())
+	must.Len(t, 1, state.Unreadable())
+	must.EqOp(t, 3, state.Unreadable()[0].Schema())
+
+	state, _ = fold(state, put("customer", "c", customerSpec).expecting(2))
+	must.Len(t, 0, state.Unreadable())
+}
+
+func TestIDsAreRememberedWithinTheBound(t *testing.T) {
+	state, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec).as("x"))
+	for range sycconfig.RecentIDs - 1 {
+		state, _ = state.Apply(state.Next(), nil)
+	}
+	_, results := fold(state, put("customer", "c", customerSpec).as("x"))
+	var repeated *sycconfig.RepeatedError
+	must.True(t, errors.As(results[0].Err(), &repeated))
+
+	state, _ = state.Apply(state.Next(), nil)
+	_, results = fold(state, put("customer", "c", customerSpec).as("x"))
+	must.True(t, results[0].Accepted())
+}
+
+// TestNewerProgramReadsWhatAnOlderKept rewrites a snapshot's unreadable
+// operation to the present schema, as if this program were the newer one.
+func TestNewerProgramReadsWhatAnOlderKept(t *testing.T) {
+	state, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec), put("customer", "c", `{"requests_per_second":7,"burst":9}`).inSchema(3))
+	must.Len(t, 1, state.Unreadable())
+	data, err := state.Encode()
+	must.NoError(t, err)
+	restored, err := sycconfig.Decode(reseal(t, data, `"schema":3`, `"schema":2`))
+	must.NoError(t, err)
+	customer, _ := restored.Customer("c")
+	must.EqOp(t, 7.0, customer.Value().Rate())
+	must.EqOp(t, uint64(2), customer.Generation())
+	must.Len(t, 0, restored.Unreadable())
+}
+
+func TestDecodeRefusesDamage(t *testing.T) {
+	state, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec))
+	data, err := state.Encode()
+	must.NoError(t, err)
+	cases := [][]byte{nil, data[:len(data)-1], append([]byte("x"), data...), append(json.RawMessage(nil), data[:20]...)}
+	flipped := append([]byte(nil), data...)
+	flipped[len(flipped)-5] ^= 1
+	cases = append(cases, flipped, reseal(t, data, `"format":1`, `"format":2`))
+	for _, damaged := range cases {
+		_, err := sycconfig.Decode(damaged)
+		var fault *sycconfig.SnapshotError
+		must.True(t, errors.As(err, &fault))
+	}
+}
--- a/internal/decide/sycconfig/object.go
+++ b/internal/decide/sycconfig/object.go
@@ -26,6 +26,19 @@
 // Offset is the log offset of the last accepted operation.
 func (o Object[T]) Offset() uint64 { return o.offset }
 
+// collection is the part of objects that does not depend on the kind.
+type collection interface {
+	// generation is 0 for an object that never was.
+	generation(name string) uint64
+	exists(name string) bool
+	apply(offset uint64, name string, value sycrecord.Value)
+	advance(offset uint64, name string)
+	setGeneration(name string, generation uint64)
+	appendWire(list []wireObject, kind sycrecord.Kind) ([]wireObject, error)
+	// load replaces all objects by those of a snapshot.
+	load(list []wireObject) error
+}
+
 // objects holds the objects of one kind with their tombstones.
 type objects[T sycrecord.Value] struct {
 	table table[string, Object[T]]
@@ -41,7 +54,7 @@
 	return o, ok
 }
 
-// generation is 0 for an object that never was.
+// generation implements collection.
 func (m objects[T]) generation(name string) uint64 {
 	o, _ := m.table.get(name)
 	return o.generation
@@ -54,30 +67,40 @@
 }
 
 // apply sets or deletes an object. The value is nil exactly for a delete.
-func (m objects[T]) apply(offset uint64, name string, value sycrecord.Value) objects[T] {
-	next := Object[T]{generation: m.generation(name) + 1, offset: offset}
-	existed := m.exists(name)
-	typed, ok := value.(T)
-	next.value = typed
-	next.deleted = !ok
-	m.table = m.table.with(name, next)
-	if existed && !ok {
-		m.live--
-	}
-	if !existed && ok {
-		m.live++
-	}
-	return m
+func (m *objects[T]) apply(offset uint64, name string, value sycrecord.Value) {
+	typed, put := value.(T)
+	m.replace(name, Object[T]{
+		value:      typed,
+		generation: m.generation(name) + 1,
+		offset:     offset,
+		deleted:    !put,
+	})
 }
 
 // advance counts an operation whose content cannot be read.
-func (m objects[T]) advance(offset uint64, name string) objects[T] {
+func (m *objects[T]) advance(offset uint64, name string) {
 	o, ok := m.table.get(name)
 	o.generation++
 	o.offset = offset
 	o.deleted = o.deleted || !ok
+	m.replace(name, o)
+}
+
+// setGeneration overrides the count of an object's operations.
+func (m *objects[T]) setGeneration(name string, generation uint64) {
+	o, _ := m.table.get(name)
+	o.generation = generation
+	m.replace(name, o)
+}
+
+func (m *objects[T]) replace(name string, o Object[T]) {
+	if m.exists(name) {
+		m.live--
+	}
+	if !o.deleted {
+		m.live++
+	}
 	m.table = m.table.with(name, o)
-	return m
 }
 
 // all yields the objects that are not deleted, ordered by name.
--- a/internal/decide/sycconfig/recent.go
+++ b/internal/decide/sycconfig/recent.go
@@ -25,14 +25,15 @@
 
 // forget drops the id of the record that is too old for the record at an offset.
 func (r recent) forget(offset uint64) recent {
-	if offset < RecentIDs {
+	if offset <= RecentIDs {
 		return r
 	}
-	id, ok := r.ids.get(offset - RecentIDs)
+	old := offset - RecentIDs - 1
+	id, ok := r.ids.get(old)
 	if !ok {
 		return r
 	}
-	r.ids = r.ids.without(offset - RecentIDs)
+	r.ids = r.ids.without(old)
 	r.offsets = r.offsets.without(id)
 	return r
 }
--- /dev/null
+++ b/internal/decide/sycconfig/reseal_test.go
@@ -0,0 +1,30 @@
+package sycconfig_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"io"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// reseal replaces text in a snapshot's content and gives it a new checksum.
+func reseal(t *testing.T, data []byte, old, replacement string) []byte {
+	t.Helper()
+	const magic = "sycsnap\n"
+	expander, err := gzip.NewReader(bytes.NewReader(data[len(magic)+sha256.Size:]))
+	must.NoError(t, err)
+	content, err := io.ReadAll(expander)
+	must.NoError(t, err)
+	must.True(t, bytes.Contains(content, []byte(old)))
+	content = bytes.ReplaceAll(content, []byte(old), []byte(replacement))
+	var body bytes.Buffer
+	compressor := gzip.NewWriter(&body)
+	_, err = compressor.Write(content)
+	must.NoError(t, err)
+	must.NoError(t, compressor.Close())
+	sum := sha256.Sum256(body.Bytes())
+	return bytes.Join([][]byte{[]byte(magic), sum[:], body.Bytes()}, nil)
+}
--- a/internal/decide/sycconfig/state.go
+++ b/internal/decide/sycconfig/state.go
@@ -159,27 +159,36 @@
 // Generation returns the generation that an operation on an object has to
 // expect; 0 if the object never was.
 func (s *State) Generation(kind sycrecord.Kind, name string) uint64 {
+	c := s.collection(kind)
+	if c == nil {
+		return 0
+	}
+	return c.generation(name)
+}
+
+// collection returns the objects of a kind, nil if the kind is unknown.
+func (s *State) collection(kind sycrecord.Kind) collection {
 	switch kind {
 	case sycrecord.KindCustomer:
-		return s.customers.generation(name)
+		return &s.customers
 	case sycrecord.KindKey:
-		return s.keys.generation(name)
+		return &s.keys
 	case sycrecord.KindRoute:
-		return s.routes.generation(name)
+		return &s.routes
 	case sycrecord.KindEndpoint:
-		return s.endpoints.generation(name)
+		return &s.endpoints
 	case sycrecord.KindVersion:
-		return s.versions.generation(name)
+		return &s.versions
 	case sycrecord.KindSlots:
-		return s.slots.generation(name)
+		return &s.slots
 	case sycrecord.KindHolder:
-		return s.holders.generation(name)
+		return &s.holders
 	case sycrecord.KindLease:
-		return s.leases.generation(name)
+		return &s.leases
 	case sycrecord.KindRollout:
-		return s.rollouts.generation(name)
+		return &s.rollouts
 	}
-	return 0
+	return nil
 }
 
 // segments cuts a path after its first n segments.
--- a/internal/decide/sycconfig/table.go
+++ b/internal/decide/sycconfig/table.go
@@ -8,7 +8,7 @@
 
 // leafSize bounds the entries of a leaf: a change copies one leaf and the list
 // of leaves.
-const leafSize = 128
+const leafSize = 64
 
 // table is an immutable ordered map. A change returns a new table that shares
 // all but one leaf with the old one, so that old states stay valid at little cost.
@@ -24,6 +24,16 @@
 	values []V
 }
 
+// newTable returns the table of entries whose keys ascend.
+func newTable[K cmp.Ordered, V any](keys []K, values []V) table[K, V] {
+	t := table[K, V]{length: len(keys)}
+	for at := 0; at < len(keys); at += leafSize {
+		end := min(at+leafSize, len(keys))
+		t.leaves = append(t.leaves, &leaf[K, V]{keys: keys[at:end:end], values: values[at:end:end]})
+	}
+	return t
+}
+
 // find returns the index of the leaf that holds or would hold a key.
 func (t table[K, V]) find(key K) int {
 	i, exact := slices.BinarySearchFunc(t.leaves, key, func(l *leaf[K, V], k K) int {
--- a/internal/decide/sycrecord/strict.go
+++ b/internal/decide/sycrecord/strict.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 var (
@@ -80,13 +81,20 @@
 	f.add(path, "%v", err)
 }
 
+// knownFields holds what fieldsByName returned for a type.
+var knownFields sync.Map
+
 // fieldsByName maps the JSON names of a struct's fields to their indices.
 func fieldsByName(t reflect.Type) map[string]int {
+	if known, ok := knownFields.Load(t); ok {
+		return known.(map[string]int)
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		fields[name] = i
 	}
+	knownFields.Store(t, fields)
 	return fields
 }
 
--- a/internal/decide/sycrecord/validate.go
+++ b/internal/decide/sycrecord/validate.go
@@ -158,14 +158,14 @@
 func (h *HolderFields) Defaults() {}
 
 func (h *HolderFields) validate(f *faults) {
-	validateAddress(h.Address, "spec.address", f)
+	validateName(h.Address, "spec.address", f)
 }
 
 // Defaults does nothing: a lease has no optional values.
 func (l *LeaseFields) Defaults() {}
 
 func (l *LeaseFields) validate(f *faults) {
-	validateAddress(l.Address, "spec.address", f)
+	validateName(l.Address, "spec.address", f)
 	f.require(l.Incarnation != "", "spec.incarnation", "is required")
 	f.require(l.Duration > 0 && l.Duration <= maxLease, "spec.duration", "must be above 0 and at most 1h")
 }
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -26,11 +26,11 @@
 
 // Peers reaches other VMs.
 type Peers interface {
-	// Records asks one peer for records of a stream; repeated calls ask
-	// different peers.
-	Records(ctx context.Context, stream string, from uint64, limit int) (*sycpeerpb.RecordsReply, error)
-	// Snapshot fetches the newest snapshot of a stream that some peer offers.
-	Snapshot(ctx context.Context, stream string) (data []byte, offset uint64, err error)
+	// Records asks some peers for records of a stream from an offset on;
+	// repeated calls ask different ones.
+	Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error)
+	// Snapshot fetches a snapshot of a stream that some peer offers.
+	Snapshot(ctx context.Context, stream string) (offset uint64, data []byte, err error)
 }
 
 // Options configure a Store.
