Admit requests by escrowed tokens

Cause: customers may not exceed rate and burst over all VMs together. Change: package syclimit, a pure machine per VM. A VM accrues a fixed fraction; one that runs short borrows. The lender debits the loan and lowers its cap until the loan is settled or its term has passed on any clock. A restarted VM leaves the lendable half of its cap empty until its predecessor's loans have ended. Requests wait only while a token can be expected, else they are refused with the time when one is.

--- /dev/null
+++ b/internal/decide/syclimit/action.go
@@ -0,0 +1,76 @@
+package syclimit
+
+import "time"
+
+// Action is what the caller of a Machine must carry out.
+type Action interface{ action() }
+
+// Grant lets a waiting request run; its token is spent.
+type Grant struct {
+	Customer string
+	Request  uint64
+	// Waited is the time since the request's admission began.
+	Waited time.Duration
+}
+
+// Refuse ends a waiting request that will not get a token in time.
+type Refuse struct {
+	Customer string
+	Request  uint64
+	Cause    Cause
+	// RetryAfter is when a token for the request is expected.
+	RetryAfter time.Duration
+}
+
+// Ask requests a loan from a peer. Its answer goes to Answer, a failure to
+// AskFailed.
+type Ask struct {
+	Peer     string
+	ID       uint64
+	Customer string
+	Amount   Micro
+	// Settled lists earlier loans of the peer that are spent.
+	Settled []uint64
+}
+
+func (Grant) action()  {}
+func (Refuse) action() {}
+func (Ask) action()    {}
+
+// Cause says why a request was refused.
+type Cause string
+
+// Causes of refusals.
+const (
+	// OverRate: no token is expected within the hold.
+	OverRate Cause = "over_rate"
+	// TimedOut: tokens were expected but did not come within the hold.
+	TimedOut Cause = "timed_out"
+	// QueueFull: too many requests of the customer wait.
+	QueueFull Cause = "queue_full"
+	// NoSlots: neither this VM nor a reachable peer accrues tokens.
+	NoSlots Cause = "no_slots"
+	// LimitGone: the customer was deleted or may run nothing.
+	LimitGone Cause = "no_limit"
+)
+
+// LoanRequest is a peer's request for tokens.
+type LoanRequest struct {
+	// Borrower and Incarnation name the peer's process.
+	Borrower    string
+	Incarnation string
+	ID          uint64
+	Customer    string
+	Amount      Micro
+	Settled     []uint64
+}
+
+// Loan answers a LoanRequest.
+type Loan struct {
+	// Amount is already debited at the lender.
+	Amount Micro
+	// Valid is counted from the sending of the request.
+	Valid time.Duration
+	// Left is what the lender does not need itself, beyond Amount.
+	Left Micro
+}
--- /dev/null
+++ b/internal/decide/syclimit/audit_test.go
@@ -0,0 +1,45 @@
+package syclimit_test
+
+import (
+	"slices"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
+)
+
+// outstanding is what can still be spent without further accrual.
+func (fl *fleet) outstanding() syclimit.Micro {
+	var sum syclimit.Micro
+	for _, v := range fl.vms {
+		if !v.down {
+			own, borrowed, _ := v.machine.Held(v.local(), customer)
+			sum += own + borrowed
+		}
+	}
+	fl.transit = slices.DeleteFunc(fl.transit, func(t *transit) bool {
+		return t.to.incarnation != t.incarnation || t.to.local() >= t.expires
+	})
+	for _, t := range fl.transit {
+		sum += t.amount
+	}
+	return sum
+}
+
+// arrived ends the transit of a loan.
+func (fl *fleet) arrived(v *vm, id uint64) {
+	fl.transit = slices.DeleteFunc(fl.transit, func(t *transit) bool { return t.to == v && t.id == id })
+}
+
+// overspend is the most by which any window exceeds burst + rate*length, in
+// requests; negative when none does.
+func overspend(spends []time.Duration, rate, burst float64) float64 {
+	lowest, worst := 0.0, -burst
+	for i, at := range spends {
+		level := float64(i) - rate*at.Seconds()
+		if i == 0 || level < lowest {
+			lowest = level
+		}
+		worst = max(worst, level-lowest+1-burst)
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/decide/syclimit/customer.go
@@ -0,0 +1,77 @@
+package syclimit
+
+import (
+	"slices"
+	"time"
+)
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	request  uint64
+	arrived  time.Duration
+	deadline time.Duration
+}
+
+// customer is one customer's state on this VM.
+type customer struct {
+	name   string
+	bucket bucket
+	// waiting is in order of arrival.
+	waiting []waiter
+	lenders []*lender
+	used    time.Duration
+	// arrivals is the smoothed rate of requests, in micro-tokens a second.
+	arrivals    Micro
+	lastArrival time.Duration
+}
+
+// arrivalMemory is the time constant of the smoothed rate of requests.
+const arrivalMemory = time.Second
+
+// noteArrival updates the smoothed rate of requests.
+func (c *customer) noteArrival(now time.Duration) {
+	gap := now - c.lastArrival
+	c.lastArrival = now
+	c.used = now
+	decay := max(arrivalMemory-gap, 0)
+	c.arrivals = gained(c.arrivals, decay) + Micro(scale(uint64(Token), uint64(time.Second), uint64(arrivalMemory)))
+}
+
+// demand is the number of tokens that requests will probably need in a span.
+func (c *customer) demand(span time.Duration) Micro { return gained(c.arrivals, span) }
+
+// shortage is what the waiting requests lack.
+func (c *customer) shortage() Micro {
+	return max(Token*Micro(len(c.waiting))-c.bucket.available(), 0)
+}
+
+func (c *customer) lender(address string) *lender {
+	i := slices.IndexFunc(c.lenders, func(l *lender) bool { return l.peer.Address == address })
+	if i < 0 {
+		return nil
+	}
+	return c.lenders[i]
+}
+
+// setPeers replaces the lenders and keeps what is known of those that stay.
+func (c *customer) setPeers(peers []Peer, s Settings) {
+	lenders := make([]*lender, 0, len(peers))
+	for _, p := range peers {
+		l := c.lender(p.Address)
+		if l == nil {
+			l = newLender(p, c.bucket.limit, s)
+		}
+		l.peer = p
+		lenders = append(lenders, l)
+	}
+	c.lenders = lenders
+}
+
+// idle reports whether dropping the state loses nothing but own tokens, which
+// accrue again from the same start.
+func (c *customer) idle(now time.Duration, s Settings, limit Micro) bool {
+	if len(c.waiting) > 0 || c.bucket.lent > 0 || len(c.bucket.held) > 0 {
+		return false
+	}
+	return c.bucket.own >= limit && now-c.used > s.Idle
+}
--- /dev/null
+++ b/internal/decide/syclimit/serve.go
@@ -0,0 +1,192 @@
+package syclimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// minRetry and maxRetry bound RetryAfter.
+	minRetry = 10 * time.Millisecond
+	maxRetry = time.Minute
+	// minWake is the shortest wait between two services of a customer.
+	minWake = time.Millisecond
+)
+
+// serve grants what can be granted, refuses what cannot be expected in time
+// and asks peers for the rest.
+func (m *Machine) serve(now time.Duration, c *customer) []Action {
+	m.accrue(now, c)
+	c.bucket.expire(now)
+	actions := m.grant(now, c)
+	actions = append(actions, m.refuse(now, c)...)
+	if len(c.waiting) > 0 {
+		actions = append(actions, m.ask(now, c)...)
+	}
+	m.dropServed()
+	return actions
+}
+
+func (m *Machine) grant(now time.Duration, c *customer) []Action {
+	var actions []Action
+	for len(c.waiting) > 0 && c.bucket.available() >= Token && c.bucket.limit.burst > 0 {
+		w := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		if w.deadline < now {
+			actions = append(actions, m.refusal(now, c, w, 0, TimedOut))
+			continue
+		}
+		for _, l := range c.bucket.spend() {
+			if from := c.lender(l.lender); from != nil {
+				from.spent(l.id)
+			}
+		}
+		actions = append(actions, Grant{Customer: c.name, Request: w.request, Waited: now - w.arrived})
+	}
+	return actions
+}
+
+// refuse ends the requests that will not get a token by their deadline.
+func (m *Machine) refuse(now time.Duration, c *customer) []Action {
+	var actions []Action
+	kept := c.waiting[:0]
+	for _, w := range c.waiting {
+		need := Token * Micro(len(kept)+1)
+		switch {
+		case w.deadline <= now:
+			actions = append(actions, m.refusal(now, c, w, len(kept), TimedOut))
+		case c.bucket.available()+m.expected(now, w.deadline, c) < need:
+			actions = append(actions, m.refusal(now, c, w, len(kept), OverRate))
+		default:
+			kept = append(kept, w)
+		}
+	}
+	c.waiting = kept
+	return actions
+}
+
+func (m *Machine) refusal(now time.Duration, c *customer, w waiter, position int, cause Cause) Action {
+	if c.bucket.limit.burst < Token || c.bucket.limit.rate == 0 {
+		cause = LimitGone
+	} else if m.fraction == 0 && len(c.lenders) == 0 {
+		cause = NoSlots
+	}
+	return Refuse{Customer: c.name, Request: w.request, Cause: cause, RetryAfter: m.retryAfter(now, c, position)}
+}
+
+// expected is what this VM will probably gain between now and a later time.
+func (m *Machine) expected(now, at time.Duration, c *customer) Micro {
+	sum := gained(m.fraction.Of(c.bucket.limit.rate), at-now)
+	for _, l := range c.lenders {
+		sum += l.supply(now, at, c.bucket.limit, m.settings)
+	}
+	return sum
+}
+
+// retryAfter is when a token is expected for a request that has a number of
+// others before it.
+func (m *Machine) retryAfter(now time.Duration, c *customer, before int) time.Duration {
+	need := Token*Micro(before+1) - c.bucket.available()
+	step := m.settings.Hold
+	for wait := step; wait < maxRetry; wait += step {
+		have := m.expected(now, now+wait, c)
+		if have >= need {
+			part := scale(uint64(wait), uint64(max(need, 0)), uint64(have))
+			return max(time.Duration(part), minRetry)
+		}
+		step = min(2*step, 8*time.Second)
+	}
+	return maxRetry
+}
+
+// ask requests loans from the peers that probably have most, the near ones
+// first, until the shortage is covered.
+func (m *Machine) ask(now time.Duration, c *customer) []Action {
+	short := c.shortage()
+	ahead := c.demand(m.settings.AskInterval)
+	width := m.settings.AskWidth
+	for _, l := range c.lenders {
+		if l.pending != 0 {
+			short -= min(l.estimate(now, c.bucket.limit, m.settings), l.wanted)
+			width--
+		}
+	}
+	var actions []Action
+	for _, l := range m.ranked(now, c) {
+		if short <= 0 || width <= 0 {
+			break
+		}
+		estimate := l.estimate(now, c.bucket.limit, m.settings)
+		if estimate < m.worthwhile(l, c, short) {
+			continue
+		}
+		m.lastID++
+		actions = append(actions, l.ask(now, c.name, m.lastID, short+ahead))
+		short -= min(estimate, short+ahead)
+		width--
+	}
+	return actions
+}
+
+// worthwhile is the least estimate for which a peer is asked: the shortage or
+// what the peer gains in an ask interval, whichever is less.
+func (m *Machine) worthwhile(l *lender, c *customer, short Micro) Micro {
+	interval := gained(l.peer.Fraction.Of(c.bucket.limit.rate), m.settings.AskInterval)
+	part := lendable(l.peer, c.bucket.limit, m.settings)
+	return max(min(interval, short, part), 1)
+}
+
+// ranked returns the lenders without a request under way, best first.
+func (m *Machine) ranked(now time.Duration, c *customer) []*lender {
+	var list []*lender
+	for _, l := range c.lenders {
+		if l.pending == 0 {
+			list = append(list, l)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *lender) int {
+		if a.peer.Near != b.peer.Near {
+			return near(b) - near(a)
+		}
+		return cmp.Compare(b.estimate(now, c.bucket.limit, m.settings), a.estimate(now, c.bucket.limit, m.settings))
+	})
+	return list
+}
+
+func near(l *lender) int {
+	if l.peer.Near {
+		return 1
+	}
+	return 0
+}
+
+// Next returns when Tick should run; false if nothing waits.
+func (m *Machine) Next(now time.Duration) (time.Duration, bool) {
+	if len(m.short) == 0 {
+		return 0, false
+	}
+	next := now + m.settings.Hold
+	for _, c := range m.short {
+		next = min(next, m.wake(now, c))
+	}
+	return max(next, now+minWake), true
+}
+
+// wake is when a customer's service may have something new to do.
+func (m *Machine) wake(now time.Duration, c *customer) time.Duration {
+	next := now + m.settings.AskInterval/4
+	for _, w := range c.waiting {
+		next = min(next, w.deadline)
+	}
+	speed := m.fraction.Of(c.bucket.limit.rate)
+	if missing := Token - c.bucket.available(); missing > 0 && speed > 0 {
+		next = min(next, now+time.Duration(scale(uint64(missing), uint64(time.Second), uint64(speed))))
+	}
+	return next
+}
+
+// dropServed removes customers without waiting requests from short.
+func (m *Machine) dropServed() {
+	m.short = slices.DeleteFunc(m.short, func(c *customer) bool { return len(c.waiting) == 0 })
+}
--- /dev/null
+++ b/internal/decide/syclimit/setting.go
@@ -0,0 +1,83 @@
+package syclimit
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Settings tunes a Machine. All VMs use the same ClockError.
+type Settings struct {
+	// Hold is the longest time that a request waits for a token.
+	Hold time.Duration
+	// QueueLength bounds the waiting requests of one customer.
+	QueueLength int
+	// LoanValid is how long a loan may be held, from the sending of its request.
+	LoanValid time.Duration
+	// LendShare is the part of a VM's cap that may be out on loan. A restarted
+	// VM leaves that part empty until its predecessor's loans have ended.
+	LendShare float64
+	// ClockError bounds the relative error of a VM's clock rate.
+	ClockError float64
+	// AskInterval is the time that a request for a loan plans for.
+	AskInterval time.Duration
+	// MinDry and MaxDry bound the wait before a peer that had nothing to lend
+	// is asked again.
+	MinDry time.Duration
+	MaxDry time.Duration
+	// AskWidth bounds the requests for loans that one customer has under way.
+	AskWidth int
+	// Idle is how long a customer without requests keeps its state.
+	Idle time.Duration
+}
+
+// Defaults returns the settings with unset fields filled in.
+func (s Settings) Defaults() Settings {
+	setDefault(&s.Hold, 500*time.Millisecond)
+	setDefault(&s.QueueLength, 256)
+	setDefault(&s.LoanValid, time.Second)
+	setDefault(&s.LendShare, 0.5)
+	setDefault(&s.ClockError, 0.0005)
+	setDefault(&s.AskInterval, 100*time.Millisecond)
+	setDefault(&s.MinDry, 100*time.Millisecond)
+	setDefault(&s.MaxDry, 1600*time.Millisecond)
+	setDefault(&s.AskWidth, 4)
+	setDefault(&s.Idle, time.Minute)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate returns all faults of the settings at once.
+func (s Settings) Validate() error {
+	var faults []string
+	check := func(ok bool, fault string) {
+		if !ok {
+			faults = append(faults, fault)
+		}
+	}
+	check(s.Hold >= 0, "hold must not be negative")
+	check(s.QueueLength > 0, "queue length must be above 0")
+	check(s.LoanValid > 0, "loan validity must be above 0")
+	check(s.LendShare > 0 && s.LendShare <= 1, "lend share must be above 0 and at most 1")
+	check(s.ClockError >= 0 && s.ClockError < 0.5, "clock error must be at least 0 and below 0.5")
+	check(s.AskInterval > 0, "ask interval must be above 0")
+	check(s.MinDry > 0 && s.MinDry <= s.MaxDry, "dry waits must be above 0 and in order")
+	check(s.AskWidth > 0, "ask width must be above 0")
+	check(s.Idle > 0, "idle time must be above 0")
+	if len(faults) == 0 {
+		return nil
+	}
+	return eris.Errorf("limit settings: %q", faults)
+}
+
+// Outlast returns the time to wait on one VM's clock until the span has surely
+// passed on the clock of any other.
+func (s Settings) Outlast(span time.Duration) time.Duration {
+	return time.Duration(float64(span)*(1+s.ClockError)/(1-s.ClockError)) + 1
+}
--- /dev/null
+++ b/internal/decide/syclimit/step.go
@@ -0,0 +1,55 @@
+package syclimit
+
+import (
+	"slices"
+	"time"
+)
+
+// step is a fraction that has accrued without a break since a time.
+type step struct {
+	fraction Fraction
+	since    time.Duration
+}
+
+// steps is a stack of fractions, oldest first.
+type steps []step
+
+// total is the sum of all fractions.
+func (s steps) total() Fraction {
+	var sum Fraction
+	for _, st := range s {
+		sum += st.fraction
+	}
+	return sum
+}
+
+// change returns the steps after the total has changed: what is added begins
+// at now, what is taken away comes off the youngest.
+func (s steps) change(now time.Duration, total Fraction) steps {
+	next := slices.Clone(s)
+	more := total - next.total()
+	if more > 0 {
+		return append(next, step{fraction: more, since: now})
+	}
+	for more < 0 && len(next) > 0 {
+		last := &next[len(next)-1]
+		part := min(-more, last.fraction)
+		last.fraction -= part
+		more += part
+		if last.fraction == 0 {
+			next = next[:len(next)-1]
+		}
+	}
+	return next
+}
+
+// accrued is what a customer that never ran a request holds at a time.
+func (s steps) accrued(now time.Duration, l Limit, errorBound float64) Micro {
+	var sum Micro
+	for _, st := range s {
+		span := now - max(st.since, l.since)
+		slow := time.Duration(float64(span) * (1 - errorBound))
+		sum += min(st.fraction.Of(gained(l.rate, slow)), st.fraction.Of(l.burst))
+	}
+	return sum
+}
