--- a/internal/decide/sycrecord/system.go
+++ b/internal/decide/sycrecord/system.go
@@ -5,6 +5,9 @@
 	Address string `json:"address"`
 	// Former is the VM that held the slot before.
 	Former string `json:"former"`
+	// Home is the address that the slot table gives the slot to. The record has
+	// no effect once the table names another.
+	Home string `json:"home,omitempty"`
 }
 
 // Holder says which VM has taken a slot over from a VM that is gone.
@@ -25,6 +28,9 @@
 // Former is the peer address of the VM that held the slot before.
 func (h Holder) Former() string { return h.fields.Former }
 
+// Home is the address in the slot table that the record replaces.
+func (h Holder) Home() string { return h.fields.Home }
+
 // LeaseFields is the wire form of a lease.
 type LeaseFields struct {
 	Address     string   `json:"address"`
