--- a/internal/decide/sycdispatch/feed.go
+++ b/internal/decide/sycdispatch/feed.go
@@ -56,6 +56,14 @@
 	}
 }
 
+// Silent tells that the endpoint takes connections but doesn't answer. It may
+// still hold its cache.
+func (d *Dispatcher[P]) Silent(now time.Duration, name string) {
+	if e := d.endpoints[name]; e != nil {
+		e.health.Observe(now, sychealth.Unreachable)
+	}
+}
+
 // Events takes a batch of an engine's events and returns where to go on.
 func (d *Dispatcher[P]) Events(now time.Duration, name string, b Batch) Position {
 	e := d.endpoints[name]
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -17,6 +17,9 @@
 // TickPeriod is the time between looks at deadlines and at the configuration.
 const TickPeriod = 20 * time.Millisecond
 
+// statsPeriod is the time between updates of the gauges.
+const statsPeriod = time.Second
+
 // DefaultWait bounds the wait of requests that bring no deadline.
 const DefaultWait = 30 * time.Second
 
@@ -44,6 +47,7 @@
 	// dispatcher and waiting belong to the loop.
 	dispatcher machine
 	waiting    map[uint64]chan sycdispatch.Decision
+	gauges     *gauges
 }
 
 // New returns a chooser that decides on the loop.
@@ -53,6 +57,7 @@
 		config:   o.Config,
 		versions: o.Versions,
 		waiting:  map[uint64]chan sycdispatch.Decision{},
+		gauges:   newGauges(),
 	}
 	if c.versions == nil {
 		c.versions = c.initialVersions
@@ -65,9 +70,17 @@
 	c.loop.Every(TickPeriod, func(now time.Duration) {
 		c.act(now, func(d machine) { d.Tick(now) })
 	})
+	c.loop.Every(statsPeriod, func(time.Duration) { c.gauges.set(c.dispatcher.Stats()) })
 	return c
 }
 
+// Endpoints returns what is known of all endpoints, by name. It must not be
+// called on the loop.
+func (c *Chooser) Endpoints() (list []sycdispatch.EndpointStatus) {
+	c.loop.Do(func(now time.Duration) { list = c.dispatcher.Endpoints(now) })
+	return list
+}
+
 // staleTries is the number of times that a request whose versions got out of
 // use while it waited is submitted again.
 const staleTries = 3
@@ -98,6 +111,7 @@
 	posted := c.loop.Post(func(now time.Duration) {
 		c.waiting[r.ID] = answer
 		c.act(now, func(d machine) { d.Submit(now, r) })
+		decisionTime.Update((c.loop.Now() - now).Seconds())
 	})
 	if !posted {
 		return sycdispatch.Decision{}, notReady()
@@ -125,6 +139,7 @@
 	c.dispatcher.Configure(now, c.config())
 	event(c.dispatcher)
 	for _, d := range c.dispatcher.Take() {
+		count(d)
 		answer := c.waiting[d.ID]
 		delete(c.waiting, d.ID)
 		if answer != nil {
--- a/internal/traffic/sycchoose/choose_test.go
+++ b/internal/traffic/sycchoose/choose_test.go
@@ -15,11 +15,11 @@
 )
 
 // state folds records of the form kind, name, spec.
-func state(t *testing.T, records ...[3]string) *sycconfig.State {
+func state(t testing.TB, records ...[3]string) *sycconfig.State {
 	t.Helper()
 	s := sycconfig.NewState()
 	for i, r := range records {
-		op := fmt.Sprintf(`{"schema":1,"id":"t-%d","op":"put","kind":%q,"name":%q,"spec":%s}`, i, r[0], r[1], r[2])
+		op := fmt.Sprintf(`{"schema":2,"id":"t-%d","op":"put","kind":%q,"name":%q,"spec":%s}`, i, r[0], r[1], r[2])
 		next, result := s.Apply(uint64(i), []byte(op))
 		must.True(t, result.Accepted(), must.Sprint(result.Reason()))
 		s = next
--- /dev/null
+++ b/internal/traffic/sycchoose/feed.go
@@ -0,0 +1,54 @@
+package sycchoose
+
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+)
+
+// The methods in this file implement sycfeed.Sink. They are called from the
+// goroutines that follow endpoints and wait for the loop.
+
+// Report takes a load report that was age old when it arrived.
+func (c *Chooser) Report(name string, age time.Duration, r sycdispatch.Report) {
+	c.loop.Do(func(now time.Duration) {
+		c.act(now, func(d machine) { d.Report(now, now-age, name, r) })
+	})
+}
+
+// RoundTrip takes the time that a poll of an endpoint took.
+func (c *Chooser) RoundTrip(name string, took time.Duration) {
+	c.loop.Do(func(time.Duration) { c.dispatcher.RoundTrip(name, took) })
+}
+
+// Unreachable tells that no connection to an endpoint could be made.
+func (c *Chooser) Unreachable(name string) {
+	c.loop.Do(func(now time.Duration) {
+		c.act(now, func(d machine) { d.Unreachable(now, name) })
+	})
+}
+
+// Silent tells that an endpoint takes connections but doesn't answer.
+func (c *Chooser) Silent(name string) {
+	c.loop.Do(func(now time.Duration) {
+		c.act(now, func(d machine) { d.Silent(now, name) })
+	})
+}
+
+// Position returns where the reading of an endpoint's events goes on.
+func (c *Chooser) Position(name string) (p sycdispatch.Position) {
+	c.loop.Do(func(time.Duration) { p = c.dispatcher.Position(name) })
+	return p
+}
+
+// Events takes a batch of an engine's events and returns where to go on.
+func (c *Chooser) Events(name string, b sycdispatch.Batch) (p sycdispatch.Position) {
+	c.loop.Do(func(now time.Duration) { p = c.dispatcher.Events(now, name, b) })
+	return p
+}
+
+// Resync takes the complete list of an endpoint's blocks and returns where to go on.
+func (c *Chooser) Resync(name, incarnation string, next uint64, blocks []uint64) (p sycdispatch.Position) {
+	c.loop.Do(func(now time.Duration) { p = c.dispatcher.Resync(now, name, incarnation, next, blocks) })
+	return p
+}
--- a/internal/traffic/sycchoose/machine.go
+++ b/internal/traffic/sycchoose/machine.go
@@ -21,6 +21,9 @@
 	Report(now, at time.Duration, name string, r sycdispatch.Report)
 	RoundTrip(name string, took time.Duration)
 	Unreachable(now time.Duration, name string)
+	Silent(now time.Duration, name string)
+	Stats() sycdispatch.Stats
+	Endpoints(now time.Duration) []sycdispatch.EndpointStatus
 	Events(now time.Duration, name string, b sycdispatch.Batch) sycdispatch.Position
 	Resync(now time.Duration, name, incarnation string, next uint64, blocks []uint64) sycdispatch.Position
 	Position(name string) sycdispatch.Position
--- /dev/null
+++ b/internal/traffic/sycchoose/share.go
@@ -0,0 +1,57 @@
+package sycchoose
+
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+	"sycamorecart.example/sycamorecart/internal/decide/sycqueue"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+)
+
+// ShareOut returns what this VM tells the others of its failure domain: its
+// load on endpoints and its service to customers. It must be called on the loop.
+func (c *Chooser) ShareOut(now time.Duration) ([]*sycpeerpb.EndpointLoad, []*sycpeerpb.CustomerService) {
+	digest := c.dispatcher.ShareOut(now)
+	loads := make([]*sycpeerpb.EndpointLoad, 0, len(digest.Loads))
+	for _, l := range digest.Loads {
+		loads = append(loads, &sycpeerpb.EndpointLoad{
+			Endpoint:      l.Endpoint,
+			InFlight:      int64(l.Requests),
+			PrefillTokens: int64(l.Prefill),
+		})
+	}
+	services := make([]*sycpeerpb.CustomerService, 0, len(digest.Services))
+	for _, s := range digest.Services {
+		services = append(services, &sycpeerpb.CustomerService{
+			Customer: s.Customer,
+			Pool:     s.Pool,
+			Served:   int64(s.Served),
+			Queued:   int64(s.Queued),
+		})
+	}
+	return loads, services
+}
+
+// ShareIn takes what another VM of the failure domain told. from names that
+// VM's process and changes when it restarts. It must be called on the loop.
+func (c *Chooser) ShareIn(now time.Duration, from string, loads []*sycpeerpb.EndpointLoad, services []*sycpeerpb.CustomerService) {
+	var digest sycdispatch.Digest
+	for _, l := range loads {
+		digest.Loads = append(digest.Loads, sycdispatch.EndpointLoad{
+			Endpoint: l.GetEndpoint(),
+			Requests: int(max(l.GetInFlight(), 0)),
+			Prefill:  int(max(l.GetPrefillTokens(), 0)),
+		})
+	}
+	for _, s := range services {
+		digest.Services = append(digest.Services, sycdispatch.PoolService{
+			Pool: s.GetPool(),
+			Service: sycqueue.Service{
+				Customer: s.GetCustomer(),
+				Served:   float64(s.GetServed()),
+				Queued:   float64(max(s.GetQueued(), 0)),
+			},
+		})
+	}
+	c.act(now, func(d machine) { d.ShareIn(now, from, digest) })
+}
