Have stores keep shared prefixes; weigh what new blocks displace

Cause: recomputed prefixes after eviction were most of the evening's prefill. Change: after the first token the part of a prompt that was in use before is fetched by a store of kept KV cache; new blocks in a full cache cost a part of their replacement.

--- a/internal/decide/sycdispatch/attempt.go
+++ b/internal/decide/sycdispatch/attempt.go
@@ -38,6 +38,8 @@
 	// cache and to be imported.
 	held     int
 	imported int
+	// shared is the number of leading blocks that were in use before.
+	shared int
 	// computed is the number of prompt tokens expected to be computed up to the
 	// first token, those queued before included.
 	computed float64
@@ -79,6 +81,7 @@
 		return
 	}
 	e.cache.Predict(now, a.option.Chain)
+	d.keep(now, a)
 	event := sychealth.Success
 	if took > slowFactor*d.typical.Estimate().FirstToken(a.computed)+slowFloor {
 		event = sychealth.Slow
--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -50,6 +50,7 @@
 	// field is reused between decisions.
 	field field
 	out   []Decision
+	keeps []Keep
 }
 
 // waiting is a request in a queue.
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -26,6 +26,8 @@
 	stayStep = 0.1
 	// firstStay is assumed of an endpoint that has finished no request.
 	firstStay = time.Second
+	// crowdedPart is the part of a cache from which on it counts as full.
+	crowdedPart = 0.9
 	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
 	suspectPenalty = 200 * time.Millisecond
 )
@@ -36,7 +38,9 @@
 	Running       int
 	Waiting       int
 	PrefillTokens int
-	CacheBlocks   int
+	// CacheBlocks is the size of the cache, UsedBlocks the part in use.
+	CacheBlocks int
+	UsedBlocks  int
 	// Ready lists the loaded weights by model.
 	Ready []Loaded
 }
@@ -131,6 +135,11 @@
 	}
 }
 
+// crowded reports whether new blocks displace others in the engine's cache.
+func (e *endpoint) crowded() bool {
+	return e.reported && float64(e.report.UsedBlocks) > crowdedPart*float64(e.report.CacheBlocks)
+}
+
 func (e *endpoint) penalty() time.Duration {
 	if e.health.State() == sychealth.Healthy {
 		return 0
--- a/internal/decide/sycdispatch/feed.go
+++ b/internal/decide/sycdispatch/feed.go
@@ -82,6 +82,7 @@
 		return Position{}
 	}
 	e.cache.Resync(now, incarnation, next, blocks)
+	e.health.Observe(now, sychealth.Answered)
 	return e.position()
 }
 
--- a/internal/decide/sycdispatch/field.go
+++ b/internal/decide/sycdispatch/field.go
@@ -27,6 +27,8 @@
 	matches    []sycprefix.Match
 	// source is where missing blocks can be imported from.
 	source *endpoint
+	// shared is the number of leading blocks that any endpoint is expected to hold.
+	shared int
 }
 
 func (f *field) reset() {
@@ -34,6 +36,7 @@
 	f.endpoints = f.endpoints[:0]
 	f.matches = f.matches[:0]
 	f.source = nil
+	f.shared = 0
 }
 
 // gather fills the field with the endpoints that can run a request with an option.
@@ -46,6 +49,7 @@
 			continue
 		}
 		m := e.cache.Match(now, o.Chain)
+		f.shared = max(f.shared, m.Depth)
 		if m.Confirmed > source.Held && e.health.State() != sychealth.Out {
 			source = sycroute.Source{Name: e.record.Name(), Held: m.Confirmed}
 			f.source = e
@@ -60,6 +64,16 @@
 	if f.source != nil {
 		f.offer(source)
 	}
+	if d.store(0) != nil {
+		f.replaceByImport()
+	}
+}
+
+// replaceByImport tells that a store holds what caches evict.
+func (f *field) replaceByImport() {
+	for i, e := range f.endpoints {
+		f.candidates[i].Replace = min(f.candidates[i].Replace, e.importPerBlock)
+	}
 }
 
 // offer makes the source known to all candidates but itself.
@@ -107,6 +121,9 @@
 		Held:     expected(m, e.trust),
 		Speed:    speed,
 	}
+	if e.crowded() {
+		c.Replace = speed.Prefill(sycblock.TokensPerBlock)
+	}
 	c.Room, c.RoomWait = e.room(now, l, speed, part)
 	c.Coming, c.ComingWait = e.coming(now, o.Chain, m.Depth)
 	return c
--- a/internal/decide/sycdispatch/place.go
+++ b/internal/decide/sycdispatch/place.go
@@ -126,9 +126,8 @@
 }
 
 func (d *Dispatcher[P]) query(now time.Duration, r *Request, o Option) sycroute.Query {
-	cached, slots, stay := 0, 0, time.Duration(0)
-	for i, m := range d.field.matches {
-		cached = max(cached, m.Depth)
+	slots, stay := 0, time.Duration(0)
+	for i := range d.field.matches {
 		slots += d.field.endpoints[i].slots()
 		stay += d.field.endpoints[i].stay
 	}
@@ -137,7 +136,8 @@
 		ID:       r.ID,
 		Seed:     d.options.Seed,
 		Tokens:   r.PromptTokens,
-		Group:    d.hot.Group(o.Chain, cached),
+		Blocks:   len(o.Chain),
+		Group:    d.hot.Group(o.Chain, d.field.shared),
 		Replicas: 1,
 	}
 	if q.Group != 0 {
@@ -160,6 +160,7 @@
 		started:   now,
 		work:      entry.Work(),
 		held:      f.matches[choice.Index].Depth,
+		shared:    f.shared,
 		predicted: choice.FirstToken,
 	}
 	target := d.target(e, r, o)
--- a/internal/decide/sycroute/policy.go
+++ b/internal/decide/sycroute/policy.go
@@ -27,6 +27,8 @@
 	Seed uint64
 	// Tokens is the length of the prompt.
 	Tokens int
+	// Blocks is the number of the prompt's whole blocks.
+	Blocks int
 	// Group identifies the shared part of the prompt, equally on all VMs; 0 if
 	// the prompt is too short to share anything.
 	Group uint64
@@ -63,6 +65,9 @@
 	ComingWait time.Duration
 	// Speed is what was measured of the endpoint's prefill.
 	Speed Estimate
+	// Replace is the expected cost of displacing a block from the endpoint's
+	// cache; 0 while the cache has room.
+	Replace time.Duration
 	// Source is the best place to import blocks from; nil if there is none.
 	Source *Source
 }
@@ -165,6 +170,9 @@
 	return c.Network + c.Penalty + c.Speed.FirstToken(tokens)
 }
 
+// Rank orders endpoints, named by their hashes, for a block; VMs agree on it.
+func Rank(block, endpoint uint64) uint64 { return mix(block ^ endpoint) }
+
 // mix spreads the bits of x.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/decide/sycroute/prefix.go
+++ b/internal/decide/sycroute/prefix.go
@@ -22,6 +22,8 @@
 	// homePart is the part of the prompt's prefill that is given up to keep a
 	// group together.
 	homePart = 0.25
+	// replacePart is the part of displaced blocks that would have been used again.
+	replacePart = 0.3
 	// farFloor is the disadvantage of endpoints in other failure domains.
 	farFloor = 2 * time.Millisecond
 )
@@ -99,7 +101,7 @@
 
 // scoreOf predicts the time to the first token at a candidate.
 func scoreOf(q Query, c *Candidate) score {
-	s := score{rank: mix(q.Group ^ c.Hash), room: c.Room, held: c.Held}
+	s := score{rank: Rank(q.Group, c.Hash), room: c.Room, held: c.Held}
 	s.ready = c.predict(c.Held)
 	if cost, ok := importCost(c); ok {
 		s.imports = true
@@ -107,6 +109,7 @@
 		s.ready = c.predict(float64(c.Source.Held)) + cost
 	}
 	s.time = s.ready
+	s.time += time.Duration(replacePart * (float64(q.Blocks) - c.Held) * float64(c.Replace))
 	if !c.Near {
 		s.time += c.Network + farFloor
 	}
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -20,6 +20,9 @@
 // statsPeriod is the time between updates of the gauges.
 const statsPeriod = time.Second
 
+// keepsWaiting bounds the fetches that wait for a store; further ones are dropped.
+const keepsWaiting = 64
+
 // DefaultWait bounds the wait of requests that bring no deadline.
 const DefaultWait = 30 * time.Second
 
@@ -48,6 +51,7 @@
 	dispatcher machine
 	waiting    map[uint64]chan sycdispatch.Decision
 	gauges     *gauges
+	keeps      chan sycdispatch.Keep
 }
 
 // New returns a chooser that decides on the loop.
@@ -58,6 +62,7 @@
 		versions: o.Versions,
 		waiting:  map[uint64]chan sycdispatch.Decision{},
 		gauges:   newGauges(),
+		keeps:    make(chan sycdispatch.Keep, keepsWaiting),
 	}
 	if c.versions == nil {
 		c.versions = c.initialVersions
@@ -146,6 +151,13 @@
 			answer <- d
 		}
 	}
+	for _, k := range c.dispatcher.TakeKeeps() {
+		select {
+		case c.keeps <- k:
+		default:
+			droppedKeeps.Inc()
+		}
+	}
 }
 
 // request turns work into a request; hashing the prompt is done here, on the
--- a/internal/traffic/sycchoose/feed.go
+++ b/internal/traffic/sycchoose/feed.go
@@ -35,6 +35,14 @@
 	})
 }
 
+// Keeps yields what stores of kept KV cache should fetch.
+func (c *Chooser) Keeps() <-chan sycdispatch.Keep { return c.keeps }
+
+// Kept takes what a store holds after a fetch.
+func (c *Chooser) Kept(name, incarnation string, blocks []uint64) {
+	c.loop.Do(func(now time.Duration) { c.dispatcher.Kept(now, name, incarnation, blocks) })
+}
+
 // Position returns where the reading of an endpoint's events goes on.
 func (c *Chooser) Position(name string) (p sycdispatch.Position) {
 	c.loop.Do(func(time.Duration) { p = c.dispatcher.Position(name) })
--- a/internal/traffic/sycchoose/machine.go
+++ b/internal/traffic/sycchoose/machine.go
@@ -22,6 +22,8 @@
 	RoundTrip(name string, took time.Duration)
 	Unreachable(now time.Duration, name string)
 	Silent(now time.Duration, name string)
+	TakeKeeps() []sycdispatch.Keep
+	Kept(now time.Duration, name, incarnation string, blocks []uint64)
 	Stats() sycdispatch.Stats
 	Endpoints(now time.Duration) []sycdispatch.EndpointStatus
 	Events(now time.Duration, name string, b sycdispatch.Batch) sycdispatch.Position
--- a/internal/traffic/sycchoose/metric.go
+++ b/internal/traffic/sycchoose/metric.go
@@ -12,6 +12,7 @@
 	decisions       = metrics.NewCounter("sycamorecart_choose_decisions_total")
 	predictedTokens = metrics.NewCounter("sycamorecart_choose_predicted_cached_tokens_total")
 	importedTokens  = metrics.NewCounter("sycamorecart_choose_imported_tokens_total")
+	droppedKeeps    = metrics.NewCounter("sycamorecart_choose_dropped_keeps_total")
 	queueWait       = metrics.NewHistogram("sycamorecart_choose_queue_wait_seconds")
 	decisionTime    = metrics.NewHistogram("sycamorecart_choose_decision_seconds")
 )
--- a/internal/traffic/sycchoose/site_test.go
+++ b/internal/traffic/sycchoose/site_test.go
@@ -17,6 +17,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/syckvstore"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycfeed"
 )
@@ -91,6 +92,13 @@
 			e.URL(), domainName(i, d.domains), concurrent,
 		)})
 	}
+	store, err := syckvstore.New(syckvstore.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, store.Close()) })
+	s.domainOf[strings.TrimPrefix(store.URL(), "http://")] = domainName(0, d.domains)
+	records = append(records, [3]string{"endpoint", "kv", fmt.Sprintf(
+		`{"address":%q,"failure_domain":%q,"type":"kv_store"}`, store.URL(), domainName(0, d.domains),
+	)})
 	state := state(t, records...)
 	for i := range d.vms {
 		s.vms = append(s.vms, s.newVM(t, d, domainName(i, d.domains), policy, seed+uint64(i), state))
--- a/internal/traffic/sycfeed/client.go
+++ b/internal/traffic/sycfeed/client.go
@@ -1,6 +1,7 @@
 package sycfeed
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,6 +39,7 @@
 	Waiting       int             `json:"waiting"`
 	PrefillTokens int             `json:"queued_prefill_tokens"`
 	Blocks        int             `json:"kv_blocks"`
+	UsedBlocks    int             `json:"kv_blocks_used"`
 	Weights       []weightsAnswer `json:"weights"`
 }
 
@@ -80,6 +82,7 @@
 		Waiting:       a.Waiting,
 		PrefillTokens: a.PrefillTokens,
 		CacheBlocks:   a.Blocks,
+		UsedBlocks:    a.UsedBlocks,
 	}
 	for _, w := range a.Weights {
 		if w.State == stateReady {
@@ -112,9 +115,14 @@
 
 // get reads a JSON answer.
 func get[T any](ctx context.Context, client *http.Client, address string, timeout time.Duration) (*T, error) {
+	return call[T](ctx, client, http.MethodGet, address, nil, timeout)
+}
+
+// call sends a JSON body, if there is one, and reads a JSON answer.
+func call[T any](ctx context.Context, client *http.Client, method, address string, body []byte, timeout time.Duration) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrap(err, "feed")
 	}
--- a/internal/traffic/sycfeed/feed.go
+++ b/internal/traffic/sycfeed/feed.go
@@ -20,6 +20,8 @@
 	loadPeriod = 200 * time.Millisecond
 	// loadPolls bounds the load polls a second of all endpoints together.
 	loadPolls = 200
+	// keepers is the number of fetches of stores that run together.
+	keepers = 2
 	// configPeriod is the time between looks at the configuration.
 	configPeriod = 200 * time.Millisecond
 )
@@ -45,6 +47,10 @@
 	Position(name string) sycdispatch.Position
 	Events(name string, b sycdispatch.Batch) sycdispatch.Position
 	Resync(name, incarnation string, next uint64, blocks []uint64) sycdispatch.Position
+	// Keeps yields what stores of kept KV cache should fetch from engines, and
+	// Kept takes what a store holds after it.
+	Keeps() <-chan sycdispatch.Keep
+	Kept(name, incarnation string, blocks []uint64)
 }
 
 // Options configures a feed.
@@ -96,6 +102,12 @@
 			}
 		}
 	})
+	for range keepers {
+		f.tomb.Go(func() error {
+			f.keepAll()
+			return nil
+		})
+	}
 	return f
 }
 
--- a/internal/traffic/sycfeed/follower.go
+++ b/internal/traffic/sycfeed/follower.go
@@ -94,41 +94,43 @@
 func (f *follower) followEvents(ctx context.Context) {
 	position := f.sink.Position(f.name)
 	for ctx.Err() == nil {
-		var ok bool
+		var err error
 		if position.Resync || position.Incarnation == "" {
-			position, ok = f.resync(ctx)
+			position, err = f.resync(ctx)
 			pause(ctx, resyncPause)
 		} else {
-			position, ok = f.events(ctx, position)
+			position, err = f.events(ctx, position)
 		}
-		if !ok {
+		if err != nil {
 			pause(ctx, retryPause)
 			position = f.sink.Position(f.name)
 		}
 	}
 }
 
-func (f *follower) resync(ctx context.Context) (sycdispatch.Position, bool) {
+func (f *follower) resync(ctx context.Context) (sycdispatch.Position, error) {
 	answer, err := get[cacheAnswer](ctx, f.client, f.address+"/v1/cache", listTimeout)
 	if err != nil {
-		return sycdispatch.Position{}, false
+		return sycdispatch.Position{}, err
 	}
 	resyncs.Inc()
-	return f.sink.Resync(f.name, answer.Incarnation, answer.Next, answer.Blocks), true
+	return f.sink.Resync(f.name, answer.Incarnation, answer.Next, answer.Blocks), nil
 }
 
-func (f *follower) events(ctx context.Context, p sycdispatch.Position) (sycdispatch.Position, bool) {
+func (f *follower) events(ctx context.Context, p sycdispatch.Position) (sycdispatch.Position, error) {
 	answer, err := get[eventsAnswer](ctx, f.client, eventsURL(f.address, p), eventsWait+pollTimeout)
 	if err != nil {
-		return sycdispatch.Position{}, false
+		return sycdispatch.Position{}, err
 	}
 	eventCount.Add(len(answer.Events))
-	return f.sink.Events(f.name, answer.batch()), true
+	return f.sink.Events(f.name, answer.batch()), nil
 }
 
 func (f *follower) followStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, _ = f.resync(ctx)
+		if _, err := f.resync(ctx); unreachable(err) {
+			f.sink.Unreachable(f.name)
+		}
 		pause(ctx, storePeriod)
 	}
 }
