Run whole deployments with real router processes and add 'load'

Cause: the measures have to come from real processes with the delays between failure domains. Change: sycdeploy starts stand-ins, publishes records and runs 'sycamorecart serve' processes behind sycfault proxies; a proxy tells the routers apart by the process that opened a connection (sycprocess, /proc/net/tcp), so that delays and cuts hold per failure domain. 'load -self' and 'load -routers' drive them. Conclusion: links between VMs aren't proxied yet, since a VM advertises the address it listens on.

--- /dev/null
+++ b/cmd/sycamorebench/load.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycreport"
+)
+
+const loadUsage = `load [flags]
+
+Sends the traffic of a deployment to running routers, checks every answer and
+prints how each customer fared. With -self it starts the stand-ins and the
+routers itself. Exit 1 when an answer was wrong or a booking ran twice.
+
+  sycamorebench load -self -binary ./sycamorecart -workload bottlers -out new.json
+  sycamorebench load -self -set routing.policy=round_robin -out old.json
+  sycamorebench load -routers http://127.0.0.1:8080 -key rota=SECRET ... -out result.json
+
+`
+
+type loadCommand struct {
+	options  sycload.Options
+	workload string
+	routers  string
+	prompts  string
+	out      string
+	self     bool
+	binary   string
+	settings pairs
+	keys     pairs
+	engine   sycengine.Options
+	verbose  bool
+}
+
+// Name is the command's name.
+func (*loadCommand) Name() string { return "load" }
+
+// Synopsis describes the command in a line.
+func (*loadCommand) Synopsis() string { return "send the traffic of a deployment and measure" }
+
+// Usage describes the command.
+func (*loadCommand) Usage() string { return loadUsage }
+
+// SetFlags declares the flags.
+func (c *loadCommand) SetFlags(f *flag.FlagSet) {
+	c.settings, c.keys = pairs{}, pairs{}
+	o := &c.options
+	f.StringVar(&c.workload, "workload", "bottlers", "bottlers or dairies")
+	f.StringVar(&c.routers, "routers", "", "base `URLs` of running routers, separated by commas")
+	f.Var(c.keys, "key", "secret of a customer's key as `customer=secret`, for -routers")
+	f.BoolVar(&c.self, "self", false, "start stand-ins and routers")
+	f.StringVar(&c.binary, "binary", "", "router `program` for -self; sycamorecart beside this one by default")
+	f.Var(c.settings, "set", "setting of the routers for -self as `section.key=value`; may be repeated")
+	f.BoolVar(&c.verbose, "verbose", false, "show the routers' logs with -self")
+	f.IntVar(&c.engine.CacheBlocks, "blocks", 600, "cache blocks of each engine for -self")
+	f.IntVar(&c.engine.PrefillTokensPerSecond, "prefill", sycengine.DefaultPrefillTokensPerSecond, "prompt tokens that each engine computes a second, for -self")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the arrivals")
+	f.DurationVar(&o.Duration, "duration", sycload.DefaultDuration, "time in which requests are sent")
+	f.IntVar(&o.MaxRequests, "max-requests", sycload.DefaultMaxRequests, "number of requests at most")
+	f.Float64Var(&o.RateFactor, "rate", 1, "factor on all arrival rates")
+	f.StringVar(&o.Model, "model", sycload.DefaultModel, "model asked for")
+	f.StringVar(&o.BookPath, "book-path", "", "path that bookings are posted to, for -routers; none by default")
+	f.StringVar(&c.prompts, "prompts", "", "take shared documents from the text files in `folder`")
+	f.StringVar(&o.Label, "label", "", "name of the run in reports")
+	f.StringVar(&c.out, "out", "", "write the result to `file` as JSON")
+}
+
+// Execute runs the load.
+func (c *loadCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.self == (c.routers != "") {
+		fmt.Fprintln(os.Stderr, "sycamorebench: give either -self or -routers")
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result, err := c.run(ctx)
+	if err != nil {
+		return failed(err)
+	}
+	if err := sycreport.Table(os.Stdout, result); err != nil {
+		return failed(err)
+	}
+	if c.out != "" {
+		if err := result.Save(c.out); err != nil {
+			return failed(err)
+		}
+	}
+	if !result.Sound() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *loadCommand) run(ctx context.Context) (sycload.Result, error) {
+	workload, ok := sycload.FindWorkload(c.workload)
+	if !ok {
+		return sycload.Result{}, eris.Errorf("no workload %q", c.workload)
+	}
+	c.options.Workload = workload
+	c.options.Progress = printProgress
+	if c.prompts != "" {
+		documents, err := sycload.Prompts(c.prompts)
+		if err != nil {
+			return sycload.Result{}, err
+		}
+		c.options.Documents = documents
+	}
+	if c.self {
+		return c.runSelf(ctx)
+	}
+	c.options.Routers = strings.Split(c.routers, ",")
+	c.options.Keys = c.keys
+	return sycload.Run(ctx, c.options)
+}
+
+func printProgress(p sycload.Progress) {
+	fmt.Fprintf(os.Stderr, "sent %d of %d, answered %d, wrong %d\n", p.Sent, p.Planned, p.Answered, p.Wrong)
+}
+
+// readyTimeout bounds the wait for the routers of -self.
+const readyTimeout = 20 * time.Second
+
+func (c *loadCommand) runSelf(ctx context.Context) (result sycload.Result, err error) {
+	deployment, err := c.deploy(ctx)
+	if err != nil {
+		return result, err
+	}
+	defer func() {
+		if cerr := deployment.Close(); err == nil {
+			err = cerr
+		}
+	}()
+	c.options.Routers = deployment.URLs()
+	c.options.Keys = deployment.Keys()
+	c.options.Model = sycdeploy.Model
+	c.options.BookPath = sycdeploy.BookPath
+	result, err = sycload.Run(ctx, c.options)
+	if err != nil {
+		return result, err
+	}
+	result.Audit(deployment.Booked())
+	return result, nil
+}
+
+func (c *loadCommand) deploy(ctx context.Context) (*sycdeploy.Deployment, error) {
+	binary := c.binary
+	if binary == "" {
+		found, err := sycdeploy.FindBinary()
+		if err != nil {
+			return nil, err
+		}
+		binary = found
+	}
+	var output io.Writer
+	if c.verbose {
+		output = os.Stderr
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return sycdeploy.New(ctx, sycdeploy.Options{
+		Workload: c.options.Workload,
+		Binary:   binary,
+		Settings: c.settings,
+		Engine:   c.engine,
+		Seed:     c.options.Seed,
+		Output:   output,
+	})
+}
--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&engineCommand{}, "stand-ins")
 	subcommands.Register(&kvStoreCommand{}, "stand-ins")
 	subcommands.Register(&serviceCommand{}, "stand-ins")
+	subcommands.Register(&loadCommand{}, "load")
 	subcommands.Register(&reportCommand{}, "load")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/internal/standin/sycdeploy/deploy.go
@@ -0,0 +1,197 @@
+// Package sycdeploy runs a whole deployment on loopback for tests and
+// benchmarks: stand-ins in this process, and routers as processes of a given
+// binary, with proxies between them for delays and faults.
+package sycdeploy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/syckvstore"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
+)
+
+// Names of a deployment's objects.
+const (
+	Model    = "chat"
+	Weights  = "w1"
+	Service  = "rota"
+	BookPath = "/rota/book"
+)
+
+// Options says what to run.
+type Options struct {
+	Workload sycload.Workload
+	// Binary is the router program.
+	Binary string
+	// Settings replaces settings of the routers, by "section.key".
+	Settings map[string]string
+	// Platform and Engine are templates for the stand-ins.
+	Platform sycplatform.Options
+	Engine   sycengine.Options
+	Seed     uint64
+	// Output receives the routers' logs; nil discards them.
+	Output io.Writer
+}
+
+// Engine is a model worker of a deployment.
+type Engine struct {
+	*sycengine.Engine
+	name   string
+	domain string
+	proxy  *sycfault.Proxy
+}
+
+// Name is the name of the engine's record.
+func (e *Engine) Name() string { return e.name }
+
+// FailureDomain is where the engine runs.
+func (e *Engine) FailureDomain() string { return e.domain }
+
+// Worker is an application worker of a deployment.
+type Worker struct {
+	*sycservice.Service
+	name   string
+	domain string
+	proxy  *sycfault.Proxy
+}
+
+// Name is the name of the worker's record.
+func (w *Worker) Name() string { return w.name }
+
+// FailureDomain is where the worker runs.
+func (w *Worker) FailureDomain() string { return w.domain }
+
+// Deployment is a running deployment.
+type Deployment struct {
+	options  Options
+	folder   string
+	platform *sycplatform.Platform
+	// front is the proxy that routers reach the platform through.
+	front   *sycfault.Proxy
+	engines []*Engine
+	workers []*Worker
+	store   *syckvstore.Store
+	// keys has the secret of each customer's key.
+	keys map[string]string
+	// published counts the records, for their ids.
+	published int
+	closers   []func() error
+
+	// mu guards routers, which the proxies' goroutines read.
+	mu      sync.Mutex
+	routers []*Router
+}
+
+// New starts a deployment, publishes its records and waits until every router
+// is ready.
+func New(ctx context.Context, o Options) (*Deployment, error) {
+	d := &Deployment{options: o, keys: map[string]string{}}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	folder, err := os.MkdirTemp("", "sycdeploy")
+	if err != nil {
+		return eris.Wrap(err, "deployment")
+	}
+	d.folder = folder
+	d.onClose(func() error { return os.RemoveAll(folder) })
+	if err := d.startStandIns(); err != nil {
+		return err
+	}
+	if err := d.planRouters(); err != nil {
+		return err
+	}
+	if err := d.Publish(ctx, d.records()...); err != nil {
+		return err
+	}
+	for _, r := range d.Routers() {
+		if err := r.Start(); err != nil {
+			return err
+		}
+	}
+	return d.AwaitReady(ctx)
+}
+
+func (d *Deployment) onClose(f func() error) { d.closers = append(d.closers, f) }
+
+// Close ends the routers and stand-ins, the last started first, and waits.
+func (d *Deployment) Close() error {
+	var errs []error
+	for i := len(d.closers) - 1; i >= 0; i-- {
+		errs = append(errs, d.closers[i]())
+	}
+	d.closers = nil
+	return errors.Join(errs...)
+}
+
+// Platform is the platform's stand-in.
+func (d *Deployment) Platform() *sycplatform.Platform { return d.platform }
+
+// Engines lists the model workers.
+func (d *Deployment) Engines() []*Engine { return d.engines }
+
+// Workers lists the application workers.
+func (d *Deployment) Workers() []*Worker { return d.workers }
+
+// Routers lists the routers.
+func (d *Deployment) Routers() []*Router {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.routers
+}
+
+// Keys gives the secret of each customer's key.
+func (d *Deployment) Keys() map[string]string { return d.keys }
+
+// URLs lists the routers' base URLs for callers.
+func (d *Deployment) URLs() []string {
+	urls := make([]string, 0, len(d.Routers()))
+	for _, r := range d.Routers() {
+		urls = append(urls, r.URL())
+	}
+	return urls
+}
+
+// Booked lists the slots that the application workers booked.
+func (d *Deployment) Booked() []string {
+	var slots []string
+	for _, w := range d.workers {
+		for _, b := range w.Bookings() {
+			slots = append(slots, b.Slot)
+		}
+	}
+	return slots
+}
+
+// readyPoll is how often routers are asked whether they are ready.
+const readyPoll = 50 * time.Millisecond
+
+// AwaitReady waits until every running router is ready.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, r := range d.Routers() {
+		if !r.Running() {
+			continue
+		}
+		if err := r.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) file(name string) string { return filepath.Join(d.folder, name) }
--- /dev/null
+++ b/internal/standin/sycdeploy/deploy_test.go
@@ -0,0 +1,131 @@
+package sycdeploy_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+)
+
+const startTimeout = time.Minute
+
+// build compiles the router program.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "sycamorecart")
+	command := exec.Command("go", "build", "-o", program, "sycamorecart.example/sycamorecart/cmd/sycamorecart")
+	output, err := command.CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	return program
+}
+
+func deploy(t *testing.T, workload string) *sycdeploy.Deployment {
+	t.Helper()
+	w, ok := sycload.FindWorkload(workload)
+	must.True(t, ok)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	d, err := sycdeploy.New(ctx, sycdeploy.Options{
+		Workload: w,
+		Binary:   build(t),
+		Engine:   sycengine.Options{Speed: 10},
+		Seed:     1,
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, d.Close()) })
+	return d
+}
+
+// load sends a short run of the workload.
+func load(t *testing.T, d *sycdeploy.Deployment, workload string) sycload.Result {
+	t.Helper()
+	w, _ := sycload.FindWorkload(workload)
+	result, err := sycload.Run(context.Background(), sycload.Options{
+		Workload: w, Routers: d.URLs(), Keys: d.Keys(), BookPath: sycdeploy.BookPath,
+		Seed: 1, Duration: 2 * time.Second,
+	})
+	must.NoError(t, err)
+	result.Audit(d.Booked())
+	must.True(t, result.Sound(), must.Sprint(result.Faults, result.Bookings))
+	return result
+}
+
+// TestWorkloadsAreServed runs both deployments with real router processes.
+func TestWorkloadsAreServed(t *testing.T) {
+	tests := []struct {
+		workload string
+		routers  int
+		engines  int
+	}{
+		{"bottlers", 8, 10},
+		{"dairies", 8, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.workload, func(t *testing.T) {
+			d := deploy(t, tt.workload)
+			must.Len(t, tt.routers, d.Routers())
+			must.Len(t, tt.engines, d.Engines())
+			result := load(t, d, tt.workload)
+			must.Positive(t, result.Total.Right)
+			must.Eq(t, 0, result.Total.Failed, must.Sprint(result.Faults))
+		})
+	}
+}
+
+// TestFaultsReachTheRouters shows that the deployment's faults take effect.
+func TestFaultsReachTheRouters(t *testing.T) {
+	d := deploy(t, "bottlers")
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+
+	first := d.Routers()[0]
+	first.Kill()
+	must.False(t, first.Running())
+	load(t, d, "bottlers")
+	must.NoError(t, first.Start())
+	must.NoError(t, d.AwaitReady(ctx))
+	must.NoError(t, first.Stop())
+
+	// A router that can't reach the platform gets no configuration.
+	d.SetPlatformLink(first.FailureDomain(), sycfault.Fault{Cut: true})
+	for _, r := range d.Routers() {
+		must.NoError(t, r.Stop())
+	}
+	must.NoError(t, first.Start())
+	soon, done := context.WithTimeout(ctx, time.Second)
+	defer done()
+	must.ErrorIs(t, d.AwaitReady(soon), context.DeadlineExceeded)
+	d.SetPlatformLink(first.FailureDomain(), sycfault.Fault{})
+	must.NoError(t, d.AwaitReady(ctx))
+
+	// With the other domains cut off, only the engines of its own are left.
+	for _, domain := range []string{"nowy-targ", "krynica"} {
+		d.CutDomains(first.FailureDomain(), domain, true)
+	}
+	before := received(d)
+	w, _ := sycload.FindWorkload("bottlers")
+	_, err := sycload.Run(ctx, sycload.Options{
+		Workload: w, Routers: []string{first.URL()}, Keys: d.Keys(), Duration: time.Second,
+	})
+	must.NoError(t, err)
+	after := received(d)
+	must.Greater(t, before[first.FailureDomain()], after[first.FailureDomain()])
+	must.Eq(t, before["krynica"], after["krynica"])
+	must.Eq(t, before["nowy-targ"], after["nowy-targ"])
+}
+
+// received counts the requests that the engines of each failure domain have seen.
+func received(d *sycdeploy.Deployment) map[string]int {
+	counts := map[string]int{}
+	for _, e := range d.Engines() {
+		counts[e.FailureDomain()] += len(e.Requests())
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/standin/sycdeploy/router.go
@@ -0,0 +1,253 @@
+package sycdeploy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
+)
+
+// stopPatience is how long a router may take to stop.
+const stopPatience = time.Minute
+
+// Router is a router process of a deployment.
+type Router struct {
+	deployment *Deployment
+	name       string
+	domain     string
+	// callers, operators and peers are the addresses that the router listens on.
+	callers, operators, peers string
+	// front is the proxy that callers reach the router through.
+	front    *sycfault.Proxy
+	settings string
+
+	mu sync.Mutex
+	// process is nil while the router doesn't run.
+	process *sycprocess.Process
+}
+
+// Name is the name of the router's slot.
+func (r *Router) Name() string { return r.name }
+
+// FailureDomain is where the router runs.
+func (r *Router) FailureDomain() string { return r.domain }
+
+// URL is the base URL for callers.
+func (r *Router) URL() string { return r.front.URL() }
+
+// Operators is the base URL for operators.
+func (r *Router) Operators() string { return "http://" + r.operators }
+
+// Peers is the address for other VMs, the router's id in the VM list.
+func (r *Router) Peers() string { return r.peers }
+
+// Front is the proxy between callers and the router.
+func (r *Router) Front() *sycfault.Proxy { return r.front }
+
+// planRouters chooses the routers' addresses and writes their settings.
+func (d *Deployment) planRouters() error {
+	total := 0
+	for _, domain := range d.options.Workload.Domains() {
+		total += domain.VMs()
+	}
+	addresses, err := freeAddresses(3 * total)
+	if err != nil {
+		return err
+	}
+	var routers []*Router
+	for _, domain := range d.options.Workload.Domains() {
+		for i := range domain.VMs() {
+			r := &Router{deployment: d, name: fmt.Sprintf("vm-%s-%d", domain.Name(), i+1), domain: domain.Name()}
+			r.callers, r.operators, r.peers = addresses[0], addresses[1], addresses[2]
+			addresses = addresses[3:]
+			if err := r.prepare(); err != nil {
+				return err
+			}
+			routers = append(routers, r)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routers = routers
+	return nil
+}
+
+// freeAddresses finds loopback addresses that nothing listens on.
+func freeAddresses(n int) ([]string, error) {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "free address")
+		}
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (r *Router) prepare() error {
+	d := r.deployment
+	fault := sycfault.Fault{Latency: d.options.Workload.ToClients()}
+	front, err := sycfault.New(r.callers, sycfault.Options{Seed: d.options.Seed, Fault: fault})
+	if err != nil {
+		return err
+	}
+	r.front = front
+	d.onClose(front.Close)
+	d.onClose(r.close)
+	r.settings = d.file(r.name + ".ini")
+	return r.writeSettings()
+}
+
+func (r *Router) writeSettings() error {
+	d := r.deployment
+	values := map[string]string{
+		"vm.failure_domain": r.domain,
+		"listen.callers":    r.callers,
+		"listen.operators":  r.operators,
+		"listen.peers":      r.peers,
+		"platform.log":      d.front.URL(),
+		"platform.list":     d.front.URL(),
+		"drain.settle":      "200ms",
+	}
+	for key, value := range d.options.Settings {
+		values[key] = value
+	}
+	file := ini.Empty()
+	for path, value := range values {
+		section, key, ok := strings.Cut(path, ".")
+		if !ok {
+			return eris.Errorf("setting %q isn't of the form section.key", path)
+		}
+		if _, err := file.Section(section).NewKey(key, value); err != nil {
+			return eris.Wrapf(err, "setting %q", path)
+		}
+	}
+	return eris.Wrap(file.SaveTo(r.settings), "router settings")
+}
+
+// Start runs the router's process.
+func (r *Router) Start() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	output := r.deployment.options.Output
+	process, err := sycprocess.Start(output, r.deployment.options.Binary, "serve", "-settings", r.settings)
+	if err != nil {
+		return err
+	}
+	r.process = process
+	return nil
+}
+
+// take returns the process and forgets it.
+func (r *Router) take() *sycprocess.Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.process
+	r.process = nil
+	return p
+}
+
+// Kill ends the router at once.
+func (r *Router) Kill() {
+	if p := r.take(); p != nil {
+		p.Kill()
+	}
+}
+
+// Stop shuts the router down and returns the error that it ended with.
+func (r *Router) Stop() error {
+	p := r.take()
+	if p == nil {
+		return nil
+	}
+	return eris.Wrapf(p.Stop(stopPatience), "router %s", r.name)
+}
+
+func (r *Router) close() error {
+	r.Kill()
+	return nil
+}
+
+func (r *Router) pid() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return 0
+	}
+	return r.process.PID()
+}
+
+// Running reports whether the router was started and has not ended.
+func (r *Router) Running() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return false
+	}
+	select {
+	case <-r.process.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+func (r *Router) awaitReady(ctx context.Context) error {
+	for {
+		if r.ready(ctx) {
+			return nil
+		}
+		if !r.Running() {
+			return eris.Errorf("router %s ended before it was ready", r.name)
+		}
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "router %s isn't ready", r.name)
+		}
+	}
+}
+
+func (r *Router) ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.Operators()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// FindBinary returns the router program beside the running one.
+func FindBinary() (string, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", eris.Wrap(err, "find the router program")
+	}
+	program := filepath.Join(filepath.Dir(self), "sycamorecart")
+	if _, err := os.Stat(program); err != nil {
+		return "", eris.Wrap(err, "no router program beside this one")
+	}
+	return program, nil
+}
--- a/internal/standin/sycfault/link.go
+++ b/internal/standin/sycfault/link.go
@@ -20,6 +20,7 @@
 // link is one connection through a proxy.
 type link struct {
 	proxy  *Proxy
+	source string
 	client net.Conn
 	target net.Conn
 	// toClient counts the bytes sent to the client since the fault was set.
@@ -78,7 +79,7 @@
 		buffer := make([]byte, pieceSize)
 		n, err := from.Read(buffer)
 		if n > 0 {
-			pieces <- piece{due: time.Now().Add(l.proxy.delay()), data: buffer[:n]}
+			pieces <- piece{due: time.Now().Add(l.proxy.delay(l.source)), data: buffer[:n]}
 		}
 		if err != nil {
 			return err
@@ -110,7 +111,7 @@
 // unstalled waits for the end of a stall and returns the fault then in force.
 func (l *link) unstalled() (Fault, bool) {
 	for {
-		fault, changed := l.proxy.current()
+		fault, changed := l.proxy.current(l.source)
 		if !fault.Stall {
 			return fault, true
 		}
@@ -138,6 +139,15 @@
 	return err == nil && !truncated
 }
 
+// faultChanged applies a new fault to the open connection.
+func (l *link) faultChanged(f Fault) {
+	l.toClient.Store(0)
+	healed := l.lossy.Load() && !f.LoseToClient && !f.LoseToTarget
+	if f.Cut || f.Reset || healed {
+		l.reset()
+	}
+}
+
 // reset drops both connections at once.
 func (l *link) reset() {
 	l.once.Do(func() {
--- a/internal/standin/sycfault/proxy.go
+++ b/internal/standin/sycfault/proxy.go
@@ -24,6 +24,9 @@
 	Seed uint64
 	// Fault is in force from the start.
 	Fault Fault
+	// Source names the client of a connection, so that SetFrom can tell clients
+	// apart; nil names none.
+	Source func(client net.Conn) string
 }
 
 // Proxy passes connections on to its target.
@@ -31,11 +34,14 @@
 	tomb     tomb.Tomb
 	listener net.Listener
 	target   string
+	source   func(net.Conn) string
 
 	mu    sync.Mutex
 	rng   *rand.Rand
 	fault Fault
-	// changed is closed and replaced whenever the fault changes.
+	// from holds the faults of the sources that have one of their own.
+	from map[string]Fault
+	// changed is closed and replaced whenever a fault changes.
 	changed chan struct{}
 	// links holds the open connections.
 	links map[*link]struct{}
@@ -53,6 +59,8 @@
 	p := &Proxy{
 		listener: listener,
 		target:   target,
+		source:   o.Source,
+		from:     map[string]Fault{},
 		rng:      rand.New(rand.NewPCG(o.Seed, 2)),
 		fault:    o.Fault,
 		changed:  make(chan struct{}),
@@ -68,23 +76,56 @@
 // URL is the proxy's address as a base URL.
 func (p *Proxy) URL() string { return "http://" + p.Address() }
 
-// Set replaces the fault.
+// Set replaces the fault of the connections whose source has none of its own.
 func (p *Proxy) Set(f Fault) {
+	p.change(func() { p.fault = f })
+}
+
+// SetFrom gives the connections from a source a fault of their own.
+func (p *Proxy) SetFrom(source string, f Fault) {
+	p.change(func() { p.from[source] = f })
+}
+
+// change applies a change of the faults to the open connections.
+func (p *Proxy) change(apply func()) {
 	p.mu.Lock()
-	p.fault = f
+	before := make(map[*link]Fault, len(p.links))
+	for l := range p.links {
+		before[l] = p.faultOf(l.source)
+	}
+	apply()
 	close(p.changed)
 	p.changed = make(chan struct{})
-	links := p.open()
+	after := make(map[*link]Fault, len(p.links))
+	for l := range p.links {
+		after[l] = p.faultOf(l.source)
+	}
+	p.forgetResets()
 	p.mu.Unlock()
-	for _, l := range links {
-		l.toClient.Store(0)
-		healed := l.lossy.Load() && !f.LoseToClient && !f.LoseToTarget
-		if f.Cut || f.Reset || healed {
-			l.reset()
+	for l, fault := range after {
+		if fault != before[l] {
+			l.faultChanged(fault)
 		}
 	}
 }
 
+// forgetResets keeps a reset from being repeated. The caller holds mu.
+func (p *Proxy) forgetResets() {
+	p.fault.Reset = false
+	for source, f := range p.from {
+		f.Reset = false
+		p.from[source] = f
+	}
+}
+
+// faultOf is the fault of a source. The caller holds mu.
+func (p *Proxy) faultOf(source string) Fault {
+	if f, ok := p.from[source]; ok {
+		return f
+	}
+	return p.fault
+}
+
 // Schedule sets the faults of the steps at their times, in the background.
 func (p *Proxy) Schedule(steps []Step) {
 	start := time.Now()
@@ -124,19 +165,20 @@
 	return links
 }
 
-func (p *Proxy) current() (Fault, <-chan struct{}) {
+func (p *Proxy) current(source string) (Fault, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.changed
+	return p.faultOf(source), p.changed
 }
 
 // delay is the latency of one piece.
-func (p *Proxy) delay() time.Duration {
+func (p *Proxy) delay(source string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.fault.Latency
-	if p.fault.Jitter > 0 {
-		d += time.Duration(p.rng.Int64N(int64(p.fault.Jitter)))
+	f := p.faultOf(source)
+	d := f.Latency
+	if f.Jitter > 0 {
+		d += time.Duration(p.rng.Int64N(int64(f.Jitter)))
 	}
 	return d
 }
@@ -169,7 +211,11 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
-	if fault, _ := p.current(); fault.Cut {
+	source := ""
+	if p.source != nil {
+		source = p.source(client)
+	}
+	if fault, _ := p.current(source); fault.Cut {
 		resetConn(client)
 		return
 	}
@@ -178,7 +224,7 @@
 		resetConn(client)
 		return
 	}
-	l := &link{proxy: p, client: client, target: target, gone: make(chan struct{})}
+	l := &link{proxy: p, source: source, client: client, target: target, gone: make(chan struct{})}
 	if !p.register(l) {
 		l.reset()
 		return
@@ -193,7 +239,7 @@
 func (p *Proxy) register(l *link) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fault.Cut || !p.tomb.Alive() {
+	if p.faultOf(l.source).Cut || !p.tomb.Alive() {
 		return false
 	}
 	p.links[l] = struct{}{}
--- a/internal/standin/sycfault/proxy_test.go
+++ b/internal/standin/sycfault/proxy_test.go
@@ -148,6 +148,30 @@
 	return err
 }
 
+func TestSourcesHaveTheirOwnFaults(t *testing.T) {
+	names := make(chan string, 2)
+	proxy, err := sycfault.New(newEcho(t), sycfault.Options{
+		Source: func(net.Conn) string { return <-names },
+	})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, proxy.Close()) })
+	conns := map[string]net.Conn{}
+	for _, name := range []string{"one", "two"} {
+		names <- name
+		conns[name] = dial(t, proxy)
+		_, err := echo(conns[name], "hello", long)
+		must.NoError(t, err)
+	}
+	proxy.SetFrom("one", sycfault.Fault{Cut: true})
+	_, err = echo(conns["one"], "hello", long)
+	must.Error(t, err)
+	_, err = echo(conns["two"], "hello", long)
+	must.NoError(t, err)
+	proxy.Set(sycfault.Fault{Cut: true})
+	_, err = echo(conns["two"], "hello", long)
+	must.Error(t, err)
+}
+
 func TestScheduleIsSeeded(t *testing.T) {
 	faults := []sycfault.Fault{{Cut: true}, {Stall: true}}
 	one := sycfault.Alternate(7, time.Minute, time.Second, faults)
--- /dev/null
+++ b/internal/standin/sycprocess/process.go
@@ -0,0 +1,63 @@
+// Package sycprocess starts the processes under test and tells which of them
+// a connection comes from.
+package sycprocess
+
+import (
+	"io"
+	"os/exec"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+)
+
+// Process is a child process.
+type Process struct {
+	tomb    tomb.Tomb
+	command *exec.Cmd
+}
+
+// Start runs a program; its output goes to the writer.
+func Start(output io.Writer, program string, arguments ...string) (*Process, error) {
+	p := &Process{command: exec.Command(program, arguments...)}
+	p.command.Stdout = output
+	p.command.Stderr = output
+	if err := p.command.Start(); err != nil {
+		return nil, eris.Wrapf(err, "start %s", program)
+	}
+	p.tomb.Go(p.command.Wait)
+	return p, nil
+}
+
+// PID is the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.tomb.Dead() }
+
+// Signal sends a signal; it does nothing once the process has ended.
+func (p *Process) Signal(s syscall.Signal) {
+	if p.tomb.Alive() {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	_ = p.tomb.Wait()
+}
+
+// Stop asks the process to end, waits for it and returns the error that it
+// ended with. It kills the process when the time has passed.
+func (p *Process) Stop(patience time.Duration) error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.tomb.Dead():
+		return p.tomb.Wait()
+	case <-time.After(patience):
+		p.Kill()
+		return eris.Errorf("process %d did not end within %s", p.PID(), patience)
+	}
+}
