--- a/cmd/sycamorebench/demo.go
+++ b/cmd/sycamorebench/demo.go
@@ -154,10 +154,6 @@
 	})
 }
 
-func printProgress(p sycload.Progress) {
-	fmt.Printf("%d of %d requests answered, %d wrong\n", p.Answered, p.Planned, p.Wrong)
-}
-
 // printRollout shows what the VMs recorded of the rollout.
 func printRollout(site *sycsite.Site) {
 	for _, r := range site.Outcomes() {
--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&kvStoreCommand{}, "stand-ins")
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&demoCommand{}, "load")
+	subcommands.Register(&loadCommand{}, "load")
 	subcommands.Register(&reportCommand{}, "load")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
