Claim calls, follow endpoints and drain in the assembled VM

Cause: the gateway, claims, feed and drain stood apart. Change: sycvm wires them; idle callers' connections are bounded; the log must keep records for at least a minute, twice the lifetime of claims that fits.

--- a/internal/operate/sycsetting/read.go
+++ b/internal/operate/sycsetting/read.go
@@ -28,7 +28,7 @@
 		{"listen", "peers", "127.0.0.1:8082", "must be an IP address and port", address(&s.peers)},
 		{"platform", "log", "", "must be an http or https URL", httpURL(&s.logURL, false)},
 		{"platform", "list", "", "must be an http or https URL", httpURL(&s.listURL, false)},
-		{"platform", "log_retention", DefaultLogRetention.String(), "must be a duration from 10s to 8760h", span(&s.logRetention, 10*time.Second, 8760*time.Hour)},
+		{"platform", "log_retention", DefaultLogRetention.String(), "must be a duration from 1m to 8760h", span(&s.logRetention, time.Minute, 8760*time.Hour)},
 		{"platform", "list_lag", "5s", "must be a duration from 0s to 10m", span(&s.listLag, 0, 10*time.Minute)},
 		{"tls", "certificate", "", "must be a readable file", file(&s.certificate)},
 		{"tls", "key", "", "must be a readable file", file(&s.key)},
--- a/internal/operate/sycvm/closer.go
+++ b/internal/operate/sycvm/closer.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 )
 
 // closers are run once, the last added first.
@@ -27,14 +26,6 @@
 	return c.err
 }
 
-// drainFlag is raised once, when the VM starts to shut down.
-type drainFlag struct {
-	raised atomic.Bool
-}
-
-func (d *drainFlag) raise()    { d.raised.Store(true) }
-func (d *drainFlag) set() bool { return d.raised.Load() }
-
 // serve runs a server until it is closed, and waits for it then.
 func (v *VM) serve(server *http.Server, listener net.Listener) {
 	done := make(chan error, 1)
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -16,10 +16,17 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycdrain"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycversion"
 )
 
+// claimLifetime is how long idempotency keys are remembered, where the log
+// keeps records long enough.
+const claimLifetime = 10 * time.Minute
+
 var log = syclogging.New("vm")
 
 // VM is a running VM of the system.
@@ -39,19 +46,29 @@
 	gateway  *sycgateway.Gateway
 	callers  *http.Server
 	operator *http.Server
-	draining drainFlag
+	claims   *sycclaims.Driver
+	chooser  *sycchoose.Chooser
+	drain    *sycdrain.Drain
 	closers  closers
 }
 
 // New starts a VM. It returns when the listeners are open; Ready tells when
 // the VM can serve.
 func New(s *sycsetting.Settings) (*VM, error) {
-	v := &VM{settings: s, incarnation: uuid.NewString()}
+	v := &VM{
+		settings:    s,
+		incarnation: uuid.NewString(),
+		drain:       sycdrain.New(s.DrainSettle()),
+	}
 	if err := v.listen(); err != nil {
 		v.closers.close()
 		return nil, err
 	}
 	v.startState()
+	if err := v.startClaims(); err != nil {
+		v.closers.close()
+		return nil, err
+	}
 	v.startTraffic()
 	v.startServers()
 	log.Infof("serves callers at %s, operators at %s, peers at %s", v.Callers(), v.Operators(), v.address)
@@ -106,6 +123,23 @@
 	v.closers.add(v.store.Close)
 }
 
+func (v *VM) startClaims() error {
+	claims, err := sycclaims.New(sycclaims.Options{
+		Loop:        v.loop,
+		Log:         v.log,
+		VM:          v.address,
+		Incarnation: v.incarnation,
+		Lifetime:    min(claimLifetime, v.settings.LogRetention()/2),
+		Retention:   v.settings.LogRetention(),
+	})
+	if err != nil {
+		return err
+	}
+	v.claims = claims
+	v.closers.add(claims.Close)
+	return nil
+}
+
 func (v *VM) startTraffic() {
 	v.versions = sycversion.New(sycversion.Options{
 		Loop:        v.loop,
@@ -115,18 +149,22 @@
 	})
 	v.closers.add(v.versions.Close)
 	v.store.OnChange(v.versions.Refresh)
-	chooser := sycchoose.New(sycchoose.Options{
+	v.chooser = sycchoose.New(sycchoose.Options{
 		Loop:          v.loop,
 		Config:        v.store.Config,
 		FailureDomain: v.settings.FailureDomain(),
+		Policy:        v.settings.Policy(),
 		Seed:          seed(v.address),
 		Versions:      v.versions.Versions,
 	})
+	feed := sycfeed.New(sycfeed.Options{Sink: v.chooser, Config: v.store.Config})
+	v.closers.add(feed.Close)
 	v.gateway = sycgateway.New(sycgateway.Options{
 		Config:  v.store.Config,
 		Ready:   v.store.Ready,
-		Chooser: v.versions.Chooser(chooser),
+		Chooser: v.versions.Chooser(v.chooser),
 		Limiter: allowAll{},
+		Claims:  v.claims,
 		VM:      v.address,
 		Limits:  v.gatewayLimits(),
 	})
@@ -143,7 +181,8 @@
 func (v *VM) startServers() {
 	limits := v.gatewayLimits()
 	v.callers = &http.Server{
-		Handler:           v.gateway,
+		Handler:           v.drain.Handler(v.gateway),
+		ConnState:         newIdleLimit(v.settings.MaxIdle()).track,
 		ReadHeaderTimeout: limits.HeaderRead,
 		IdleTimeout:       limits.Idle,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -163,7 +202,7 @@
 
 // Ready reports whether the VM may get traffic, and why not.
 func (v *VM) Ready() (bool, string) {
-	if v.draining.set() {
+	if v.drain.Draining() {
 		return false, "the VM is shutting down"
 	}
 	if !v.store.Ready() {
@@ -209,23 +248,13 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
-	v.draining.raise()
 	log.Infof("leaves the list and finishes its requests")
-	select {
-	case <-ctx.Done():
-	case <-time.After(v.settings.DrainSettle()):
-	}
-	v.callers.SetKeepAlivesEnabled(false)
-	err := v.callers.Shutdown(ctx)
-	if err != nil {
-		return eris.Wrap(err, "drain")
-	}
-	return nil
+	return v.drain.Shutdown(ctx, v.callers)
 }
 
 // Close stops the VM at once and waits for its goroutines. Drain comes first
 // when requests must not be cut.
 func (v *VM) Close() error {
-	v.draining.raise()
+	v.drain.Begin()
 	return v.closers.close()
 }
--- a/internal/standin/sycsite/records.go
+++ b/internal/standin/sycsite/records.go
@@ -11,7 +11,7 @@
 	list := s.customerRecords()
 	list = append(list,
 		Record{sycrecord.KindRoute, "chat", sycrecord.RouteFields{Prefix: "/", Type: sycrecord.RouteModel}},
-		Record{sycrecord.KindRoute, "booking", sycrecord.RouteFields{Prefix: BookPath, Type: sycrecord.RouteService, Service: "booking"}},
+		Record{sycrecord.KindRoute, "booking", sycrecord.RouteFields{Prefix: bookPrefix, Type: sycrecord.RouteService, Service: "booking"}},
 		Record{sycrecord.KindVersion, "first", sycrecord.VersionFields{Model: Model, Weights: "w1", Initial: true}},
 	)
 	list = append(list, s.endpointRecords()...)
--- a/internal/standin/sycsite/site.go
+++ b/internal/standin/sycsite/site.go
@@ -29,7 +29,8 @@
 	// Model is the model that every engine serves.
 	Model = "chat"
 	// BookPath is the path of the booking service, whose calls may not be repeated.
-	BookPath = "/book"
+	BookPath   = "/bookings/book"
+	bookPrefix = "/bookings"
 	// startTimeout bounds the wait for a VM to be ready.
 	startTimeout = 10 * time.Second
 )
@@ -337,3 +338,6 @@
 	}
 	return list
 }
+
+// Workload is the deployment that the site runs.
+func (s *Site) Workload() sycload.Workload { return s.options.Workload }
