--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,17 @@
 	pageRecords = 512
 	maxPause    = 2 * time.Second
 	firstPause  = 50 * time.Millisecond
+	// graceReads is the number of failed reads of the log after which a VM
+	// serves from a snapshot of the log without having read to its end.
+	graceReads = 2
+)
+
+// origin tells where a snapshot came from.
+type origin int
+
+const (
+	fromPeers origin = iota
+	fromArchive
 )
 
 // follower keeps the replica of one stream.
@@ -24,13 +36,24 @@
 	ready  atomic.Bool
 	// proven is the start of the last proof on the loop's clock, -1 for none.
 	proven atomic.Int64
-	// behind is set while the log ends before the state: it was replaced or
-	// truncated.
-	behind atomic.Bool
+	// behind is set while the log ends before the state, diverged while the log
+	// holds another record where the state's last one was: the log was replaced.
+	behind   atomic.Bool
+	diverged atomic.Bool
+	// gap is set while a source no longer keeps the next record.
+	gap atomic.Bool
+	// failures counts the reads of the log that failed since the last good one.
+	failures atomic.Int64
+	// oldest is the log's time of the first record of the stream, in Unix
+	// nanoseconds; 0 unless this VM folded that record.
+	oldest atomic.Int64
+	served served
 
 	// The control loop owns the fields below.
 	replica *sycconfig.Replica
 	waiting map[string]chan sycconfig.Result
+	// archived is set when the state came from the log's snapshots.
+	archived bool
 }
 
 func newFollower(s *Store, stream string) *follower {
@@ -45,9 +68,6 @@
 	return f
 }
 
-// context ends with the store.
-func (f *follower) context() context.Context { return f.store.tomb.Context(nil) }
-
 // proof returns the age of the last proof of being at the log's end.
 func (f *follower) proof() (time.Duration, bool) {
 	start := f.proven.Load()
@@ -57,41 +77,90 @@
 	return f.store.options.Loop.Now() - time.Duration(start), true
 }
 
+// oldestRecord returns when the log took the first record of the stream.
+func (f *follower) oldestRecord() (time.Time, bool) {
+	at := f.oldest.Load()
+	return time.Unix(0, at), at != 0
+}
+
 // followLog reads the log until the store closes.
 func (f *follower) followLog() error {
-	failures := 0
+	verified := false
 	for f.store.tomb.Alive() {
-		pause, ok := f.readLog()
-		if ok {
-			failures = 0
-		} else {
-			failures++
-			pause += syclog.Jitter(firstPause, maxPause, failures)
+		if !verified {
+			verified = f.verify()
 		}
-		f.sleep(pause)
+		if !verified || !f.readLog() {
+			verified = false
+			failures := f.failures.Add(1)
+			logFaults.Inc()
+			f.serveArchived()
+			f.store.sleep(syclog.Jitter(firstPause, maxPause, int(failures)))
+			continue
+		}
+		f.failures.Store(0)
 	}
 	return nil
 }
 
-// readLog makes one read. It reports whether the read helped, and the least
-// pause before the next.
-func (f *follower) readLog() (pause time.Duration, ok bool) {
+// verify checks after a failure that the log still holds the last record that
+// was folded: a log that was replaced must not be folded on top.
+func (f *follower) verify() bool {
+	state := f.state.Load()
+	id, ok := state.LastID()
+	if !ok {
+		return true
+	}
+	page, err := f.store.options.Log.Read(f.store.context(), f.stream, state.Next()-1, 1, 0)
+	if err != nil {
+		return false
+	}
+	if f.endsBefore(page, state.Next()) {
+		return false
+	}
+	if len(page.Records) == 0 || page.Records[0].Offset != state.Next()-1 {
+		// The log has forgotten the record.
+		return true
+	}
+	var op struct {
+		ID string `json:"id"`
+	}
+	err = json.Unmarshal(page.Records[0].Data, &op)
+	diverged := err != nil || op.ID != id
+	if f.diverged.Swap(diverged) != diverged && diverged {
+		log.Errorf("log stream %s holds another record at %d: keeping the state", f.stream, state.Next()-1)
+	}
+	return !diverged
+}
+
+// endsBefore notes whether the log ends before an offset.
+func (f *follower) endsBefore(page syclog.Page, next uint64) bool {
+	behind := page.Next < next
+	if f.behind.Swap(behind) != behind && behind {
+		log.Errorf("log stream %s ends at %d, applied %d: keeping the state", f.stream, page.Next, next)
+	}
+	return behind
+}
+
+// readLog makes one read and reports whether it helped.
+func (f *follower) readLog() bool {
 	o := f.store.options
 	start := o.Loop.Now()
 	from := f.state.Load().Next()
-	page, err := o.Log.Read(f.context(), f.stream, from, pageRecords, o.Wait)
+	page, err := o.Log.Read(f.store.context(), f.stream, from, pageRecords, o.Wait)
 	if err != nil {
-		f.store.log.Debugf("state: reading %s failed: %v", f.stream, err)
-		return 0, false
+		log.Debugf("reading %s failed: %v", f.stream, err)
+		return false
 	}
-	if f.behind.Swap(page.Next < from) != (page.Next < from) {
-		f.store.log.Warnf("state: log stream %s ends at %d, applied %d", f.stream, page.Next, from)
+	if f.endsBefore(page, from) {
+		return false
 	}
-	if page.Next < from || page.First > from {
-		return 0, false
+	f.gap.Store(page.First > from)
+	if page.First > from {
+		return false
 	}
 	f.offer(batch{records: fromLog(page.Records), next: page.Next, start: start, proves: true})
-	return 0, len(page.Records) > 0 || o.Loop.Now()-start >= o.Wait/2
+	return len(page.Records) > 0 || o.Loop.Now()-start >= o.Wait/2
 }
 
 // batch is the answer of the log or a peer.
@@ -107,10 +176,14 @@
 // offer folds a batch on the loop and publishes the state.
 func (f *follower) offer(b batch) {
 	f.store.options.Loop.Do(func(now time.Duration) {
+		if len(b.records) > 0 && b.records[0].Offset() == 0 && f.replica.State().Next() == 0 {
+			f.oldest.Store(b.records[0].Time().UnixNano())
+		}
 		results := f.replica.Offer(b.records)
 		if b.proves {
 			f.replica.Prove(b.start, b.next)
 		}
+		count(results)
 		f.state.Store(f.replica.State())
 		// Results go out before the proof: whoever sees the proof has the results.
 		f.answer(results)
@@ -140,33 +213,80 @@
 	}
 }
 
-// followPeers asks peers while the log is silent.
+// install replaces the state by a snapshot that is ahead of it. A snapshot of a
+// peer is fit to serve from; one of the log may lack the newest records.
+func (f *follower) install(state *sycconfig.State, from origin) {
+	f.store.options.Loop.Do(func(now time.Duration) {
+		changed := f.replica.Install(state)
+		if changed {
+			installs.Inc()
+			f.gap.Store(false)
+			f.archived = from == fromArchive
+			f.state.Store(f.replica.State())
+			log.Infof("took a snapshot of %s at %d", f.stream, state.Next())
+		}
+		becameReady := from == fromPeers && !f.ready.Swap(true)
+		if changed || becameReady {
+			f.store.notify(now)
+		}
+	})
+}
+
+// serveArchived makes a state from the log's snapshots fit to serve from when
+// the log has failed before its end was read.
+func (f *follower) serveArchived() {
+	if f.ready.Load() || f.failures.Load() < graceReads {
+		return
+	}
+	f.store.options.Loop.Do(func(now time.Duration) {
+		if f.archived && !f.ready.Swap(true) {
+			f.store.notify(now)
+		}
+	})
+}
+
+// followPeers asks peers until the VM is ready and whenever the log is silent.
 func (f *follower) followPeers() error {
+	poll := f.store.options.PeerPoll
 	for f.store.tomb.Alive() {
-		if f.stale() {
-			f.readPeer()
-		}
-		f.sleep(f.store.options.PeerPoll/2 + syclog.Jitter(f.store.options.PeerPoll, f.store.options.PeerPoll, 1))
+		f.askPeers()
+		f.store.sleep(poll/2 + syclog.Jitter(poll, poll, 1))
 	}
 	return nil
 }
 
-// stale reports whether the log has not been heard for longer than a held read
-// and a peer's answer take.
+func (f *follower) askPeers() {
+	ctx, cancel := context.WithTimeout(f.store.context(), f.store.options.Wait)
+	defer cancel()
+	if !f.ready.Load() || f.gap.Load() {
+		if err := f.fetchSnapshot(ctx); err != nil {
+			log.Debugf("asking peers for a snapshot of %s failed: %v", f.stream, err)
+		}
+	}
+	if f.stale() {
+		f.readPeer(ctx)
+	}
+}
+
+// stale reports whether the log failed, or has not been heard for longer than a
+// held read and a peer's answer take.
 func (f *follower) stale() bool {
 	age, ok := f.proof()
-	return !ok || age > f.store.options.Wait+f.store.options.PeerPoll
+	return f.failures.Load() > 0 || !ok || age > f.store.options.Wait+f.store.options.PeerPoll
 }
 
-func (f *follower) readPeer() {
+func (f *follower) readPeer(ctx context.Context) {
+	peerReads.Inc()
 	start := f.store.options.Loop.Now()
-	ctx, cancel := context.WithTimeout(f.context(), f.store.options.Wait)
-	defer cancel()
-	reply, err := f.store.options.Peers.Records(ctx, f.stream, f.state.Load().Next(), pageRecords)
+	from := f.state.Load().Next()
+	reply, err := f.store.options.Peers.Records(ctx, f.stream, from, pageRecords)
 	if err != nil {
-		f.store.log.Debugf("state: asking a peer for %s failed: %v", f.stream, err)
+		log.Debugf("asking peers for %s failed: %v", f.stream, err)
 		return
 	}
+	if reply.First > from {
+		f.gap.Store(true)
+	}
 	f.offer(batch{
 		records: fromPeer(reply.Records),
 		next:    reply.Next,
@@ -174,12 +294,3 @@
 		proves:  reply.ProofAgeNano >= 0,
 	})
 }
-
-func (f *follower) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.store.tomb.Dying():
-	}
-}
--- a/internal/operate/sycstate/propose.go
+++ b/internal/operate/sycstate/propose.go
@@ -70,6 +70,11 @@
 		if waitErr != nil {
 			return sycconfig.Result{}, &OutcomeError{Stream: f.stream, ID: entry.ID, Err: errors.Join(waitErr, err)}
 		}
+		var repeated *sycconfig.RepeatedError
+		if errors.As(result.Err(), &repeated) {
+			// A snapshot passed over the operation's own first copy.
+			return sycconfig.Result{}, &OutcomeError{Stream: f.stream, ID: entry.ID, Err: repeated}
+		}
 		if seen {
 			return result, nil
 		}
--- /dev/null
+++ b/internal/operate/sycstate/rig_test.go
@@ -0,0 +1,150 @@
+package sycstate_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+var errCut = errors.New("cut off")
+
+// network carries a VM's calls to the log unless it is cut.
+type network struct {
+	cut  atomic.Bool
+	next http.Transport
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	if n.cut.Load() {
+		return nil, errCut
+	}
+	return n.next.RoundTrip(r)
+}
+
+// peers reaches the other stores of a test directly.
+type peers struct {
+	stores atomic.Pointer[[]*sycstate.Store]
+	turn   atomic.Uint64
+}
+
+func (p *peers) pick() (*sycstate.Store, error) {
+	stores := p.stores.Load()
+	if stores == nil || len(*stores) == 0 {
+		return nil, errCut
+	}
+	return (*stores)[p.turn.Add(1)%uint64(len(*stores))], nil
+}
+
+func (p *peers) Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error) {
+	store, err := p.pick()
+	if err != nil {
+		return nil, err
+	}
+	return store.Records(ctx, &sycpeerpb.RecordsRequest{Stream: stream, From: from, Max: limit})
+}
+
+func (p *peers) Snapshot(ctx context.Context, stream string) (uint64, []byte, error) {
+	store, err := p.pick()
+	if err != nil {
+		return 0, nil, err
+	}
+	var data []byte
+	request := &sycpeerpb.SnapshotRequest{Stream: stream}
+	for {
+		reply, err := store.Snapshot(ctx, request)
+		if err != nil {
+			return 0, nil, err
+		}
+		data = append(data, reply.Data...)
+		if reply.Chunk+1 == reply.Chunks {
+			return reply.Offset, data, nil
+		}
+		request.Offset = reply.Offset
+		request.Chunk = reply.Chunk + 1
+	}
+}
+
+// vm is a store with its own loop and network.
+type vm struct {
+	store   *sycstate.Store
+	network *network
+	peers   *peers
+}
+
+// start runs a store; address is the log's.
+func start(t testing.TB, address string, cut bool, known ...*vm) *vm {
+	t.Helper()
+	v := &vm{network: &network{}, peers: &peers{}}
+	v.network.cut.Store(cut)
+	v.know(known...)
+	loop := sycloop.New()
+	v.store = sycstate.New(sycstate.Options{
+		Loop:      loop,
+		Log:       syclog.New(syclog.Options{Address: address, Transport: v.network}),
+		Peers:     v.peers,
+		Self:      fmt.Sprintf("vm-%p", v),
+		Wait:      200 * time.Millisecond,
+		PeerPoll:  20 * time.Millisecond,
+		Retention: 2 * time.Second,
+	})
+	t.Cleanup(func() {
+		must.NoError(t, v.store.Close())
+		must.NoError(t, loop.Close())
+		v.network.next.CloseIdleConnections()
+	})
+	return v
+}
+
+func (v *vm) know(known ...*vm) {
+	var stores []*sycstate.Store
+	for _, other := range known {
+		stores = append(stores, other.store)
+	}
+	v.peers.stores.Store(&stores)
+}
+
+func platform(t testing.TB, o sycplatform.Options) *sycplatform.Platform {
+	t.Helper()
+	p, err := sycplatform.New(o)
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, p.Close()) })
+	return p
+}
+
+// eventually waits for a condition that faults may delay.
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(
+		wait.BoolFunc(f),
+		wait.Timeout(20*time.Second),
+		wait.Gap(5*time.Millisecond),
+	), must.Sprint(what))
+}
+
+func customer(t testing.TB, name string, rate float64) sycrecord.Operation {
+	t.Helper()
+	spec, err := json.Marshal(sycrecord.CustomerFields{Rate: rate, Burst: 1})
+	must.NoError(t, err)
+	return sycrecord.Operation{Verb: sycrecord.Put, Kind: sycrecord.KindCustomer, Name: name, Spec: spec}
+}
+
+func (v *vm) has(name string, rate float64) func() bool {
+	return func() bool {
+		c, ok := v.store.Config().Customer(name)
+		return ok && c.Value().Rate() == rate
+	}
+}
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -10,18 +10,20 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 )
 
+var log = syclogging.New("state")
+
 // Streams that a store follows.
 const (
-	ConfigStream = "config"
-	SystemStream = "system"
+	ConfigStream = sycconfig.ConfigStream
+	SystemStream = sycconfig.SystemStream
 )
 
 // Peers reaches other VMs.
@@ -68,20 +70,20 @@
 	tomb    tomb.Tomb
 	config  *follower
 	system  *follower
-	log     *logrus.Logger
 
 	// mutex guards listeners, which only grows.
 	mutex     sync.Mutex
 	listeners []func(now time.Duration)
 }
 
-// New starts following both streams.
+// New starts following both streams. Close ends it.
 func New(o Options) *Store {
 	o.Defaults()
-	s := &Store{options: o, log: logrus.StandardLogger()}
+	s := &Store{options: o}
 	s.config = newFollower(s, ConfigStream)
 	s.system = newFollower(s, SystemStream)
-	for _, f := range []*follower{s.config, s.system} {
+	s.tomb.Go(newArchive(s).run)
+	for _, f := range s.followers() {
 		s.tomb.Go(f.followLog)
 		if o.Peers != nil {
 			s.tomb.Go(f.followPeers)
@@ -150,6 +152,20 @@
 	return list
 }
 
+func (s *Store) followers() []*follower { return []*follower{s.config, s.system} }
+
+// context ends with the store.
+func (s *Store) context() context.Context { return s.tomb.Context(nil) }
+
+func (s *Store) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.tomb.Dying():
+	}
+}
+
 func (s *Store) follower(stream string) *follower {
 	switch stream {
 	case ConfigStream:
--- /dev/null
+++ b/internal/operate/sycstate/store_test.go
@@ -0,0 +1,198 @@
+package sycstate_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+func TestRacingProposalsHaveOneWinner(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	vms := []*vm{start(t, p.URL(), false), start(t, p.URL(), false), start(t, p.URL(), false)}
+	results := make([]sycconfig.Result, len(vms))
+	var group sync.WaitGroup
+	for i, v := range vms {
+		group.Go(func() {
+			op := customer(t, "c", float64(i+1))
+			op.Expect = new(uint64)
+			result, err := v.store.Propose(t.Context(), sycstate.ConfigStream, op)
+			must.NoError(t, err)
+			results[i] = result
+		})
+	}
+	group.Wait()
+	winners := 0
+	for i, result := range results {
+		var lost *sycconfig.GenerationError
+		if result.Accepted() {
+			winners++
+			for _, v := range vms {
+				eventually(t, "the winner holds everywhere", v.has("c", float64(i+1)))
+			}
+			continue
+		}
+		must.True(t, errors.As(result.Err(), &lost))
+	}
+	must.EqOp(t, 1, winners)
+}
+
+func TestLostAnswerAppendsOnce(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	v := start(t, p.URL(), false)
+	eventually(t, "ready", v.store.Ready)
+	p.SetFaults(sycplatform.Faults{LoseAppends: 1})
+	result, err := v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
+	must.NoError(t, err)
+	must.True(t, result.Accepted())
+	must.SliceLen(t, 1, p.Records(sycstate.ConfigStream))
+}
+
+func TestRecordsReachVMsThatTheLogDoesNot(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	a := start(t, p.URL(), false)
+	b := start(t, p.URL(), false, a)
+	// c hears of a through b only.
+	c := start(t, p.URL(), true, b)
+	eventually(t, "all ready", func() bool { return a.store.Ready() && b.store.Ready() && c.store.Ready() })
+	b.network.cut.Store(true)
+	_, err := a.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
+	must.NoError(t, err)
+	eventually(t, "one hop", b.has("c", 1))
+	eventually(t, "two hops", c.has("c", 1))
+	age, ok := c.store.Proof(sycstate.ConfigStream)
+	must.True(t, ok)
+	must.Positive(t, age)
+}
+
+func TestOutageRefusesAndLosesNothing(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	v := start(t, p.URL(), false)
+	_, err := v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
+	must.NoError(t, err)
+	p.SetFaults(sycplatform.Faults{Log: sycplatform.Fault{Out: true}})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = v.store.Propose(ctx, sycstate.ConfigStream, customer(t, "c", 2))
+	must.Error(t, err)
+	must.True(t, v.store.Ready())
+	must.True(t, v.has("c", 1)())
+	p.SetFaults(sycplatform.Faults{})
+	_, err = v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 3))
+	must.NoError(t, err)
+	must.True(t, v.has("c", 3)())
+}
+
+func TestStartsFromAnySource(t *testing.T) {
+	cases := []struct {
+		name string
+		// keep is the number of records that the log keeps, 0 for all.
+		keep int
+		// cut cuts the starting VM off from the log.
+		cut   bool
+		peers bool
+	}{
+		{"log alone", 0, false, false},
+		{"peers alone", 0, true, true},
+		{"peers alone, log forgot", 3, true, true},
+		{"log forgot, peers have it", 3, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := platform(t, sycplatform.Options{RetainCount: c.keep})
+			old := start(t, p.URL(), false)
+			for i := range 10 {
+				_, err := old.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, fmt.Sprint(i), 1))
+				must.NoError(t, err)
+			}
+			var known []*vm
+			if c.peers {
+				known = append(known, old)
+			}
+			young := start(t, p.URL(), c.cut, known...)
+			eventually(t, "ready", young.store.Ready)
+			eventually(t, "caught up", func() bool { return young.store.Config().Next() == 10 })
+			must.Eq(t, encode(t, old), encode(t, young))
+		})
+	}
+}
+
+func encode(t *testing.T, v *vm) []byte {
+	t.Helper()
+	data, err := v.store.Config().Encode()
+	must.NoError(t, err)
+	return data
+}
+
+// TestSnapshotsOutliveTheRetention starts a VM without peers after the log has
+// forgotten all config records.
+func TestSnapshotsOutliveTheRetention(t *testing.T) {
+	p := platform(t, sycplatform.Options{RetainAge: 2 * time.Second})
+	writers := []*vm{start(t, p.URL(), false), start(t, p.URL(), false)}
+	_, err := writers[0].store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
+	must.NoError(t, err)
+	eventually(t, "the record is forgotten", func() bool { return len(p.Records(sycstate.ConfigStream)) == 0 })
+	young := start(t, p.URL(), false)
+	eventually(t, "ready", young.store.Ready)
+	must.True(t, young.has("c", 1)())
+}
+
+// TestReplacedLogDoesNotRevert puts another log behind the same address.
+func TestReplacedLogDoesNotRevert(t *testing.T) {
+	cases := []struct {
+		name    string
+		records int
+	}{
+		{"shorter", 1},
+		{"longer", 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			first := platform(t, sycplatform.Options{})
+			v := start(t, first.URL(), false)
+			for i := range 3 {
+				_, err := v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, fmt.Sprint(i), 1))
+				must.NoError(t, err)
+			}
+			address := first.Address()
+			must.NoError(t, first.Close())
+			second := platform(t, sycplatform.Options{Address: address})
+			writer := start(t, second.URL(), false)
+			for i := range c.records {
+				_, err := writer.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, fmt.Sprint("other", i), 1))
+				must.NoError(t, err)
+			}
+			eventually(t, "reported", func() bool {
+				status := v.store.Status()[0]
+				return status.LogEndsBefore || status.LogDiffers
+			})
+			must.EqOp(t, uint64(3), v.store.Config().Next())
+			must.True(t, v.has("2", 1)())
+			must.False(t, v.has("other0", 1)())
+		})
+	}
+}
+
+func TestListenersHearOfEachChange(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	v := start(t, p.URL(), false)
+	seen := make(chan uint64, 16)
+	v.store.OnChange(func(time.Duration) { seen <- v.store.Config().Next() })
+	_, err := v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
+	must.NoError(t, err)
+	for next := range seen {
+		if next == 1 {
+			break
+		}
+	}
+	results := v.store.Results(sycstate.ConfigStream, 0)
+	must.SliceLen(t, 1, results)
+	must.True(t, results[0].Accepted())
+}
