Tell other VMs of prefills under way; trust first tokens and imports sooner

Cause: VMs computed the same cold prefix side by side, and a computed prefix could be imported only after its event. Change: digests carry marks of prefills under way (peer.proto: Computing) and urgent digests follow the start of a long one; a first token confirms the prompt's blocks; slow imports raise the import cost only slowly; waiting for a prefill must save at least half the wait.

--- a/internal/decide/sycdispatch/attempt.go
+++ b/internal/decide/sycdispatch/attempt.go
@@ -15,8 +15,11 @@
 	mostImportPerBlock  = 20 * time.Millisecond
 	// importOverhead is the time that an import takes apart from its blocks.
 	importOverhead = 3 * time.Millisecond
-	// importStep is the weight of a new observation of an import.
-	importStep = 0.2
+	// importStep is the weight of an observation of an import that was faster
+	// than expected, importStepUp of a slower one, which may have waited for
+	// requests of other VMs.
+	importStep   = 0.2
+	importStepUp = 0.02
 	// slowFactor and slowFloor say when a first token counts as slow, compared
 	// with what all endpoints together would have needed.
 	slowFactor = 4
@@ -80,7 +83,9 @@
 	if a.request.Model == "" {
 		return
 	}
+	// The engine has just stored the prompt's blocks.
 	e.cache.Predict(now, a.option.Chain)
+	e.cache.Confirm(now, e.cache.Incarnation(), a.option.Chain)
 	d.keep(now, a)
 	event := sychealth.Success
 	if took > slowFactor*d.typical.Estimate().FirstToken(a.computed)+slowFloor {
@@ -99,7 +104,11 @@
 	rest := took - e.network - importOverhead - e.speed.Estimate().FirstToken(a.computed)
 	seen := rest / time.Duration(a.imported)
 	seen = min(max(seen, leastImportPerBlock), mostImportPerBlock)
-	e.importPerBlock += time.Duration(importStep * float64(seen-e.importPerBlock))
+	step := importStep
+	if seen > e.importPerBlock {
+		step = importStepUp
+	}
+	e.importPerBlock += time.Duration(step * float64(seen-e.importPerBlock))
 }
 
 // learn compares what was expected of an attempt with its result.
--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -51,6 +51,8 @@
 	field field
 	out   []Decision
 	keeps []Keep
+	// urgent is set by the start of a long prefill.
+	urgent bool
 }
 
 // waiting is a request in a queue.
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -62,6 +62,8 @@
 	attempts []*attempt
 	// peers is the load that other VMs told of.
 	peers load
+	// coming holds blocks that other VMs' requests are computing.
+	coming map[uint64]coming
 	// known is the load of this VM and its peers over time.
 	known history[load]
 	// unknown is the part of the last report that known did not explain.
--- a/internal/decide/sycdispatch/field.go
+++ b/internal/decide/sycdispatch/field.go
@@ -125,7 +125,7 @@
 		c.Replace = speed.Prefill(sycblock.TokensPerBlock)
 	}
 	c.Room, c.RoomWait = e.room(now, l, speed, part)
-	c.Coming, c.ComingWait = e.coming(now, o.Chain, m.Depth)
+	c.Coming, c.ComingWait = e.comingAt(now, o.Chain, m.Depth)
 	return c
 }
 
@@ -170,24 +170,6 @@
 	return ownPart < part && backlog <= 2*mostBacklog
 }
 
-// coming looks for a prefill under way that covers more of the chain than the
-// cache does, and estimates when it ends.
-func (e *endpoint) coming(now time.Duration, chain []uint64, depth int) (int, time.Duration) {
-	most, wait := depth, time.Duration(0)
-	for _, a := range e.attempts {
-		if a.prefilled || len(a.option.Chain) <= most || len(chain) <= most {
-			continue
-		}
-		if n := common(a.option.Chain, chain); n > most {
-			most, wait = n, a.remainingTime(now)
-		}
-	}
-	if most == depth {
-		return 0, 0
-	}
-	return most, wait
-}
-
 // common is the number of leading blocks that two chains share. A chain's hash
 // covers all blocks before it, so that bisection finds the end.
 func common(a, b []uint64) int {
--- a/internal/decide/sycdispatch/place.go
+++ b/internal/decide/sycdispatch/place.go
@@ -178,6 +178,7 @@
 	e.attempts = append(e.attempts, a)
 	e.note(now)
 	d.running[r.ID] = a
+	d.urgent = d.urgent || a.missing >= tokens(urgentBlocks)
 	d.hot.Count(now, o.Chain)
 	d.out = append(d.out, Decision{
 		ID:             r.ID,
--- a/internal/decide/sycdispatch/share.go
+++ b/internal/decide/sycdispatch/share.go
@@ -25,6 +25,8 @@
 	Endpoint string
 	Requests int
 	Prefill  int
+	// Computing lists the longer prefills under way.
+	Computing []Computing
 }
 
 // PoolService is the service of a customer in a pool at a VM.
@@ -51,9 +53,10 @@
 	for _, e := range d.order {
 		if l := e.own(now); l.requests > 0 {
 			out.Loads = append(out.Loads, EndpointLoad{
-				Endpoint: e.record.Name(),
-				Requests: l.requests,
-				Prefill:  l.prefill,
+				Endpoint:  e.record.Name(),
+				Requests:  l.requests,
+				Prefill:   l.prefill,
+				Computing: e.computing(now),
 			})
 		}
 	}
@@ -115,6 +118,7 @@
 			sums[l.Endpoint] = sums[l.Endpoint].plus(load{requests: l.Requests, prefill: l.Prefill})
 		}
 	}
+	d.sumComputing()
 	for _, e := range d.order {
 		if sum := sums[e.record.Name()]; sum != e.peers {
 			e.peers = sum
@@ -123,6 +127,27 @@
 	}
 }
 
+func (d *Dispatcher[P]) sumComputing() {
+	for _, e := range d.order {
+		e.coming = map[uint64]coming{}
+	}
+	for _, p := range d.peers {
+		for _, l := range p.digest.Loads {
+			if e := d.endpoints[l.Endpoint]; e != nil {
+				e.learnComputing(p.at, l.Computing)
+			}
+		}
+	}
+}
+
+// Urgent reports whether the VM's load has changed so much since the last call
+// that the others should be told at once.
+func (d *Dispatcher[P]) Urgent() bool {
+	urgent := d.urgent
+	d.urgent = false
+	return urgent
+}
+
 // entitlement is the part of a pool's endpoints that this VM's waiting
 // requests may claim: the fair share of each waiting customer, divided over
 // the VMs by the customer's waiting work.
--- a/internal/decide/sycroute/prefix.go
+++ b/internal/decide/sycroute/prefix.go
@@ -16,6 +16,8 @@
 	// comingMargin is the multiple of the best immediate time that waiting for
 	// a prefill of the same blocks may take.
 	comingMargin = 1.25
+	// comingPart is the part of such a wait that must be saved in prefill.
+	comingPart = 0.5
 	// slackPart and slackFloor say which predictions count as equal.
 	slackPart  = 0.1
 	slackFloor = 3 * time.Millisecond
@@ -116,7 +118,8 @@
 	if !c.Room {
 		s.time += c.RoomWait
 	}
-	if float64(c.Coming) >= s.held+1 {
+	saved := c.Speed.Prefill((float64(c.Coming) - s.held) * sycblock.TokensPerBlock)
+	if float64(saved) > comingPart*float64(c.ComingWait) {
 		s.later = c.ComingWait + c.predict(float64(c.Coming))
 	}
 	return s
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -52,6 +52,8 @@
 	waiting    map[uint64]chan sycdispatch.Decision
 	gauges     *gauges
 	keeps      chan sycdispatch.Keep
+	// urgent has a token while other VMs should be told of this VM's load.
+	urgent chan struct{}
 }
 
 // New returns a chooser that decides on the loop.
@@ -62,6 +64,7 @@
 		versions: o.Versions,
 		waiting:  map[uint64]chan sycdispatch.Decision{},
 		gauges:   newGauges(),
+		urgent:   make(chan struct{}, 1),
 		keeps:    make(chan sycdispatch.Keep, keepsWaiting),
 	}
 	if c.versions == nil {
@@ -151,6 +154,12 @@
 			answer <- d
 		}
 	}
+	if c.dispatcher.Urgent() {
+		select {
+		case c.urgent <- struct{}{}:
+		default:
+		}
+	}
 	for _, k := range c.dispatcher.TakeKeeps() {
 		select {
 		case c.keeps <- k:
--- a/internal/traffic/sycchoose/machine.go
+++ b/internal/traffic/sycchoose/machine.go
@@ -22,6 +22,7 @@
 	RoundTrip(name string, took time.Duration)
 	Unreachable(now time.Duration, name string)
 	Silent(now time.Duration, name string)
+	Urgent() bool
 	TakeKeeps() []sycdispatch.Keep
 	Kept(now time.Duration, name, incarnation string, blocks []uint64)
 	Stats() sycdispatch.Stats
--- a/internal/traffic/sycchoose/share.go
+++ b/internal/traffic/sycchoose/share.go
@@ -18,6 +18,7 @@
 			Endpoint:      l.Endpoint,
 			InFlight:      int64(l.Requests),
 			PrefillTokens: int64(l.Prefill),
+			Computing:     computingOut(l.Computing),
 		})
 	}
 	services := make([]*sycpeerpb.CustomerService, 0, len(digest.Services))
@@ -32,15 +33,19 @@
 	return loads, services
 }
 
+// Urgent yields when the others should be told before the next regular time.
+func (c *Chooser) Urgent() <-chan struct{} { return c.urgent }
+
 // ShareIn takes what another VM of the failure domain told. from names that
 // VM's process and changes when it restarts. It must be called on the loop.
 func (c *Chooser) ShareIn(now time.Duration, from string, loads []*sycpeerpb.EndpointLoad, services []*sycpeerpb.CustomerService) {
 	var digest sycdispatch.Digest
 	for _, l := range loads {
 		digest.Loads = append(digest.Loads, sycdispatch.EndpointLoad{
-			Endpoint: l.GetEndpoint(),
-			Requests: int(max(l.GetInFlight(), 0)),
-			Prefill:  int(max(l.GetPrefillTokens(), 0)),
+			Endpoint:  l.GetEndpoint(),
+			Requests:  int(max(l.GetInFlight(), 0)),
+			Prefill:   int(max(l.GetPrefillTokens(), 0)),
+			Computing: computingIn(l.GetComputing()),
 		})
 	}
 	for _, s := range services {
@@ -55,3 +60,19 @@
 	}
 	c.act(now, func(d machine) { d.ShareIn(now, from, digest) })
 }
+
+func computingOut(list []sycdispatch.Computing) []*sycpeerpb.Computing {
+	out := make([]*sycpeerpb.Computing, 0, len(list))
+	for _, c := range list {
+		out = append(out, &sycpeerpb.Computing{Marks: c.Marks, LeftNano: int64(c.Left)})
+	}
+	return out
+}
+
+func computingIn(list []*sycpeerpb.Computing) []sycdispatch.Computing {
+	in := make([]sycdispatch.Computing, 0, len(list))
+	for _, c := range list {
+		in = append(in, sycdispatch.Computing{Marks: c.GetMarks(), Left: time.Duration(c.GetLeftNano())})
+	}
+	return in
+}
