--- a/internal/traffic/sycchoose/choose_test.go
+++ b/internal/traffic/sycchoose/choose_test.go
@@ -15,7 +15,7 @@
 )
 
 // state folds records of the form kind, name, spec.
-func state(t *testing.T, records ...[3]string) *sycconfig.State {
+func state(t testing.TB, records ...[3]string) *sycconfig.State {
 	t.Helper()
 	s := sycconfig.NewState()
 	for i, r := range records {
