--- /dev/null
+++ b/internal/peer/sycmesh/share.go
@@ -0,0 +1,59 @@
+package sycmesh
+
+import (
+	"context"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+)
+
+// Peers returns the VMs that answer, without this one. It must not be called
+// on the control loop.
+func (m *Mesh) Peers() []*sycpeerpb.Vm {
+	var list []*sycpeerpb.Vm
+	m.options.Loop.Do(func(now time.Duration) {
+		for _, member := range m.roster.Live(now) {
+			list = append(list, encode(member.VM()))
+		}
+	})
+	return list
+}
+
+// share sends a digest to every VM that this one introduces itself to and that
+// answers.
+func (m *Mesh) share(ctx context.Context) {
+	targets := m.Peers()
+	if len(targets) == 0 {
+		return
+	}
+	m.sequence++
+	near := m.digest(true)
+	far := m.digest(false)
+	addresses := make([]string, 0, len(targets))
+	same := map[string]bool{}
+	for _, vm := range targets {
+		addresses = append(addresses, vm.GetAddress())
+		same[vm.GetAddress()] = vm.GetFailureDomain() == m.options.Self.FailureDomain
+	}
+	m.fan(addresses, func(address string) {
+		request := far
+		if same[address] {
+			request = near
+		}
+		if _, err := m.options.Client.Share(ctx, address, request); err != nil {
+			log.Debugf("VM %s took no digest: %v", address, err)
+		}
+	})
+}
+
+func (m *Mesh) digest(same bool) *sycpeerpb.ShareRequest {
+	request := &sycpeerpb.ShareRequest{From: encode(m.options.Self), Sequence: m.sequence}
+	m.options.Digests.ShareOut(same, request)
+	return request
+}
+
+// Share takes a digest in.
+func (m *Mesh) Share(_ context.Context, in *sycpeerpb.ShareRequest) (*sycpeerpb.ShareReply, error) {
+	m.options.Digests.ShareIn(in)
+	return &sycpeerpb.ShareReply{Vm: encode(m.options.Self)}, nil
+}
