--- a/internal/traffic/sycgateway/stream_test.go
+++ b/internal/traffic/sycgateway/stream_test.go
@@ -162,7 +162,9 @@
 				p.proxy.Set(sycfault.Fault{Stall: true})
 			}
 		}},
-		{"delay", 3, func(p *pair, _ int) { p.proxy.Set(sycfault.Fault{Latency: 20 * time.Millisecond, Jitter: 5 * time.Millisecond}) }, nil},
+		{"delay", 3, func(p *pair, _ int) {
+			p.proxy.Set(sycfault.Fault{Latency: 20 * time.Millisecond, Jitter: 5 * time.Millisecond})
+		}, nil},
 		{"crossed answer", 5, func(p *pair, _ int) { p.first.SetFaults(sycengine.Faults{Cross: 1}) }, nil},
 		{"no answer", 1, func(p *pair, _ int) { p.first.SetFaults(hang) }, nil},
 		{"refusal", 5, func(p *pair, _ int) { p.first.SetFaults(sycengine.Faults{Refuse: true}) }, nil},
