Share evidence between VMs, and hold a canary until it was seen

Cause: each VM saw an eighth of the evidence, and a canary without a single request went on after its bake time; a bad version also took whole endpoints out of service. Ruled out: a higher canary share, which only exposes more requests. Change: sycvm joins the mesh, so that evidence and vetoes reach all VMs; a stage waits for 30 requests as long as later stages can still bake; how a version under rollout fares no longer bears on its endpoints' health.

--- a/internal/decide/sycdispatch/attempt.go
+++ b/internal/decide/sycdispatch/attempt.go
@@ -91,7 +91,9 @@
 	if took > slowFactor*d.typical.Estimate().FirstToken(a.computed)+slowFloor {
 		event = sychealth.Slow
 	}
-	e.health.Observe(now, event)
+	if !d.trial(a) {
+		e.health.Observe(now, event)
+	}
 	if a.imported > 0 {
 		e.measureImport(a, took)
 		return
@@ -134,15 +136,28 @@
 	d.outputs.observe(a.request.Customer, r.OutputTokens)
 }
 
+// trial reports whether an attempt runs on a version that serves the smaller
+// part of its model. How such an attempt ends is evidence about the version and
+// says little of the endpoint.
+func (d *Dispatcher[P]) trial(a *attempt) bool {
+	if a.request.Model == "" || a.request.Pinned {
+		return false
+	}
+	versions := d.active(a.request.Model)
+	return len(versions) > 0 && largest(versions).Version != a.option.Version.Version
+}
+
 // judge lets an attempt's outcome bear on its endpoint's health.
-func (e *endpoint) judge(now time.Duration, a *attempt, r sycwork.Result) {
+func (d *Dispatcher[P]) judge(now time.Duration, a *attempt, r sycwork.Result) {
+	e := a.endpoint
 	switch {
 	case r.Unreachable:
 		e.lose(now)
-	case r.Outcome == sycwork.Failed:
-		e.health.Observe(now, sychealth.Failure)
 	case r.Outcome == sycwork.Refused:
 		e.pausedUntil = now + refusedPause
+	case d.trial(a):
+	case r.Outcome == sycwork.Failed:
+		e.health.Observe(now, sychealth.Failure)
 	case r.Outcome == sycwork.Succeeded && a.request.Model == "":
 		e.health.Observe(now, sychealth.Success)
 	}
--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -146,7 +146,7 @@
 	}
 	delete(d.running, id)
 	a.endpoint.release(now, a)
-	a.endpoint.judge(now, a, r)
+	d.judge(now, a, r)
 	switch r.Outcome {
 	case sycwork.Succeeded:
 		if r.FirstToken > 0 {
--- a/internal/decide/sycrollout/leader.go
+++ b/internal/decide/sycrollout/leader.go
@@ -28,6 +28,10 @@
 	finishMargin = 2 * time.Second
 	// minRequests is the evidence that a stage needs, unless time runs short.
 	minRequests = 30
+	// spareTime and spareDivisor set the time kept in reserve by a stage that
+	// waits for requests: a fixed part, and a part of what later stages need.
+	spareTime    = time.Second
+	spareDivisor = 4
 	// loadParallel is the number of engines that load weights together.
 	loadParallel = 2
 )
@@ -192,14 +196,14 @@
 
 func (v View) infeasible() bool { return v.timeNeeded() > v.left() }
 
-// enough reports whether the stage has seen enough requests. A stage may use
-// its part of the time left to wait for them.
+// enough reports whether the stage has seen enough requests. A stage waits for
+// them as long as the stages after it can still bake before the deadline.
 func (v View) enough() bool {
 	if v.Stage.Requests >= minRequests {
 		return true
 	}
-	patience := v.left() / time.Duration(len(v.shares())+1)
-	return v.InState >= max(patience, v.bake())
+	after := time.Duration(len(v.shares())-1) * v.bake()
+	return v.left() <= after+after/spareDivisor+spareTime
 }
 
 func (v View) proven() bool {
--- /dev/null
+++ b/internal/operate/sycvm/mesh.go
@@ -0,0 +1,100 @@
+package sycvm
+
+import (
+	"crypto/tls"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+)
+
+// peerTLS returns the settings of mutual TLS; nil where the settings name no
+// certificate, which only loopback addresses allow.
+func (v *VM) peerTLS() (*tls.Config, error) {
+	if v.settings.Certificate() == "" {
+		return nil, nil
+	}
+	return sycpeer.TLSConfig(v.settings.Certificate(), v.settings.Key(), v.settings.Authority())
+}
+
+// startMesh gets in touch with the other VMs and serves their calls.
+func (v *VM) startMesh(security *tls.Config) error {
+	v.list = syclist.New(syclist.Options{Address: v.settings.ListURL()})
+	v.closers.add(v.list.Close)
+	mesh := sycmesh.New(sycmesh.Options{
+		Loop:   v.loop,
+		Client: v.calls,
+		List:   v.list,
+		Self: sycmember.VM{
+			Address:       v.address,
+			FailureDomain: v.settings.FailureDomain(),
+			Incarnation:   v.incarnation,
+		},
+		Settings: sycmember.Settings{ListLag: v.settings.ListLag()},
+		Applied:  v.store.Applied,
+		Digests:  &digests{vm: v},
+	})
+	v.mesh.Store(mesh)
+	v.closers.add(mesh.Close)
+	server, err := sycpeer.NewServer(sycpeer.ServerOptions{
+		Listener: v.peersListener,
+		TLS:      security,
+		Handlers: sycpeer.Handlers{
+			Hello:    mesh,
+			Records:  v.store,
+			Snapshot: v.store,
+			Share:    mesh,
+			Outcome:  v.claims,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	v.closers.add(server.Close)
+	return nil
+}
+
+// peers returns the other VMs that answer; none before the mesh has started.
+func (v *VM) peers() []*sycpeerpb.Vm {
+	mesh := v.mesh.Load()
+	if mesh == nil {
+		return nil
+	}
+	return mesh.Peers()
+}
+
+// digests joins what the parts of a VM tell the other VMs.
+type digests struct {
+	vm *VM
+}
+
+// ShareOut implements sycmesh.Digests. Load and service concern the VMs of the
+// own failure domain, evidence on versions all.
+func (d *digests) ShareOut(same bool, out *sycpeerpb.ShareRequest) {
+	out.Evidence = d.vm.versions.ShareOut()
+	if !same {
+		return
+	}
+	d.vm.loop.Do(func(now time.Duration) {
+		out.Loads, out.Service = d.vm.chooser.ShareOut(now)
+	})
+}
+
+// ShareIn implements sycmesh.Digests.
+func (d *digests) ShareIn(in *sycpeerpb.ShareRequest) {
+	from := in.GetFrom()
+	d.vm.versions.ShareIn(from, in.GetEvidence())
+	if from.GetFailureDomain() != d.vm.settings.FailureDomain() {
+		return
+	}
+	source := from.GetAddress() + "/" + from.GetIncarnation()
+	d.vm.loop.Do(func(now time.Duration) {
+		d.vm.chooser.ShareIn(now, source, in.GetLoads(), in.GetService())
+	})
+}
+
+// Urgent implements sycmesh.Digests.
+func (d *digests) Urgent() <-chan struct{} { return d.vm.chooser.Urgent() }
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -14,6 +15,9 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycoperator"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
+	"sycamorecart.example/sycamorecart/internal/platform/syclist"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
@@ -46,6 +50,9 @@
 	gateway  *sycgateway.Gateway
 	callers  *http.Server
 	operator *http.Server
+	list     *syclist.Client
+	calls    *sycpeer.Client
+	mesh     atomic.Pointer[sycmesh.Mesh]
 	claims   *sycclaims.Driver
 	chooser  *sycchoose.Chooser
 	drain    *sycdrain.Drain
@@ -64,13 +71,10 @@
 		v.closers.close()
 		return nil, err
 	}
-	v.startState()
-	if err := v.startClaims(); err != nil {
+	if err := v.start(); err != nil {
 		v.closers.close()
 		return nil, err
 	}
-	v.startTraffic()
-	v.startServers()
 	log.Infof("serves callers at %s, operators at %s, peers at %s", v.Callers(), v.Operators(), v.address)
 	return v, nil
 }
@@ -109,14 +113,34 @@
 	return nil
 }
 
-func (v *VM) startState() {
+func (v *VM) start() error {
 	v.loop = sycloop.New()
 	v.closers.add(v.loop.Close)
+	security, err := v.peerTLS()
+	if err != nil {
+		return err
+	}
+	v.calls = sycpeer.NewClient(sycpeer.ClientOptions{TLS: security})
+	v.closers.add(v.calls.Close)
+	v.startState()
+	if err := v.startClaims(); err != nil {
+		return err
+	}
+	v.startTraffic()
+	if err := v.startMesh(security); err != nil {
+		return err
+	}
+	v.startServers()
+	return nil
+}
+
+func (v *VM) startState() {
 	v.log = syclog.New(syclog.Options{Address: v.settings.LogURL()})
 	v.closers.add(v.log.Close)
 	v.store = sycstate.New(sycstate.Options{
 		Loop:      v.loop,
 		Log:       v.log,
+		Peers:     sycpeer.NewFetcher(v.calls, v.settings.FailureDomain(), v.peers),
 		Self:      v.address + "/" + v.incarnation,
 		Retention: v.settings.LogRetention(),
 	})
@@ -127,6 +151,7 @@
 	claims, err := sycclaims.New(sycclaims.Options{
 		Loop:        v.loop,
 		Log:         v.log,
+		Peers:       v.calls,
 		VM:          v.address,
 		Incarnation: v.incarnation,
 		Lifetime:    min(claimLifetime, v.settings.LogRetention()/2),
@@ -249,6 +274,9 @@
 		defer cancel()
 	}
 	log.Infof("leaves the list and finishes its requests")
+	if err := v.mesh.Load().Leave(ctx); err != nil {
+		log.Warnf("the platform's list does not show that this VM leaves: %v", err)
+	}
 	return v.drain.Shutdown(ctx, v.callers)
 }
 
