Let a VM name the address that its peers reach it at; cut peers in deployments

Cause: a VM's id was always the address it listens on, so that neither address translation nor a fault proxy could stand between VMs, and failure domains couldn't be cut off from each other. Change: setting [vm] peer_address (sycsetting, 3 lines in sycvm); sycdeploy puts a proxy before each VM's peer listener, with the delay between domains, and CutDomains covers it. Conclusion: partitions between real processes are complete but for the callers' side, which Router.Front() covers.

--- a/cmd/sycamorebench/load.go
+++ b/cmd/sycamorebench/load.go
@@ -110,7 +110,7 @@
 		return sycload.Result{}, eris.Errorf("no workload %q", c.workload)
 	}
 	c.options.Workload = workload
-	c.options.Progress = printLoadProgress
+	c.options.Progress = printProgress
 	if c.prompts != "" {
 		documents, err := sycload.Prompts(c.prompts)
 		if err != nil {
@@ -126,7 +126,7 @@
 	return sycload.Run(ctx, c.options)
 }
 
-func printLoadProgress(p sycload.Progress) {
+func printProgress(p sycload.Progress) {
 	fmt.Fprintf(os.Stderr, "sent %d of %d, answered %d, wrong %d\n", p.Sent, p.Planned, p.Answered, p.Wrong)
 }
 
--- a/internal/operate/sycsetting/parse.go
+++ b/internal/operate/sycsetting/parse.go
@@ -47,6 +47,11 @@
 	}
 }
 
+func optionalAddress(to *netip.AddrPort) parser {
+	required := address(to)
+	return func(v string) bool { return v == "" || required(v) }
+}
+
 func httpURL(to *string, optional bool) parser {
 	return func(v string) bool {
 		*to = strings.TrimRight(v, "/")
--- a/internal/operate/sycsetting/read.go
+++ b/internal/operate/sycsetting/read.go
@@ -23,6 +23,7 @@
 func entries(s *Settings) []entry {
 	return []entry{
 		{"vm", "failure_domain", "", "must name the VM's failure domain", text(&s.failureDomain)},
+		{"vm", "peer_address", "", "must be an IP address and port, or empty", optionalAddress(&s.peerAddress)},
 		{"listen", "callers", "127.0.0.1:8080", "must be an IP address and port", address(&s.callers)},
 		{"listen", "operators", "127.0.0.1:8081", "must be an IP address and port", address(&s.operators)},
 		{"listen", "peers", "127.0.0.1:8082", "must be an IP address and port", address(&s.peers)},
--- a/internal/operate/sycsetting/setting.go
+++ b/internal/operate/sycsetting/setting.go
@@ -15,6 +15,7 @@
 	callers       netip.AddrPort
 	operators     netip.AddrPort
 	peers         netip.AddrPort
+	peerAddress   netip.AddrPort
 	logURL        string
 	listURL       string
 	logRetention  time.Duration
@@ -49,9 +50,13 @@
 // Operators is the listen address for operators.
 func (s *Settings) Operators() netip.AddrPort { return s.operators }
 
-// Peers is the listen address for other VMs, which is also the VM's id.
+// Peers is the listen address for other VMs.
 func (s *Settings) Peers() netip.AddrPort { return s.peers }
 
+// PeerAddress is the address that other VMs reach the VM at where it isn't the
+// one listened on; it is invalid where it is.
+func (s *Settings) PeerAddress() netip.AddrPort { return s.peerAddress }
+
 // LogURL is the base URL of the platform's log.
 func (s *Settings) LogURL() string { return s.logURL }
 
--- a/internal/operate/sycsetting/setting_test.go
+++ b/internal/operate/sycsetting/setting_test.go
@@ -22,6 +22,10 @@
 	must.Eq(t, "zakopane", s.FailureDomain())
 	must.Eq(t, "http://127.0.0.1:9000", s.LogURL())
 	must.Eq(t, "127.0.0.1:8082", s.Peers().String())
+	must.False(t, s.PeerAddress().IsValid())
+	s, err = sycsetting.Parse("good", []byte("[vm]\npeer_address = 192.0.2.1:80\n"+good))
+	must.NoError(t, err)
+	must.Eq(t, "192.0.2.1:80", s.PeerAddress().String())
 }
 
 func TestParseListsAllFaults(t *testing.T) {
@@ -31,6 +35,7 @@
 		keys  []string
 	}{
 		{"unknown key", "[vm]\ncolour = red\n", []string{"colour"}},
+		{"peer address", "[vm]\npeer_address = vm-1:80\n", []string{"peer_address"}},
 		{"unknown section", "[moon]\nphase = full\n", []string{"phase"}},
 		{"outside any section", "", nil},
 		{
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -89,6 +89,9 @@
 		})
 	}
 	v.address = v.peersListener.Addr().String()
+	if outside := v.settings.PeerAddress(); outside.IsValid() {
+		v.address = outside.String()
+	}
 	return nil
 }
 
--- a/internal/standin/sycdeploy/links.go
+++ b/internal/standin/sycdeploy/links.go
@@ -42,26 +42,40 @@
 	return domains[sycprocess.Owner(client, pids)]
 }
 
-// CutDomains cuts the routers of either failure domain off from the endpoints
-// of the other, or ends that.
+// CutDomains cuts two failure domains off from each other, or ends that: the
+// VMs of either reach neither the VMs nor the endpoints of the other.
 func (d *Deployment) CutDomains(one, other string, cut bool) {
-	d.setEndpoints(one, other, cut)
-	d.setEndpoints(other, one, cut)
+	d.setLink(one, other, cut)
+	d.setLink(other, one, cut)
 }
 
-func (d *Deployment) setEndpoints(from, to string, cut bool) {
+func (d *Deployment) setLink(from, to string, cut bool) {
 	fault := d.between(from, to)
 	fault.Cut = cut
+	for _, proxy := range d.proxiesOf(to) {
+		proxy.SetFrom(from, fault)
+	}
+}
+
+// proxiesOf lists the proxies to everything in a failure domain.
+func (d *Deployment) proxiesOf(domain string) []*sycfault.Proxy {
+	var list []*sycfault.Proxy
 	for _, e := range d.engines {
-		if e.domain == to {
-			e.proxy.SetFrom(from, fault)
+		if e.domain == domain {
+			list = append(list, e.proxy)
 		}
 	}
 	for _, w := range d.workers {
-		if w.domain == to {
-			w.proxy.SetFrom(from, fault)
+		if w.domain == domain {
+			list = append(list, w.proxy)
+		}
+	}
+	for _, r := range d.Routers() {
+		if r.domain == domain {
+			list = append(list, r.peerFront)
 		}
 	}
+	return list
 }
 
 // SetPlatformLink sets the fault between the routers of a failure domain and
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -27,8 +27,10 @@
 	domain     string
 	// callers, operators and peers are the addresses that the router listens on.
 	callers, operators, peers string
-	// front is the proxy that callers reach the router through.
-	front    *sycfault.Proxy
+	// front is the proxy that callers reach the router through, peerFront the one
+	// for other VMs.
+	front     *sycfault.Proxy
+	peerFront *sycfault.Proxy
 	settings string
 
 	mu sync.Mutex
@@ -49,7 +51,7 @@
 func (r *Router) Operators() string { return "http://" + r.operators }
 
 // Peers is the address for other VMs, the router's id in the VM list.
-func (r *Router) Peers() string { return r.peers }
+func (r *Router) Peers() string { return r.peerFront.Address() }
 
 // Front is the proxy between callers and the router.
 func (r *Router) Front() *sycfault.Proxy { return r.front }
@@ -111,6 +113,10 @@
 	}
 	r.front = front
 	d.onClose(front.Close)
+	r.peerFront, err = d.newProxy(r.peers, r.domain)
+	if err != nil {
+		return err
+	}
 	d.onClose(r.close)
 	r.settings = d.file(r.name + ".ini")
 	return r.writeSettings()
@@ -120,6 +126,7 @@
 	d := r.deployment
 	values := map[string]string{
 		"vm.failure_domain": r.domain,
+		"vm.peer_address":   r.Peers(),
 		"listen.callers":    r.callers,
 		"listen.operators":  r.operators,
 		"listen.peers":      r.peers,
