Watch stand-ins' connections for secrets; cost continued text

Cause: tests have to show that no endpoint sees a caller's key, in whatever part of a request; and a continued answer took no prefill for the text so far. Change: sycserver counts watched texts in all bytes that come in; engines, services, KV store and platform expose Watch and Sightings; sequences prefill text_so_far. One file reformatted.

--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -31,7 +31,7 @@
 	// for other VMs.
 	front     *sycfault.Proxy
 	peerFront *sycfault.Proxy
-	settings string
+	settings  string
 
 	mu sync.Mutex
 	// process is nil while the router doesn't run.
--- a/internal/standin/sycengine/engine.go
+++ b/internal/standin/sycengine/engine.go
@@ -126,6 +126,12 @@
 // Address is the engine's address, as host:port.
 func (e *Engine) Address() string { return e.server.Address() }
 
+// Watch counts from now on how often the texts come in.
+func (e *Engine) Watch(texts ...string) { e.server.Watch(texts...) }
+
+// Sightings is how often watched texts have come in.
+func (e *Engine) Sightings() int { return e.server.Sightings() }
+
 // Incarnation identifies the engine's present life.
 func (e *Engine) Incarnation() string {
 	e.mu.Lock()
--- a/internal/standin/sycengine/sequence.go
+++ b/internal/standin/sycengine/sequence.go
@@ -15,7 +15,8 @@
 	weights  string
 	priority int
 	chain    []uint64
-	// prefill is the number of prompt tokens still to be computed.
+	// prefill is the number of tokens still to be computed before the answer goes
+	// on; while the sequence waits, only those of the text so far.
 	prefill int
 	prompt  int
 	cached  int
@@ -47,6 +48,7 @@
 		priority: q.Priority,
 		chain:    sycblock.Chain(q.Salt, q.Prompt),
 		prompt:   sycblock.Tokens(q.Prompt),
+		prefill:  sycblock.Tokens(q.TextSoFar),
 		seed:     answerSeed(weights, q.Adapter, q.Prompt),
 		start:    q.Start,
 		end:      max(q.MaxTokens, q.Start),
--- a/internal/standin/syckvstore/store.go
+++ b/internal/standin/syckvstore/store.go
@@ -63,6 +63,12 @@
 // URL is the store's base URL, without a trailing slash.
 func (s *Store) URL() string { return s.server.URL() }
 
+// Watch counts from now on how often the texts come in.
+func (s *Store) Watch(texts ...string) { s.server.Watch(texts...) }
+
+// Sightings is how often watched texts have come in.
+func (s *Store) Sightings() int { return s.server.Sightings() }
+
 // Clear empties the store as a restart does.
 func (s *Store) Clear() {
 	s.mu.Lock()
--- a/internal/standin/sycplatform/platform.go
+++ b/internal/standin/sycplatform/platform.go
@@ -105,6 +105,12 @@
 // Address is the address of the platform, as host:port.
 func (p *Platform) Address() string { return p.server.Address() }
 
+// Watch counts from now on how often the texts come in.
+func (p *Platform) Watch(texts ...string) { p.server.Watch(texts...) }
+
+// Sightings is how often watched texts have come in.
+func (p *Platform) Sightings() int { return p.server.Sightings() }
+
 // RemoveVM takes a VM off the list, as the platform's machinery does when the VM is gone.
 func (p *Platform) RemoveVM(id string) { p.list.change(id, nil) }
 
--- a/internal/standin/sycserver/gate.go
+++ b/internal/standin/sycserver/gate.go
@@ -11,7 +11,8 @@
 	mu   sync.Mutex
 	down bool
 	// open holds each accepted connection until it is closed.
-	open map[*gateConn]struct{}
+	open  map[*gateConn]struct{}
+	watch watch
 }
 
 func newGate(inner net.Listener) *gate {
@@ -69,6 +70,15 @@
 type gateConn struct {
 	net.Conn
 	gate *gate
+	// tail holds the newest bytes read, in which a watched text may have begun.
+	tail []byte
+}
+
+// Read reads and looks for the watched texts.
+func (c *gateConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.tail = c.gate.watch.look(c.tail, b[:n])
+	return n, err
 }
 
 // Close closes the connection.
--- a/internal/standin/sycservice/service.go
+++ b/internal/standin/sycservice/service.go
@@ -101,6 +101,12 @@
 // Address is the service's address, as host:port.
 func (s *Service) Address() string { return s.server.Address() }
 
+// Watch counts from now on how often the texts come in.
+func (s *Service) Watch(texts ...string) { s.server.Watch(texts...) }
+
+// Sightings is how often watched texts have come in.
+func (s *Service) Sightings() int { return s.server.Sightings() }
+
 // Down resets all connections until Up.
 func (s *Service) Down() { s.server.Down() }
 
