Keep each exchange of a load run for oracles

Cause: properties such as 'a refusal saying not run is true' need the requests one by one. Change: Result.Exchanges gives customer, times, prompt hash or slot, verdict and weights.

--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -37,8 +37,10 @@
 	// first is the time from the planned start to the first token; 0 without one.
 	first time.Duration
 	// gaps are the times between tokens.
-	gaps  []time.Duration
-	usage usage
+	gaps    []time.Duration
+	usage   usage
+	prompt  uint64
+	weights string
 }
 
 type usage struct {
@@ -109,26 +111,27 @@
 	if response.StatusCode != http.StatusOK {
 		return failure(response)
 	}
+	x.o.weights = response.Header.Get("Sycamorecart-Weights")
 	if x.arrival.form == chatWhole {
 		x.readWhole(response)
 	} else {
 		x.readStream(response)
 	}
 	if x.o.verdict == right {
-		x.check(response.Header.Get("Sycamorecart-Weights"))
+		x.check()
 	}
 	return x.o
 }
 
 // check compares the whole text with the expected one.
-func (x *exchange) check(weights string) {
-	want := strings.Join(sycengine.Answer(weights, "", x.prompt, x.arrival.output), "")
+func (x *exchange) check() {
+	want := strings.Join(sycengine.Answer(x.o.weights, "", x.prompt, x.arrival.output), "")
 	got := strings.Join(x.tokens, "")
 	if got == want {
 		return
 	}
 	x.o.verdict = wrong
-	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", weights, len(got), got, len(want), want)
+	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", x.o.weights, len(got), got, len(want), want)
 }
 
 // breakOff marks an answer that visibly did not arrive whole.
--- a/internal/standin/sycload/result.go
+++ b/internal/standin/sycload/result.go
@@ -23,15 +23,19 @@
 	// Faults describes the first wrong and failed answers.
 	Faults []string `json:"faults,omitempty"`
 
-	confirmed []string
-	refused   []string
+	exchanges []Exchange
 }
 
-// Confirmed lists the slots whose booking was confirmed, sorted.
-func (r Result) Confirmed() []string { return r.confirmed }
-
-// RefusedSlots lists the slots whose booking was answered as not run, sorted.
-func (r Result) RefusedSlots() []string { return r.refused }
+// RefusedSlots lists the slots whose booking was answered as not run.
+func (r Result) RefusedSlots() []string {
+	var slots []string
+	for _, e := range r.exchanges {
+		if e.slot != "" && e.Refused() {
+			slots = append(slots, e.slot)
+		}
+	}
+	return slots
+}
 
 // Percentiles of a distribution of latencies.
 type Percentiles struct {
@@ -102,7 +106,7 @@
 			r.Bookings.Doubled++
 		}
 	}
-	for _, slot := range r.refused {
+	for _, slot := range r.RefusedSlots() {
 		if times[slot] > 0 {
 			r.Bookings.FalselyRefused++
 		}
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 )
 
 // Defaults of the options.
@@ -111,15 +112,16 @@
 	plan := newPlan(o)
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
 	defer transport.CloseIdleConnections()
+	start := time.Now()
 	r := &runner{
 		options: o,
 		client:  &http.Client{Transport: transport, Timeout: o.Timeout},
-		start:   time.Now(),
+		start:   start,
 		planned: len(plan),
-		tally:   newTally(o.Workload.customers),
+		tally:   newTally(o.Workload.customers, start),
 	}
 	r.send(ctx, plan)
-	return r.tally.result(o, r.start), nil
+	return r.tally.result(o), nil
 }
 
 // send starts each arrival at its time and waits for all answers.
@@ -155,6 +157,7 @@
 	x := newExchange(r, a)
 	reusable := r.tally.reusable(a.customer, x.prompt)
 	o := x.run(ctx)
+	o.prompt = sycengine.PromptHash(x.prompt)
 	r.tally.answered(a, o, reusable)
 }
 
--- a/internal/standin/sycload/tally.go
+++ b/internal/standin/sycload/tally.go
@@ -42,17 +42,16 @@
 
 // tally adds up the outcomes of a run.
 type tally struct {
-	mu       sync.Mutex
-	accounts []*account
-	bookings BookingResult
-	faults   []string
-	// confirmed lists the slots that were booked, refused those that were not run.
-	confirmed []string
-	refused   []string
+	start     time.Time
+	mu        sync.Mutex
+	accounts  []*account
+	bookings  BookingResult
+	faults    []string
+	exchanges []Exchange
 }
 
-func newTally(customers []Customer) *tally {
-	t := &tally{}
+func newTally(customers []Customer, start time.Time) *tally {
+	t := &tally{start: start}
 	for _, c := range customers {
 		t.accounts = append(t.accounts, newAccount(c.name))
 	}
@@ -118,10 +117,8 @@
 	switch o.verdict {
 	case right:
 		t.bookings.Confirmed++
-		t.confirmed = append(t.confirmed, a.slot)
 	case refused:
 		t.bookings.Refused++
-		t.refused = append(t.refused, a.slot)
 	default:
 		t.bookings.Unknown++
 	}
@@ -130,6 +127,16 @@
 // count adds the verdict. The caller holds mu.
 func (t *tally) count(account *account, a *arrival, o outcome) {
 	r := &account.result
+	t.exchanges = append(t.exchanges, Exchange{
+		customer: r.Customer,
+		planned:  t.start.Add(a.at),
+		ended:    time.Now(),
+		prompt:   o.prompt,
+		slot:     a.slot,
+		verdict:  o.verdict,
+		reason:   o.reason,
+		weights:  o.weights,
+	})
 	switch o.verdict {
 	case right:
 		r.Right++
@@ -166,18 +173,17 @@
 }
 
 // result closes the tally.
-func (t *tally) result(o Options, start time.Time) Result {
+func (t *tally) result(o Options) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	result := Result{
 		Label:     o.Label,
 		Workload:  o.Workload.name,
 		Seed:      o.Seed,
-		Started:   start,
+		Started:   t.start,
 		Bookings:  t.bookings,
 		Faults:    t.faults,
-		confirmed: slices.Sorted(slices.Values(t.confirmed)),
-		refused:   slices.Sorted(slices.Values(t.refused)),
+		exchanges: t.exchanges,
 	}
 	total := newAccount("all")
 	for _, account := range t.accounts {
