Resume broken streams in the load as a caller would

Cause: a caller that loses its VM can resume at any other; without that a killed VM always showed as a failed answer.

--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -37,7 +37,9 @@
 	// first is the time from the planned start to the first token; 0 without one.
 	first time.Duration
 	// gaps are the times between tokens.
-	gaps    []time.Duration
+	gaps []time.Duration
+	// resumes counts the answers to attempts to resume.
+	resumes int
 	usage   usage
 	prompt  uint64
 	weights string
@@ -57,6 +59,8 @@
 	arrival *arrival
 	// prompt is the text that the engine is to receive.
 	prompt string
+	// stream is the id by which any router can resume the answer.
+	stream string
 	// tokens are those received.
 	tokens []string
 	// last is when the last token came.
@@ -107,22 +111,31 @@
 	if err != nil {
 		return outcome{verdict: failed, reason: "no answer: " + cause(err)}
 	}
-	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
 		return failure(response)
 	}
-	x.o.weights = response.Header.Get("Sycamorecart-Weights")
-	if x.arrival.form == chatWhole {
-		x.readWhole(response)
-	} else {
-		x.readStream(response)
-	}
+	x.read(response)
+	x.resume(ctx, path, data)
 	if x.o.verdict == right {
 		x.check()
 	}
 	return x.o
 }
 
+// read takes in an answer up to its end, clean or not.
+func (x *exchange) read(response *http.Response) {
+	defer response.Body.Close()
+	x.o.verdict, x.o.reason = right, ""
+	x.o.weights = response.Header.Get(headerWeights)
+	x.stream = response.Header.Get(headerStream)
+	if x.arrival.form == chatWhole {
+		x.readWhole(response)
+		return
+	}
+	x.readStream(response)
+}
+
 // check compares the whole text with the expected one.
 func (x *exchange) check() {
 	want := strings.Join(sycengine.Answer(x.o.weights, "", x.prompt, x.arrival.output), "")
--- a/internal/standin/sycload/read.go
+++ b/internal/standin/sycload/read.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
 )
 
 const maxLine = 1 << 20
@@ -30,6 +31,10 @@
 	lines.Buffer(make([]byte, 0, 4096), maxLine)
 	finished := false
 	for lines.Scan() {
+		if id, ok := bytes.CutPrefix(lines.Bytes(), []byte("id:")); ok && !x.inOrder(id) {
+			x.o.verdict, x.o.reason = wrong, "a token is out of order"
+			return
+		}
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
 		if !ok {
 			continue
@@ -55,6 +60,12 @@
 	x.breakOff("the stream broke off")
 }
 
+// inOrder reports whether an event's id is the index of the next token.
+func (x *exchange) inOrder(id []byte) bool {
+	n, err := strconv.Atoi(string(bytes.TrimSpace(id)))
+	return err == nil && n == len(x.tokens)
+}
+
 // take reports whether the chunk ends the choice.
 func (x *exchange) take(c chunk) (finished bool) {
 	if c.Usage != nil {
--- a/internal/standin/sycload/result.go
+++ b/internal/standin/sycload/result.go
@@ -58,6 +58,8 @@
 	Refusals map[string]int `json:"refusals"`
 	// Failed requests had no whole answer and an unknown outcome.
 	Failed int `json:"failed"`
+	// Resumes counts the answers to attempts to resume a broken stream.
+	Resumes int `json:"resumes"`
 	// WithinRate counts the requests sent within the customer's rate and burst,
 	// RefusedWithinRate by how many the answers fell short of them.
 	WithinRate        int `json:"within_rate"`
--- a/internal/standin/sycload/tally.go
+++ b/internal/standin/sycload/tally.go
@@ -127,6 +127,7 @@
 // count adds the verdict. The caller holds mu.
 func (t *tally) count(account *account, a *arrival, o outcome) {
 	r := &account.result
+	r.Resumes += o.resumes
 	t.exchanges = append(t.exchanges, Exchange{
 		customer: r.Customer,
 		planned:  t.start.Add(a.at),
@@ -205,6 +206,7 @@
 	r.Wrong += o.Wrong
 	r.Refused += o.Refused
 	r.Failed += o.Failed
+	r.Resumes += o.Resumes
 	r.PromptTokens += o.PromptTokens
 	r.CachedTokens += o.CachedTokens
 	r.ReusableTokens += o.ReusableTokens
