Check runs against the properties that must always hold

Cause: the fault run needs oracles by name, with how often each was tried and broken. Change: sycoracle checks callers', engines' and services' records: salts by customer and weights, whole streams, at most once, truth of refusals, keys, rates over windows of every length, revoked keys, leaving endpoints, drains, bad versions, configuration.

--- a/internal/standin/sycload/book.go
+++ b/internal/standin/sycload/book.go
@@ -16,12 +16,12 @@
 func (r *runner) book(ctx context.Context, a *arrival) outcome {
 	data, err := json.Marshal(bookBody{Slot: a.slot})
 	if err != nil {
-		return outcome{verdict: failed, reason: err.Error()}
+		return outcome{verdict: Failed, reason: err.Error()}
 	}
 	header := http.Header{"Idempotency-Key": {a.slot}}
 	response, err := r.post(ctx, a, r.options.BookPath, data, header)
 	if err != nil {
-		return outcome{verdict: failed, reason: "no answer: " + cause(err)}
+		return outcome{verdict: Failed, reason: "no answer: " + cause(err)}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -29,10 +29,10 @@
 	}
 	var answer sycservice.Answer
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return outcome{verdict: failed, reason: "the answer broke off"}
+		return outcome{verdict: Failed, reason: "the answer broke off"}
 	}
 	if answer.Booking == nil || answer.Booking.Slot != a.slot {
-		return outcome{verdict: wrong, reason: "the answer is to another booking"}
+		return outcome{verdict: Wrong, reason: "the answer is to another booking"}
 	}
-	return outcome{verdict: right}
+	return outcome{verdict: Right}
 }
--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -15,23 +15,9 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 )
 
-// verdict says how an exchange ended.
-type verdict int
-
-const (
-	// right is a whole answer with every byte as expected.
-	right verdict = iota
-	// wrong is an answer that claims to be whole and is not the expected one.
-	wrong
-	// refused is an answer that says that the request was not run.
-	refused
-	// failed is an answer of unknown outcome, or one that visibly broke off.
-	failed
-)
-
 // outcome is what one exchange came to.
 type outcome struct {
-	verdict verdict
+	verdict Verdict
 	// reason is a stable code for refusals and a description of faults.
 	reason string
 	// first is the time from the planned start to the first token; 0 without one.
@@ -105,11 +91,11 @@
 	path, body := x.request()
 	data, err := json.Marshal(body)
 	if err != nil {
-		return outcome{verdict: failed, reason: err.Error()}
+		return outcome{verdict: Failed, reason: err.Error()}
 	}
 	response, err := x.runner.post(ctx, x.arrival, path, data, nil)
 	if err != nil {
-		return outcome{verdict: failed, reason: "no answer: " + cause(err)}
+		return outcome{verdict: Failed, reason: "no answer: " + cause(err)}
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
@@ -117,7 +103,7 @@
 	}
 	x.read(response)
 	x.resume(ctx, path, data)
-	if x.o.verdict == right {
+	if x.o.verdict == Right {
 		x.check()
 	}
 	return x.o
@@ -126,7 +112,7 @@
 // read takes in an answer up to its end, clean or not.
 func (x *exchange) read(response *http.Response) {
 	defer response.Body.Close()
-	x.o.verdict, x.o.reason = right, ""
+	x.o.verdict, x.o.reason = Right, ""
 	x.o.weights = response.Header.Get(headerWeights)
 	x.stream = response.Header.Get(headerStream)
 	if x.arrival.form == chatWhole {
@@ -143,13 +129,13 @@
 	if got == want {
 		return
 	}
-	x.o.verdict = wrong
+	x.o.verdict = Wrong
 	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", x.o.weights, len(got), got, len(want), want)
 }
 
 // breakOff marks an answer that visibly did not arrive whole.
 func (x *exchange) breakOff(reason string) {
-	x.o.verdict = failed
+	x.o.verdict = Failed
 	x.o.reason = reason
 }
 
@@ -209,9 +195,9 @@
 	_ = json.NewDecoder(response.Body).Decode(&body)
 	reason := fmt.Sprintf("%d %s", response.StatusCode, body.Error.Code)
 	if response.Header.Get("Sycamorecart-Outcome") == "not-run" {
-		return outcome{verdict: refused, reason: reason}
+		return outcome{verdict: Refused, reason: reason}
 	}
-	return outcome{verdict: failed, reason: reason}
+	return outcome{verdict: Failed, reason: reason}
 }
 
 // cause is the innermost message of an error, without addresses.
--- a/internal/standin/sycload/read.go
+++ b/internal/standin/sycload/read.go
@@ -32,7 +32,7 @@
 	finished := false
 	for lines.Scan() {
 		if id, ok := bytes.CutPrefix(lines.Bytes(), []byte("id:")); ok && !x.inOrder(id) {
-			x.o.verdict, x.o.reason = wrong, "a token is out of order"
+			x.o.verdict, x.o.reason = Wrong, "a token is out of order"
 			return
 		}
 		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
@@ -42,13 +42,13 @@
 		data = bytes.TrimSpace(data)
 		if string(data) == "[DONE]" {
 			if !finished {
-				x.o.verdict, x.o.reason = wrong, "the end came before a finish reason"
+				x.o.verdict, x.o.reason = Wrong, "the end came before a finish reason"
 			}
 			return
 		}
 		var c chunk
 		if err := json.Unmarshal(data, &c); err != nil {
-			x.o.verdict, x.o.reason = wrong, "a chunk isn't JSON"
+			x.o.verdict, x.o.reason = Wrong, "a chunk isn't JSON"
 			return
 		}
 		if c.Error != nil {
--- a/internal/standin/sycload/result.go
+++ b/internal/standin/sycload/result.go
@@ -30,8 +30,8 @@
 func (r Result) RefusedSlots() []string {
 	var slots []string
 	for _, e := range r.exchanges {
-		if e.slot != "" && e.Refused() {
-			slots = append(slots, e.slot)
+		if e.Slot() != "" && e.Verdict() == Refused {
+			slots = append(slots, e.Slot())
 		}
 	}
 	return slots
--- a/internal/standin/sycload/resume.go
+++ b/internal/standin/sycload/resume.go
@@ -23,7 +23,7 @@
 		return
 	}
 	stream := x.stream
-	for n := 1; n <= maxResumes && x.o.verdict == failed; n++ {
+	for n := 1; n <= maxResumes && x.o.verdict == Failed; n++ {
 		if !wait(ctx, resumePause) {
 			return
 		}
--- a/internal/standin/sycload/tally.go
+++ b/internal/standin/sycload/tally.go
@@ -99,7 +99,7 @@
 	for _, gap := range o.gaps {
 		record(account.between, gap)
 	}
-	if o.verdict != right {
+	if o.verdict != Right {
 		return
 	}
 	r := &account.result
@@ -115,9 +115,9 @@
 	t.count(t.accounts[a.customer], a, o)
 	t.bookings.Sent++
 	switch o.verdict {
-	case right:
+	case Right:
 		t.bookings.Confirmed++
-	case refused:
+	case Refused:
 		t.bookings.Refused++
 	default:
 		t.bookings.Unknown++
@@ -128,27 +128,28 @@
 func (t *tally) count(account *account, a *arrival, o outcome) {
 	r := &account.result
 	r.Resumes += o.resumes
-	t.exchanges = append(t.exchanges, Exchange{
-		customer: r.Customer,
-		planned:  t.start.Add(a.at),
-		ended:    time.Now(),
-		prompt:   o.prompt,
-		slot:     a.slot,
-		verdict:  o.verdict,
-		reason:   o.reason,
-		weights:  o.weights,
-	})
+	t.exchanges = append(t.exchanges, NewExchange(ExchangeFields{
+		Customer:   r.Customer,
+		Planned:    t.start.Add(a.at),
+		Ended:      time.Now(),
+		PromptHash: o.prompt,
+		Slot:       a.slot,
+		Verdict:    o.verdict,
+		Reason:     o.reason,
+		Weights:    o.weights,
+		Resumes:    o.resumes,
+	}))
 	switch o.verdict {
-	case right:
+	case Right:
 		r.Right++
 		return
-	case wrong:
+	case Wrong:
 		r.Wrong++
-	case refused:
+	case Refused:
 		r.Refused++
 		r.Refusals[o.reason]++
 		return
-	case failed:
+	case Failed:
 		r.Failed++
 	}
 	if len(t.faults) < maxFaults {
--- /dev/null
+++ b/internal/standin/sycoracle/oracle_test.go
@@ -0,0 +1,202 @@
+package sycoracle_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// sound is evidence of one prompt and one booking of a customer.
+func sound() sycoracle.Evidence {
+	workload, _ := sycload.FindWorkload("bottlers")
+	return sycoracle.Evidence{
+		Customers: workload.Customers(),
+		Exchanges: []sycload.Exchange{
+			exchange(func(f *sycload.ExchangeFields) { f.PromptHash, f.Weights = 1, "w1" }),
+			exchange(func(f *sycload.ExchangeFields) { f.Slot = "dock" }),
+		},
+		Requests: []sycengine.Request{request(1, "rota", "w1")},
+		Calls:    []sycservice.Call{call("dock", "rota")},
+	}
+}
+
+func exchange(change func(*sycload.ExchangeFields)) sycload.Exchange {
+	f := sycload.ExchangeFields{Customer: "rota", Planned: at(0), Ended: at(1)}
+	change(&f)
+	return sycload.NewExchange(f)
+}
+
+func request(prompt uint64, customer, weights string) sycengine.Request {
+	return sycengine.Request{
+		Time: at(0.5), PromptHash: prompt, Model: "chat", Weights: weights,
+		Salt: sycblock.Salt(customer, "chat", "", weights), Outcome: sycengine.OutcomeRun,
+	}
+}
+
+func call(slot, customer string) sycservice.Call {
+	return sycservice.Call{
+		Time: at(0.5), Body: `{"slot":"` + slot + `"}`, Ran: true,
+		Header: http.Header{"Sycamorecart-Customer": {customer}},
+	}
+}
+
+func TestBreachesAreFound(t *testing.T) {
+	tests := []struct {
+		name     string
+		change   func(*sycoracle.Evidence)
+		property sycoracle.Property
+	}{
+		{"wrong answer", func(e *sycoracle.Evidence) {
+			e.Exchanges[0] = exchange(func(f *sycload.ExchangeFields) { f.PromptHash, f.Verdict = 1, sycload.Wrong })
+		}, sycoracle.OwnAnswer},
+		{"broken stream", func(e *sycoracle.Evidence) {
+			e.Exchanges[0] = exchange(func(f *sycload.ExchangeFields) {
+				f.PromptHash, f.Weights, f.Verdict = 1, "w1", sycload.Failed
+			})
+		}, sycoracle.StreamsWhole},
+		{"another customer's salt", func(e *sycoracle.Evidence) {
+			e.Requests[0] = request(1, "tatra", "w1")
+		}, sycoracle.OwnCustomer},
+		{"shared salt", func(e *sycoracle.Evidence) {
+			second := request(1, "rota", "w1")
+			second.Weights = "w2"
+			e.Requests = append(e.Requests, second)
+		}, sycoracle.CacheSeparate},
+		{"call for another customer", func(e *sycoracle.Evidence) {
+			e.Calls[0] = call("dock", "tatra")
+		}, sycoracle.OwnCustomer},
+		{"booked twice", func(e *sycoracle.Evidence) {
+			e.Calls = append(e.Calls, call("dock", "rota"))
+		}, sycoracle.AtMostOnce},
+		{"key seen", func(e *sycoracle.Evidence) { e.Sightings = 1 }, sycoracle.KeysHidden},
+		{"refused but run", func(e *sycoracle.Evidence) {
+			e.Exchanges[0] = exchange(func(f *sycload.ExchangeFields) { f.PromptHash, f.Verdict = 1, sycload.Refused })
+		}, sycoracle.NotRunTrue},
+		{"refused but booked", func(e *sycoracle.Evidence) {
+			e.Exchanges[1] = exchange(func(f *sycload.ExchangeFields) { f.Slot, f.Verdict = "dock", sycload.Refused })
+		}, sycoracle.NotRunTrue},
+		{"over the rate", func(e *sycoracle.Evidence) {
+			for i := range uint64(200) {
+				e.Exchanges = append(e.Exchanges, exchange(func(f *sycload.ExchangeFields) { f.PromptHash = i + 2 }))
+				e.Requests = append(e.Requests, request(i+2, "rota", "w1"))
+			}
+		}, sycoracle.RateHeld},
+	}
+	ledger := sycoracle.NewLedger()
+	sound().CheckAll(ledger)
+	must.True(t, ledger.Sound())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			evidence := sound()
+			tt.change(&evidence)
+			broken := sycoracle.NewLedger()
+			evidence.CheckAll(broken)
+			must.Positive(t, broken.Broken(tt.property))
+			for _, p := range sycoracle.Properties() {
+				if p != tt.property {
+					must.Eq(t, 0, broken.Broken(p), must.Sprint(p))
+				}
+			}
+		})
+	}
+}
+
+func TestSpecialBreachesAreFound(t *testing.T) {
+	late := exchange(func(f *sycload.ExchangeFields) { f.Planned, f.PromptHash = at(9), 1 })
+	refused := exchange(func(f *sycload.ExchangeFields) {
+		f.Planned, f.Verdict, f.Reason = at(9), sycload.Refused, "401 invalid_api_key"
+	})
+	second := request(1, "rota", "w2")
+	second.Time = at(9)
+	tests := []struct {
+		name     string
+		property sycoracle.Property
+		check    func(*sycoracle.Ledger, bool)
+	}{
+		{"revoked", sycoracle.KeysRevoked, func(l *sycoracle.Ledger, held bool) {
+			x := late
+			if held {
+				x = refused
+			}
+			sycoracle.CheckRevoked(l, []sycload.Exchange{x}, "rota", at(1), time.Second)
+		}},
+		{"leaving", sycoracle.LeavingIdle, func(l *sycoracle.Ledger, held bool) {
+			grace := time.Second
+			if held {
+				grace = time.Hour
+			}
+			sycoracle.CheckLeaving(l, []sycengine.Request{second}, at(1), grace)
+		}},
+		{"drain", sycoracle.DrainWhole, func(l *sycoracle.Ledger, held bool) {
+			x := exchange(func(f *sycload.ExchangeFields) { f.Resumes = 1 })
+			if held {
+				x = late
+			}
+			sycoracle.CheckDrain(l, []sycload.Exchange{x})
+		}},
+		{"bad version", sycoracle.BadVersionHeld, func(l *sycoracle.Ledger, held bool) {
+			share := 0.4
+			if held {
+				share = 0.5
+			}
+			sycoracle.CheckBadVersion(l, []sycengine.Request{request(1, "rota", "w1"), second}, "w2", share, time.Second)
+		}},
+		{"goes back", sycoracle.ConfigHolds, func(l *sycoracle.Ledger, held bool) {
+			samples := []sycoracle.Applied{{VM: "a", Offset: 2}, {VM: "a", Offset: 1}}
+			if held {
+				samples[1].Offset = 3
+			}
+			sycoracle.CheckConfig(l, samples)
+		}},
+		{"not in force", sycoracle.ConfigHolds, func(l *sycoracle.Ledger, held bool) {
+			sample := sycoracle.Applied{VM: "a", Offset: 2, At: at(9)}
+			if held {
+				sample.Offset = 3
+			}
+			sycoracle.CheckInForce(l, []sycoracle.Applied{sample}, 3, at(1), time.Second)
+		}},
+		{"restart", sycoracle.RestartServes, func(l *sycoracle.Ledger, held bool) {
+			took := time.Minute
+			if held {
+				took = time.Second
+			}
+			sycoracle.CheckRestart(l, took, 2*time.Second)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, held := range []bool{true, false} {
+				ledger := sycoracle.NewLedger()
+				tt.check(ledger, held)
+				must.Positive(t, ledger.Tried(tt.property))
+				must.Eq(t, held, ledger.Sound())
+			}
+		})
+	}
+}
+
+func TestLedgersAddUp(t *testing.T) {
+	total, one := sycoracle.NewLedger(), sycoracle.NewLedger()
+	one.Check(sycoracle.AtMostOnce, true, "")
+	one.Check(sycoracle.AtMostOnce, false, "slot %d", 7)
+	total.Add("crash", one)
+	must.Eq(t, 2, total.Tried(sycoracle.AtMostOnce))
+	must.Eq(t, 1, total.Broken(sycoracle.AtMostOnce))
+	var text strings.Builder
+	must.NoError(t, total.Write(&text))
+	must.StrContains(t, text.String(), "broken: "+string(sycoracle.AtMostOnce)+": crash: slot 7")
+}
