--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -15,30 +15,20 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 )
 
-// verdict says how an exchange ended.
-type verdict int
-
-const (
-	// right is a whole answer with every byte as expected.
-	right verdict = iota
-	// wrong is an answer that claims to be whole and is not the expected one.
-	wrong
-	// refused is an answer that says that the request was not run.
-	refused
-	// failed is an answer of unknown outcome, or one that visibly broke off.
-	failed
-)
-
 // outcome is what one exchange came to.
 type outcome struct {
-	verdict verdict
+	verdict Verdict
 	// reason is a stable code for refusals and a description of faults.
 	reason string
 	// first is the time from the planned start to the first token; 0 without one.
 	first time.Duration
 	// gaps are the times between tokens.
-	gaps  []time.Duration
-	usage usage
+	gaps []time.Duration
+	// resumes counts the answers to attempts to resume.
+	resumes int
+	usage   usage
+	prompt  uint64
+	weights string
 }
 
 type usage struct {
@@ -55,6 +45,8 @@
 	arrival *arrival
 	// prompt is the text that the engine is to receive.
 	prompt string
+	// stream is the id by which any router can resume the answer.
+	stream string
 	// tokens are those received.
 	tokens []string
 	// last is when the last token came.
@@ -99,41 +91,51 @@
 	path, body := x.request()
 	data, err := json.Marshal(body)
 	if err != nil {
-		return outcome{verdict: failed, reason: err.Error()}
+		return outcome{verdict: Failed, reason: err.Error()}
 	}
 	response, err := x.runner.post(ctx, x.arrival, path, data, nil)
 	if err != nil {
-		return outcome{verdict: failed, reason: "no answer: " + cause(err)}
+		return outcome{verdict: Failed, reason: "no answer: " + cause(err)}
 	}
-	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
 		return failure(response)
 	}
+	x.read(response)
+	x.resume(ctx, path, data)
+	if x.o.verdict == Right {
+		x.check()
+	}
+	return x.o
+}
+
+// read takes in an answer up to its end, clean or not.
+func (x *exchange) read(response *http.Response) {
+	defer response.Body.Close()
+	x.o.verdict, x.o.reason = Right, ""
+	x.o.weights = response.Header.Get(headerWeights)
+	x.stream = response.Header.Get(headerStream)
 	if x.arrival.form == chatWhole {
 		x.readWhole(response)
-	} else {
-		x.readStream(response)
-	}
-	if x.o.verdict == right {
-		x.check(response.Header.Get("Sycamorecart-Weights"))
+		return
 	}
-	return x.o
+	x.readStream(response)
 }
 
 // check compares the whole text with the expected one.
-func (x *exchange) check(weights string) {
-	want := strings.Join(sycengine.Answer(weights, "", x.prompt, x.arrival.output), "")
+func (x *exchange) check() {
+	want := strings.Join(sycengine.Answer(x.o.weights, "", x.prompt, x.arrival.output), "")
 	got := strings.Join(x.tokens, "")
 	if got == want {
 		return
 	}
-	x.o.verdict = wrong
-	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", weights, len(got), got, len(want), want)
+	x.o.verdict = Wrong
+	x.o.reason = fmt.Sprintf("weights %q: got %d bytes %.60q, want %d bytes %.60q", x.o.weights, len(got), got, len(want), want)
 }
 
 // breakOff marks an answer that visibly did not arrive whole.
 func (x *exchange) breakOff(reason string) {
-	x.o.verdict = failed
+	x.o.verdict = Failed
 	x.o.reason = reason
 }
 
@@ -193,9 +195,9 @@
 	_ = json.NewDecoder(response.Body).Decode(&body)
 	reason := fmt.Sprintf("%d %s", response.StatusCode, body.Error.Code)
 	if response.Header.Get("Sycamorecart-Outcome") == "not-run" {
-		return outcome{verdict: refused, reason: reason}
+		return outcome{verdict: Refused, reason: reason}
 	}
-	return outcome{verdict: failed, reason: reason}
+	return outcome{verdict: Failed, reason: reason}
 }
 
 // cause is the innermost message of an error, without addresses.
--- a/internal/standin/sycload/tally.go
+++ b/internal/standin/sycload/tally.go
@@ -42,17 +42,16 @@
 
 // tally adds up the outcomes of a run.
 type tally struct {
-	mu       sync.Mutex
-	accounts []*account
-	bookings BookingResult
-	faults   []string
-	// confirmed lists the slots that were booked, refused those that were not run.
-	confirmed []string
-	refused   []string
+	start     time.Time
+	mu        sync.Mutex
+	accounts  []*account
+	bookings  BookingResult
+	faults    []string
+	exchanges []Exchange
 }
 
-func newTally(customers []Customer) *tally {
-	t := &tally{}
+func newTally(customers []Customer, start time.Time) *tally {
+	t := &tally{start: start}
 	for _, c := range customers {
 		t.accounts = append(t.accounts, newAccount(c.name))
 	}
@@ -100,7 +99,7 @@
 	for _, gap := range o.gaps {
 		record(account.between, gap)
 	}
-	if o.verdict != right {
+	if o.verdict != Right {
 		return
 	}
 	r := &account.result
@@ -116,12 +115,10 @@
 	t.count(t.accounts[a.customer], a, o)
 	t.bookings.Sent++
 	switch o.verdict {
-	case right:
+	case Right:
 		t.bookings.Confirmed++
-		t.confirmed = append(t.confirmed, a.slot)
-	case refused:
+	case Refused:
 		t.bookings.Refused++
-		t.refused = append(t.refused, a.slot)
 	default:
 		t.bookings.Unknown++
 	}
@@ -130,17 +127,29 @@
 // count adds the verdict. The caller holds mu.
 func (t *tally) count(account *account, a *arrival, o outcome) {
 	r := &account.result
+	r.Resumes += o.resumes
+	t.exchanges = append(t.exchanges, NewExchange(ExchangeFields{
+		Customer:   r.Customer,
+		Planned:    t.start.Add(a.at),
+		Ended:      time.Now(),
+		PromptHash: o.prompt,
+		Slot:       a.slot,
+		Verdict:    o.verdict,
+		Reason:     o.reason,
+		Weights:    o.weights,
+		Resumes:    o.resumes,
+	}))
 	switch o.verdict {
-	case right:
+	case Right:
 		r.Right++
 		return
-	case wrong:
+	case Wrong:
 		r.Wrong++
-	case refused:
+	case Refused:
 		r.Refused++
 		r.Refusals[o.reason]++
 		return
-	case failed:
+	case Failed:
 		r.Failed++
 	}
 	if len(t.faults) < maxFaults {
@@ -166,18 +175,17 @@
 }
 
 // result closes the tally.
-func (t *tally) result(o Options, start time.Time) Result {
+func (t *tally) result(o Options) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	result := Result{
 		Label:     o.Label,
 		Workload:  o.Workload.name,
 		Seed:      o.Seed,
-		Started:   start,
+		Started:   t.start,
 		Bookings:  t.bookings,
 		Faults:    t.faults,
-		confirmed: slices.Sorted(slices.Values(t.confirmed)),
-		refused:   slices.Sorted(slices.Values(t.refused)),
+		exchanges: t.exchanges,
 	}
 	total := newAccount("all")
 	for _, account := range t.accounts {
@@ -199,6 +207,7 @@
 	r.Wrong += o.Wrong
 	r.Refused += o.Refused
 	r.Failed += o.Failed
+	r.Resumes += o.Resumes
 	r.PromptTokens += o.PromptTokens
 	r.CachedTokens += o.CachedTokens
 	r.ReusableTokens += o.ReusableTokens
