--- a/internal/operate/sycstate/archive.go
+++ b/internal/operate/sycstate/archive.go
@@ -124,8 +124,13 @@
 	}
 }
 
-// install uses the newest snapshot where it is ahead of the folded state.
+// install uses the newest snapshot where it is ahead of the folded state and
+// the log cannot continue that state. A VM that can read on from its own state
+// never needs one, and one of a log that was replaced would revert it.
 func (a *archive) install(f *follower) {
+	if f.ready.Load() && !f.gap.Load() {
+		return
+	}
 	newest, ok := a.assemblers[f.stream].Newest()
 	if !ok || newest.Next() <= f.state.Load().Next() {
 		return
--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -85,13 +85,8 @@
 
 // followLog reads the log until the store closes.
 func (f *follower) followLog() error {
-	verified := false
 	for f.store.tomb.Alive() {
-		if !verified {
-			verified = f.verify()
-		}
-		if !verified || !f.readLog() {
-			verified = false
+		if !f.readLog() {
 			failures := f.failures.Add(1)
 			logFaults.Inc()
 			f.serveArchived()
@@ -103,8 +98,8 @@
 	return nil
 }
 
-// verify checks after a failure that the log still holds the last record that
-// was folded: a log that was replaced must not be folded on top.
+// verify checks that the log still holds the last record that was folded: a log
+// that was replaced must not be folded on top.
 func (f *follower) verify() bool {
 	state := f.state.Load()
 	id, ok := state.LastID()
@@ -159,6 +154,9 @@
 	if page.First > from {
 		return false
 	}
+	if len(page.Records) > 0 && !f.verify() {
+		return false
+	}
 	f.offer(batch{records: fromLog(page.Records), next: page.Next, start: start, proves: true})
 	return len(page.Records) > 0 || o.Loop.Now()-start >= o.Wait/2
 }
