Decide which slots a VM accrues, from the roster's reports

Cause: a slot that moves must have stopped at its old VM before it starts at the new one, with lists that lag and disagree, restarts, reused addresses and VMs that read the log late. Change: sycmember keeps the roster from the platform's list and from introductions; sycslot starts a slot only when every other VM of the domain that the platform has not removed has reported a state at least as new as the slot's last change and no newer than the own one. VMs with the fewest slots claim those of removed VMs by holder records with the expected generation.

--- /dev/null
+++ b/internal/decide/sycmember/roster_test.go
@@ -0,0 +1,112 @@
+package sycmember_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+)
+
+const lag = 5 * time.Second
+
+func vm(n int) sycmember.VM {
+	return sycmember.VM{Address: fmt.Sprintf("127.0.0.1:%d", 1000+n), FailureDomain: "larisa", Incarnation: "a"}
+}
+
+func TestGone(t *testing.T) {
+	self, other := vm(0), vm(1)
+	both, alone := []sycmember.VM{self, other}, []sycmember.VM{self}
+	cases := []struct {
+		name string
+		play func(r *sycmember.Roster)
+		gone bool
+	}{
+		{name: "never listed, read once", play: func(r *sycmember.Roster) {
+			r.Listed(0, alone)
+		}},
+		{name: "absent for the lag", play: func(r *sycmember.Roster) {
+			r.Listed(0, both)
+			r.Listed(time.Second, alone)
+			r.Listed(time.Second+lag, alone)
+		}},
+		{name: "absent for longer than the lag", play: func(r *sycmember.Roster) {
+			r.Listed(0, both)
+			r.Listed(time.Second, alone)
+			r.Listed(2*time.Second+lag, alone)
+		}, gone: true},
+		{name: "absent but heard", play: func(r *sycmember.Roster) {
+			r.Listed(time.Second, alone)
+			r.Seen(3*time.Second, other)
+			r.Listed(2*time.Second+lag, alone)
+		}},
+		{name: "listed again in between", play: func(r *sycmember.Roster) {
+			r.Listed(time.Second, alone)
+			r.Listed(4*time.Second, both)
+			r.Listed(5*time.Second, alone)
+			r.Listed(2*time.Second+lag, alone)
+		}},
+		{name: "the list has lost all entries", play: func(r *sycmember.Roster) {
+			r.Listed(time.Second, nil)
+			r.Listed(2*time.Second+lag, nil)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := sycmember.New(self, sycmember.Settings{ListLag: lag})
+			r.Expect([]sycmember.VM{other})
+			c.play(r)
+			must.Eq(t, c.gone, r.Gone(other.Address))
+		})
+	}
+}
+
+func TestRemoved(t *testing.T) {
+	r := sycmember.New(vm(0), sycmember.Settings{ListLag: lag})
+	r.Listed(0, []sycmember.VM{vm(1)})
+	must.False(t, r.Removed())
+	r.Listed(lag+1, []sycmember.VM{vm(1)})
+	must.True(t, r.Removed())
+	r.Listed(2*lag, []sycmember.VM{vm(0)})
+	must.False(t, r.Removed())
+}
+
+func TestAnswersOfFormerProcessesAreDropped(t *testing.T) {
+	r := sycmember.New(vm(0), sycmember.Settings{})
+	old, young := vm(1), vm(1)
+	young.Incarnation = "b"
+	r.Answered(time.Second, 0, sycmember.Report{VM: old, ConfigNext: 9})
+	r.Seen(2*time.Second, young)
+	r.Answered(3*time.Second, time.Second, sycmember.Report{VM: old, ConfigNext: 9})
+	_, _, ok := r.Present()[0].Reported()
+	must.False(t, ok)
+	r.Answered(5*time.Second, 4*time.Second, sycmember.Report{VM: young, ConfigNext: 3})
+	next, _, ok := r.Present()[0].Reported()
+	must.True(t, ok)
+	must.Eq(t, 3, next)
+}
+
+// A VM introduces itself to its whole failure domain and to few VMs elsewhere.
+func TestIntroductionsAtDesignSize(t *testing.T) {
+	var list []sycmember.VM
+	for i := range 1400 {
+		v := vm(i)
+		v.FailureDomain = fmt.Sprint("domain-", i%20)
+		list = append(list, v)
+	}
+	r := sycmember.New(list[0], sycmember.Settings{})
+	r.Listed(0, list)
+	sent := map[string]int{}
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		for _, address := range r.Due(now) {
+			sent[address]++
+		}
+	}
+	must.MapLen(t, 69+19*2, sent)
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	must.LessEq(t, 60*20+len(sent), total)
+}
--- /dev/null
+++ b/internal/decide/sycslot/slot_property_test.go
@@ -0,0 +1,87 @@
+package sycslot_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
+)
+
+// steps is the length of a run.
+const steps = 1500
+
+func TestNoSlotAccruesTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 5).Draw(t, "vms")
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), vms)
+		for range steps {
+			if sum := f.advance(); sum > syclimit.Whole {
+				t.Fatalf("at %s all VMs accrue %d parts in %d", f.now, sum, syclimit.Whole)
+			}
+		}
+	})
+}
+
+// The audit must see VMs that start without asking others.
+func TestAuditSeesHastyStarts(t *testing.T) {
+	f := newFleet(1, 4)
+	f.trust = true
+	var most syclimit.Fraction
+	for range steps {
+		most = max(most, f.advance())
+	}
+	must.Greater(t, syclimit.Whole, most)
+}
+
+// Once the faults end, all slots must find holders, also those of lost VMs.
+func TestSlotsFindHolders(t *testing.T) {
+	cases := []struct {
+		name string
+		lost bool
+	}{
+		{name: "all VMs are back", lost: false},
+		{name: "lost VMs stay away", lost: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(100) {
+				f := newFleet(seed, 4)
+				for range steps / 2 {
+					f.advance()
+				}
+				f.settle(c.lost)
+				if !f.anyUp() {
+					continue
+				}
+				must.Less(t, steps, f.stepsUntilWhole())
+			}
+		})
+	}
+}
+
+func (f *fleet) anyUp() bool {
+	return slices.ContainsFunc(f.nodes, func(n *node) bool { return n.up })
+}
+
+// stepsUntilWhole returns how long it takes until all slots accrue.
+func (f *fleet) stepsUntilWhole() int {
+	for i := range steps {
+		if f.advance() >= f.given() {
+			return i
+		}
+	}
+	return steps
+}
+
+// given is what the newest table gives to all slots.
+func (f *fleet) given() syclimit.Fraction {
+	var sum syclimit.Fraction
+	for _, o := range f.config.states[f.config.end()].Slots() {
+		for _, s := range o.Value().Slots() {
+			sum += syclimit.NewFraction(s.Fraction)
+		}
+	}
+	return sum
+}
