--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -50,6 +50,9 @@
 	// field is reused between decisions.
 	field field
 	out   []Decision
+	keeps []Keep
+	// urgent is set by the start of a long prefill.
+	urgent bool
 }
 
 // waiting is a request in a queue.
