Count only answers to own introductions as reports

Change: sycmesh notes when it sent an introduction and passes it on with the answer; introductions of others are signs of life only, and the own ones wait until this VM has tried to register. Roster.Complete copes with a list that is out of reach in a small fleet.

--- a/internal/decide/sycmember/hello.go
+++ b/internal/decide/sycmember/hello.go
@@ -52,6 +52,9 @@
 // Due returns the addresses that an introduction must go to now. It goes to a
 // new member at once.
 func (r *Roster) Due(now time.Duration) []string {
+	if !r.introduced {
+		r.introduced, r.firstHello = true, now
+	}
 	interval := r.interval()
 	var list []string
 	for _, m := range r.targets() {
--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -24,6 +24,10 @@
 	selfMissing bool
 	selfAbsent  time.Duration
 	lastReading time.Duration
+	// firstHello is when this VM began to introduce itself; valid if
+	// introduced is set.
+	introduced bool
+	firstHello time.Duration
 	// advanced is when a report of the own failure domain last differed from
 	// the one before.
 	advanced time.Duration
@@ -87,8 +91,15 @@
 }
 
 // Complete reports whether the roster can be relied on to hold every VM of the
-// failure domain that registered before this one: the list has been read.
-func (r *Roster) Complete() bool { return r.listed && !r.selfMissing }
+// failure domain that registered before this one: the list has been read, or
+// it is out of reach and the fleet is so small that answers to introductions
+// name all of it.
+func (r *Roster) Complete(now time.Duration) bool {
+	if r.listed {
+		return !r.selfMissing
+	}
+	return r.introduced && now-r.firstHello > r.settings.ListLag && len(r.members) < r.settings.Small
+}
 
 // Removed reports whether the platform has removed this VM from its list.
 func (r *Roster) Removed() bool {
--- a/internal/decide/sycslot/fleet_test.go
+++ b/internal/decide/sycslot/fleet_test.go
@@ -246,7 +246,7 @@
 	}
 	view := sycslot.View{
 		Config: config, System: system, Peers: peers,
-		Complete: n.roster.Complete(), Removed: n.roster.Removed(),
+		Complete: n.roster.Complete(f.now), Removed: n.roster.Removed(),
 	}
 	if f.trust {
 		view.Peers, view.Complete = nil, true
--- a/internal/peer/sycmesh/mesh.go
+++ b/internal/peer/sycmesh/mesh.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,6 +66,9 @@
 	tomb    tomb.Tomb
 	// roster belongs to the control loop.
 	roster *sycmember.Roster
+	// listTried is set once this VM has tried to register in the list, which
+	// comes before its introductions.
+	listTried atomic.Bool
 	// leaving is closed when the VM is about to stop.
 	leaving  chan struct{}
 	sequence uint64
@@ -141,6 +145,7 @@
 // readList registers this VM where the list does not show it as it is, and
 // takes the reading in.
 func (m *Mesh) readList(ctx context.Context) {
+	defer m.listTried.Store(true)
 	var began time.Duration
 	m.options.Loop.Do(func(now time.Duration) { began = now })
 	list, err := m.options.List.List(ctx)
@@ -182,9 +187,14 @@
 
 // introduce sends the introductions that are due.
 func (m *Mesh) introduce(ctx context.Context) {
+	if !m.listTried.Load() {
+		return
+	}
 	var due []string
+	var sent time.Duration
 	var request *sycpeerpb.HelloRequest
 	m.options.Loop.Do(func(now time.Duration) {
+		sent = now
 		due = m.roster.Due(now)
 		config, system := m.options.Applied()
 		request = &sycpeerpb.HelloRequest{From: encode(m.roster.Self()), ConfigNext: config, SystemNext: system}
@@ -195,7 +205,7 @@
 			log.Debugf("VM %s does not answer: %v", address, err)
 			return
 		}
-		m.heard(reply.GetVm(), reply.GetKnown(), reply.GetConfigNext(), reply.GetSystemNext())
+		m.answered(sent, reply)
 	})
 }
 
@@ -211,22 +221,27 @@
 	group.Wait()
 }
 
-func (m *Mesh) heard(vm *sycpeerpb.Vm, known []*sycpeerpb.Vm, config, system uint64) {
-	report := sycmember.Report{VM: decode(vm), ConfigNext: config, SystemNext: system}
-	for _, k := range known {
+func (m *Mesh) answered(sent time.Duration, reply *sycpeerpb.HelloReply) {
+	report := sycmember.Report{
+		VM:         decode(reply.GetVm()),
+		ConfigNext: reply.GetConfigNext(),
+		SystemNext: reply.GetSystemNext(),
+	}
+	for _, k := range reply.GetKnown() {
 		report.Known = append(report.Known, decode(k))
 	}
 	m.options.Loop.Do(func(now time.Duration) {
-		m.roster.Heard(now, report)
+		m.roster.Answered(now, sent, report)
 		m.changed(now)
 	})
 }
 
 // Hello answers an introduction.
 func (m *Mesh) Hello(_ context.Context, in *sycpeerpb.HelloRequest) (*sycpeerpb.HelloReply, error) {
-	m.heard(in.GetFrom(), nil, in.GetConfigNext(), in.GetSystemNext())
 	reply := &sycpeerpb.HelloReply{}
-	m.options.Loop.Do(func(time.Duration) {
+	m.options.Loop.Do(func(now time.Duration) {
+		m.roster.Seen(now, decode(in.GetFrom()))
+		m.changed(now)
 		reply.Vm = encode(m.roster.Self())
 		reply.ConfigNext, reply.SystemNext = m.options.Applied()
 		for _, vm := range m.roster.Known() {
