Test limiters over real connections with faults

Cause: the escrow must hold over sycpeer, sycmesh and a faulty network. Change: a rig of 8 limiters behind fault proxies: balanced, skewed, lost answers, slow links, restart of 7 VMs. The roster is made first and shared, so that neither part waits for the other.

--- a/internal/peer/sycmesh/mesh.go
+++ b/internal/peer/sycmesh/mesh.go
@@ -52,6 +52,9 @@
 	List     *syclist.Client
 	Self     sycmember.VM
 	Settings sycmember.Settings
+	// Roster is shared with other parts on the control loop; nil makes one from
+	// Self and Settings.
+	Roster *sycmember.Roster
 	// Applied returns the offsets after the newest records on whose state this
 	// VM acts; it is called on the control loop.
 	Applied func() (config, system uint64)
@@ -76,9 +79,12 @@
 
 // New starts to keep in touch.
 func New(o Options) *Mesh {
+	if o.Roster == nil {
+		o.Roster = sycmember.New(o.Self, o.Settings)
+	}
 	m := &Mesh{
 		options: o,
-		roster:  sycmember.New(o.Self, o.Settings),
+		roster:  o.Roster,
 		leaving: make(chan struct{}),
 	}
 	m.tomb.Go(func() error {
--- a/internal/traffic/sycadmit/doc.go
+++ b/internal/traffic/sycadmit/doc.go
@@ -78,8 +78,8 @@
 	// Config and System return the newest folded states; never nil.
 	Config func() *sycconfig.State
 	System func() *sycconfig.State
-	// Roster returns what is known of other VMs; it is called on the loop.
-	Roster func() *sycmember.Roster
+	// Roster is what is known of other VMs; it belongs to the loop.
+	Roster *sycmember.Roster
 	Lender Lender
 	// Propose appends an operation to the system stream and waits until this VM
 	// has folded it; nil claims no slots.
--- /dev/null
+++ b/internal/traffic/sycadmit/limiter_test.go
@@ -0,0 +1,141 @@
+package sycadmit_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+)
+
+const (
+	customer = "spring"
+	perSec   = 200
+	burst    = 20
+)
+
+var customers = map[string]sycrecord.CustomerFields{customer: {Rate: perSec, Burst: burst, Weight: 1}}
+
+// admission is a request that was admitted at some time between the two.
+type admission struct{ from, to time.Duration }
+
+// load sends requests at a rate and keeps what was admitted.
+type load struct {
+	mu       sync.Mutex
+	wait     sync.WaitGroup
+	start    time.Time
+	admitted []admission
+	offered  int
+	refused  int
+	badRetry int
+}
+
+// send offers requests to the VMs in turn for a span of time.
+func (l *load) send(rate int, span time.Duration, vms []*vm) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		<-ticker.C
+		v := vms[l.offered%len(vms)]
+		l.offered++
+		l.wait.Go(func() { l.one(v) })
+	}
+	l.wait.Wait()
+}
+
+func (l *load) one(v *vm) {
+	from := time.Since(l.start)
+	err := v.limiter.Load().Admit(context.Background(), customer)
+	to := time.Since(l.start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.admitted = append(l.admitted, admission{from: from, to: to})
+		return
+	}
+	l.refused++
+	var refusal *sycwork.Refusal
+	if !errors.As(err, &refusal) || refusal.RetryAfter <= 0 {
+		l.badRetry++
+	}
+}
+
+// overspend is the most by which the requests that were surely admitted within
+// a window exceed burst + rate*length.
+func (l *load) overspend() float64 {
+	slices.SortFunc(l.admitted, func(a, b admission) int { return int(a.to - b.to) })
+	worst := -float64(burst)
+	for _, first := range l.admitted {
+		inside := 0
+		for _, last := range l.admitted {
+			if last.from < first.from {
+				continue
+			}
+			inside++
+			length := (last.to - first.from).Seconds()
+			worst = max(worst, float64(inside)-burst-perSec*length)
+		}
+	}
+	return worst
+}
+
+func TestLimitsHoldOverTheFleet(t *testing.T) {
+	cases := []struct {
+		name    string
+		skew    bool
+		disturb func(r *rig)
+	}{
+		{name: "balanced", disturb: func(*rig) {}},
+		{name: "all requests to one VM", skew: true, disturb: func(*rig) {}},
+		{name: "answers of half the VMs are lost", skew: true, disturb: func(r *rig) {
+			for _, v := range r.vms[4:] {
+				r.proxies[v.address].Set(sycfault.Fault{LoseToClient: true})
+			}
+		}},
+		{name: "slow links", skew: true, disturb: func(r *rig) {
+			for _, p := range r.proxies {
+				p.Set(sycfault.Fault{Latency: 20 * time.Millisecond, Jitter: 20 * time.Millisecond})
+			}
+		}},
+		{name: "all VMs restart", disturb: func(r *rig) {
+			time.Sleep(500 * time.Millisecond)
+			for _, v := range r.vms[1:] {
+				v.restart()
+			}
+			r.refresh()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 8, customers)
+			targets := r.vms[:1]
+			if !c.skew {
+				targets = slices.Clone(r.vms)
+			}
+			l := &load{start: time.Now()}
+			done := make(chan struct{})
+			sent := metrics.GetOrCreateCounter(`sycamorecart_peer_calls_total{side="client",call="Borrow",result="ok"}`)
+			before := sent.Get()
+			go func() {
+				defer close(done)
+				l.send(2*perSec, 2*time.Second, targets)
+			}()
+			c.disturb(r)
+			<-done
+			elapsed := time.Since(l.start).Seconds()
+			t.Logf("offered %d, admitted %d, refused %d, overspend %.1f, loans asked %d, admitted of the allowance %.2f",
+				l.offered, len(l.admitted), l.refused, l.overspend(), sent.Get()-before,
+				float64(len(l.admitted))/(burst+perSec*elapsed))
+			must.LessEq(t, 0, l.overspend())
+			must.Zero(t, l.badRetry)
+			must.Positive(t, len(l.admitted))
+		})
+	}
+}
--- /dev/null
+++ b/internal/traffic/sycadmit/rig_test.go
@@ -0,0 +1,220 @@
+package sycadmit_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycadmit"
+)
+
+// journal is a stream whose records all VMs follow at once.
+type journal struct {
+	state   atomic.Pointer[sycconfig.State]
+	mu      sync.Mutex
+	records int
+}
+
+func newJournal() *journal {
+	j := &journal{}
+	j.state.Store(sycconfig.NewState())
+	return j
+}
+
+func (j *journal) append(t *testing.T, kind sycrecord.Kind, name string, spec any) {
+	t.Helper()
+	data, err := json.Marshal(spec)
+	must.NoError(t, err)
+	result := j.propose(sycrecord.Operation{Verb: sycrecord.Put, Kind: kind, Name: name, Spec: data})
+	must.True(t, result.Accepted(), must.Sprint(result.Reason()))
+}
+
+func (j *journal) propose(op sycrecord.Operation) sycconfig.Result {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.records++
+	op.Schema = sycrecord.NewestSchema
+	op.ID = fmt.Sprint("op-", j.records)
+	data, _ := json.Marshal(op)
+	state := j.state.Load()
+	next, result := state.Apply(state.Next(), data)
+	j.state.Store(next)
+	return result
+}
+
+// rig is a fleet of limiters that reach each other through faulty proxies.
+type rig struct {
+	t        *testing.T
+	platform *sycplatform.Platform
+	list     *syclist.Client
+	config   *journal
+	system   *journal
+	vms      []*vm
+	// proxies maps the address of each VM to the proxy before it.
+	proxies map[string]*sycfault.Proxy
+}
+
+type vm struct {
+	rig     *rig
+	domain  string
+	address string
+	process int
+	loop    *sycloop.Loop
+	server  *sycpeer.Server
+	client  *sycpeer.Client
+	mesh    *sycmesh.Mesh
+	// limiter is replaced when the process restarts.
+	limiter atomic.Pointer[sycadmit.Limiter]
+}
+
+// newRig starts VMs in failure domains of at most three, with equal slots, and
+// waits until all slots accrue.
+func newRig(t *testing.T, vms int, customers map[string]sycrecord.CustomerFields) *rig {
+	t.Helper()
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	r := &rig{
+		t: t, platform: platform, config: newJournal(), system: newJournal(),
+		list:    syclist.New(syclist.Options{Address: platform.URL()}),
+		proxies: map[string]*sycfault.Proxy{},
+	}
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	t.Cleanup(func() { must.NoError(t, r.list.Close()) })
+	for i := range vms {
+		v := &vm{rig: r, domain: fmt.Sprint("domain-", i/3)}
+		listener := v.listen("127.0.0.1:0")
+		r.vms = append(r.vms, v)
+		r.addProxy(v.address)
+		t.Cleanup(v.stop)
+		v.start(listener)
+	}
+	r.publish(customers)
+	r.awaitSlots()
+	return r
+}
+
+func (r *rig) addProxy(address string) {
+	proxy, err := sycfault.New(address, sycfault.Options{})
+	must.NoError(r.t, err)
+	r.proxies[address] = proxy
+	r.t.Cleanup(func() { must.NoError(r.t, proxy.Close()) })
+}
+
+// publish puts the customers and slot tables into the config stream.
+func (r *rig) publish(customers map[string]sycrecord.CustomerFields) {
+	for name, fields := range customers {
+		r.config.append(r.t, sycrecord.KindCustomer, name, fields)
+	}
+	domains := map[string][]*vm{}
+	for _, v := range r.vms {
+		domains[v.domain] = append(domains[v.domain], v)
+	}
+	for domain, vms := range domains {
+		fields := sycrecord.SlotsFields{Share: float64(len(vms)) / float64(len(r.vms))}
+		for _, v := range vms {
+			fields.Slots = append(fields.Slots, sycrecord.SlotFields{
+				Name: "slot-" + v.address, Address: v.address, Fraction: 1 / float64(len(vms)),
+			})
+		}
+		r.config.append(r.t, sycrecord.KindSlots, domain, fields)
+	}
+	r.refresh()
+}
+
+func (r *rig) refresh() {
+	for _, v := range r.vms {
+		v.loop.Do(v.limiter.Load().Refresh)
+	}
+}
+
+// awaitSlots waits until each running VM accrues.
+func (r *rig) awaitSlots() {
+	for _, v := range r.vms {
+		for v.limiter.Load().Shares().Fraction == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func (v *vm) listen(address string) net.Listener {
+	listener, err := net.Listen("tcp", address)
+	must.NoError(v.rig.t, err)
+	v.address = listener.Addr().String()
+	return listener
+}
+
+// start runs a process of the VM.
+func (v *vm) start(listener net.Listener) {
+	r := v.rig
+	v.process++
+	self := sycmember.VM{Address: v.address, FailureDomain: v.domain, Incarnation: fmt.Sprint(v.process)}
+	v.loop = sycloop.New()
+	roster := sycmember.New(self, sycmember.Settings{ListLag: time.Second, HelloInterval: 200 * time.Millisecond})
+	v.client = sycpeer.NewClient(sycpeer.ClientOptions{Dial: r.dial})
+	limiter := sycadmit.New(sycadmit.Options{
+		Loop:   v.loop,
+		Config: r.config.state.Load, System: r.system.state.Load,
+		Roster: roster, Lender: v.client, Self: self,
+		Propose: func(_ context.Context, op sycrecord.Operation) (sycconfig.Result, error) {
+			return r.system.propose(op), nil
+		},
+	})
+	v.limiter.Store(limiter)
+	v.mesh = sycmesh.New(sycmesh.Options{
+		Loop: v.loop, Client: v.client, List: r.list, Self: self,
+		Roster:  roster,
+		Applied: limiter.Applied, Changed: limiter.Refresh, Digests: noDigests{},
+	})
+	server, err := sycpeer.NewServer(sycpeer.ServerOptions{
+		Listener: listener,
+		Handlers: sycpeer.Handlers{Hello: v.mesh, Share: v.mesh, Borrow: limiter},
+	})
+	must.NoError(r.t, err)
+	v.server = server
+}
+
+// stop ends the process; it may be called again.
+func (v *vm) stop() {
+	if v.server == nil {
+		return
+	}
+	must.NoError(v.rig.t, v.server.Close())
+	must.NoError(v.rig.t, v.mesh.Close())
+	must.NoError(v.rig.t, v.limiter.Load().Close())
+	must.NoError(v.rig.t, v.client.Close())
+	must.NoError(v.rig.t, v.loop.Close())
+	v.server = nil
+}
+
+// restart replaces the process by a new one on the same address.
+func (v *vm) restart() {
+	v.stop()
+	v.start(v.listen(v.address))
+}
+
+func (r *rig) dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", r.proxies[address].Address())
+}
+
+type noDigests struct{}
+
+func (noDigests) ShareOut(bool, *sycpeerpb.ShareRequest) {}
+func (noDigests) ShareIn(*sycpeerpb.ShareRequest)        {}
+func (noDigests) Urgent() <-chan struct{}                { return nil }
--- a/internal/traffic/sycadmit/slot.go
+++ b/internal/traffic/sycadmit/slot.go
@@ -50,7 +50,7 @@
 			vms = append(vms, sycmember.VM{Address: h.Address, FailureDomain: h.FailureDomain})
 		}
 	}
-	c.limiter.options.Roster().Expect(vms)
+	c.limiter.options.Roster.Expect(vms)
 }
 
 // setLimits brings the customers with state to their present limits.
@@ -66,7 +66,7 @@
 
 // updateSlots lets the slots follow what is known of other VMs.
 func (c *control) updateSlots(now time.Duration) {
-	roster := c.limiter.options.Roster()
+	roster := c.limiter.options.Roster
 	c.slots.Update(sycslot.View{
 		Config:   c.config,
 		System:   c.system,
@@ -108,7 +108,7 @@
 func (c *control) lenders(now time.Duration) []syclimit.Peer {
 	o := c.limiter.options
 	live := map[string]bool{}
-	for _, m := range o.Roster().Live(now) {
+	for _, m := range o.Roster.Live(now) {
 		live[m.VM().Address] = true
 	}
 	var peers []syclimit.Peer
@@ -181,10 +181,10 @@
 	c.refresh(now)
 	o := c.limiter.options
 	var near []string
-	for _, m := range o.Roster().Live(now) {
+	for _, m := range o.Roster.Live(now) {
 		if m.VM().FailureDomain == o.Self.FailureDomain && !m.VM().Leaving {
 			near = append(near, m.VM().Address)
 		}
 	}
-	return c.slots.Claim(now, c.config, c.system, near, o.Roster().Gone)
+	return c.slots.Claim(now, c.config, c.system, near, o.Roster.Gone)
 }
