--- a/internal/decide/sycdispatch/attempt.go
+++ b/internal/decide/sycdispatch/attempt.go
@@ -15,8 +15,11 @@
 	mostImportPerBlock  = 20 * time.Millisecond
 	// importOverhead is the time that an import takes apart from its blocks.
 	importOverhead = 3 * time.Millisecond
-	// importStep is the weight of a new observation of an import.
-	importStep = 0.2
+	// importStep is the weight of an observation of an import that was faster
+	// than expected, importStepUp of a slower one, which may have waited for
+	// requests of other VMs.
+	importStep   = 0.2
+	importStepUp = 0.02
 	// slowFactor and slowFloor say when a first token counts as slow, compared
 	// with what all endpoints together would have needed.
 	slowFactor = 4
@@ -38,6 +41,8 @@
 	// cache and to be imported.
 	held     int
 	imported int
+	// shared is the number of leading blocks that were in use before.
+	shared int
 	// computed is the number of prompt tokens expected to be computed up to the
 	// first token, those queued before included.
 	computed float64
@@ -78,12 +83,17 @@
 	if a.request.Model == "" {
 		return
 	}
+	// The engine has just stored the prompt's blocks.
 	e.cache.Predict(now, a.option.Chain)
+	e.cache.Confirm(now, e.cache.Incarnation(), a.option.Chain)
+	d.keep(now, a)
 	event := sychealth.Success
 	if took > slowFactor*d.typical.Estimate().FirstToken(a.computed)+slowFloor {
 		event = sychealth.Slow
 	}
-	e.health.Observe(now, event)
+	if !d.trial(a) {
+		e.health.Observe(now, event)
+	}
 	if a.imported > 0 {
 		e.measureImport(a, took)
 		return
@@ -96,7 +106,11 @@
 	rest := took - e.network - importOverhead - e.speed.Estimate().FirstToken(a.computed)
 	seen := rest / time.Duration(a.imported)
 	seen = min(max(seen, leastImportPerBlock), mostImportPerBlock)
-	e.importPerBlock += time.Duration(importStep * float64(seen-e.importPerBlock))
+	step := importStep
+	if seen > e.importPerBlock {
+		step = importStepUp
+	}
+	e.importPerBlock += time.Duration(step * float64(seen-e.importPerBlock))
 }
 
 // learn compares what was expected of an attempt with its result.
@@ -122,15 +136,28 @@
 	d.outputs.observe(a.request.Customer, r.OutputTokens)
 }
 
+// trial reports whether an attempt runs on a version that serves the smaller
+// part of its model. How such an attempt ends is evidence about the version and
+// says little of the endpoint.
+func (d *Dispatcher[P]) trial(a *attempt) bool {
+	if a.request.Model == "" || a.request.Pinned {
+		return false
+	}
+	versions := d.active(a.request.Model)
+	return len(versions) > 0 && largest(versions).Version != a.option.Version.Version
+}
+
 // judge lets an attempt's outcome bear on its endpoint's health.
-func (e *endpoint) judge(now time.Duration, a *attempt, r sycwork.Result) {
+func (d *Dispatcher[P]) judge(now time.Duration, a *attempt, r sycwork.Result) {
+	e := a.endpoint
 	switch {
 	case r.Unreachable:
 		e.lose(now)
-	case r.Outcome == sycwork.Failed:
-		e.health.Observe(now, sychealth.Failure)
 	case r.Outcome == sycwork.Refused:
 		e.pausedUntil = now + refusedPause
+	case d.trial(a):
+	case r.Outcome == sycwork.Failed:
+		e.health.Observe(now, sychealth.Failure)
 	case r.Outcome == sycwork.Succeeded && a.request.Model == "":
 		e.health.Observe(now, sychealth.Success)
 	}
--- a/internal/decide/sycroute/prefix.go
+++ b/internal/decide/sycroute/prefix.go
@@ -16,12 +16,16 @@
 	// comingMargin is the multiple of the best immediate time that waiting for
 	// a prefill of the same blocks may take.
 	comingMargin = 1.25
+	// comingPart is the part of such a wait that must be saved in prefill.
+	comingPart = 0.5
 	// slackPart and slackFloor say which predictions count as equal.
 	slackPart  = 0.1
 	slackFloor = 3 * time.Millisecond
 	// homePart is the part of the prompt's prefill that is given up to keep a
 	// group together.
 	homePart = 0.25
+	// replacePart is the part of displaced blocks that would have been used again.
+	replacePart = 0.3
 	// farFloor is the disadvantage of endpoints in other failure domains.
 	farFloor = 2 * time.Millisecond
 )
@@ -99,7 +103,7 @@
 
 // scoreOf predicts the time to the first token at a candidate.
 func scoreOf(q Query, c *Candidate) score {
-	s := score{rank: mix(q.Group ^ c.Hash), room: c.Room, held: c.Held}
+	s := score{rank: Rank(q.Group, c.Hash), room: c.Room, held: c.Held}
 	s.ready = c.predict(c.Held)
 	if cost, ok := importCost(c); ok {
 		s.imports = true
@@ -107,13 +111,15 @@
 		s.ready = c.predict(float64(c.Source.Held)) + cost
 	}
 	s.time = s.ready
+	s.time += time.Duration(replacePart * (float64(q.Blocks) - c.Held) * float64(c.Replace))
 	if !c.Near {
 		s.time += c.Network + farFloor
 	}
 	if !c.Room {
 		s.time += c.RoomWait
 	}
-	if float64(c.Coming) >= s.held+1 {
+	saved := c.Speed.Prefill((float64(c.Coming) - s.held) * sycblock.TokensPerBlock)
+	if float64(saved) > comingPart*float64(c.ComingWait) {
 		s.later = c.ComingWait + c.predict(float64(c.Coming))
 	}
 	return s
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -14,12 +15,22 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycoperator"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
+	"sycamorecart.example/sycamorecart/internal/platform/syclist"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycdrain"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycgateway"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycversion"
 )
 
+// claimLifetime is how long idempotency keys are remembered, where the log
+// keeps records long enough.
+const claimLifetime = 10 * time.Minute
+
 var log = syclogging.New("vm")
 
 // VM is a running VM of the system.
@@ -39,21 +50,31 @@
 	gateway  *sycgateway.Gateway
 	callers  *http.Server
 	operator *http.Server
-	draining drainFlag
+	list     *syclist.Client
+	calls    *sycpeer.Client
+	mesh     atomic.Pointer[sycmesh.Mesh]
+	claims   *sycclaims.Driver
+	chooser  *sycchoose.Chooser
+	drain    *sycdrain.Drain
 	closers  closers
 }
 
 // New starts a VM. It returns when the listeners are open; Ready tells when
 // the VM can serve.
 func New(s *sycsetting.Settings) (*VM, error) {
-	v := &VM{settings: s, incarnation: uuid.NewString()}
+	v := &VM{
+		settings:    s,
+		incarnation: uuid.NewString(),
+		drain:       sycdrain.New(s.DrainSettle()),
+	}
 	if err := v.listen(); err != nil {
 		v.closers.close()
 		return nil, err
 	}
-	v.startState()
-	v.startTraffic()
-	v.startServers()
+	if err := v.start(); err != nil {
+		v.closers.close()
+		return nil, err
+	}
 	log.Infof("serves callers at %s, operators at %s, peers at %s", v.Callers(), v.Operators(), v.address)
 	return v, nil
 }
@@ -89,23 +110,64 @@
 		})
 	}
 	v.address = v.peersListener.Addr().String()
+	if outside := v.settings.PeerAddress(); outside.IsValid() {
+		v.address = outside.String()
+	}
 	return nil
 }
 
-func (v *VM) startState() {
+func (v *VM) start() error {
 	v.loop = sycloop.New()
 	v.closers.add(v.loop.Close)
+	security, err := v.peerTLS()
+	if err != nil {
+		return err
+	}
+	v.calls = sycpeer.NewClient(sycpeer.ClientOptions{TLS: security})
+	v.closers.add(v.calls.Close)
+	v.startState()
+	if err := v.startClaims(); err != nil {
+		return err
+	}
+	v.startTraffic()
+	if err := v.startMesh(security); err != nil {
+		return err
+	}
+	v.startServers()
+	return nil
+}
+
+func (v *VM) startState() {
 	v.log = syclog.New(syclog.Options{Address: v.settings.LogURL()})
 	v.closers.add(v.log.Close)
 	v.store = sycstate.New(sycstate.Options{
 		Loop:      v.loop,
 		Log:       v.log,
+		Peers:     sycpeer.NewFetcher(v.calls, v.settings.FailureDomain(), v.peers),
 		Self:      v.address + "/" + v.incarnation,
 		Retention: v.settings.LogRetention(),
 	})
 	v.closers.add(v.store.Close)
 }
 
+func (v *VM) startClaims() error {
+	claims, err := sycclaims.New(sycclaims.Options{
+		Loop:        v.loop,
+		Log:         v.log,
+		Peers:       v.calls,
+		VM:          v.address,
+		Incarnation: v.incarnation,
+		Lifetime:    min(claimLifetime, v.settings.LogRetention()/2),
+		Retention:   v.settings.LogRetention(),
+	})
+	if err != nil {
+		return err
+	}
+	v.claims = claims
+	v.closers.add(claims.Close)
+	return nil
+}
+
 func (v *VM) startTraffic() {
 	v.versions = sycversion.New(sycversion.Options{
 		Loop:        v.loop,
@@ -115,18 +177,22 @@
 	})
 	v.closers.add(v.versions.Close)
 	v.store.OnChange(v.versions.Refresh)
-	chooser := sycchoose.New(sycchoose.Options{
+	v.chooser = sycchoose.New(sycchoose.Options{
 		Loop:          v.loop,
 		Config:        v.store.Config,
 		FailureDomain: v.settings.FailureDomain(),
+		Policy:        v.settings.Policy(),
 		Seed:          seed(v.address),
 		Versions:      v.versions.Versions,
 	})
+	feed := sycfeed.New(sycfeed.Options{Sink: v.chooser, Config: v.store.Config})
+	v.closers.add(feed.Close)
 	v.gateway = sycgateway.New(sycgateway.Options{
 		Config:  v.store.Config,
 		Ready:   v.store.Ready,
-		Chooser: v.versions.Chooser(chooser),
+		Chooser: v.versions.Chooser(v.chooser),
 		Limiter: allowAll{},
+		Claims:  v.claims,
 		VM:      v.address,
 		Limits:  v.gatewayLimits(),
 	})
@@ -143,7 +209,8 @@
 func (v *VM) startServers() {
 	limits := v.gatewayLimits()
 	v.callers = &http.Server{
-		Handler:           v.gateway,
+		Handler:           v.drain.Handler(v.gateway),
+		ConnState:         newIdleLimit(v.settings.MaxIdle()).track,
 		ReadHeaderTimeout: limits.HeaderRead,
 		IdleTimeout:       limits.Idle,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -163,7 +230,7 @@
 
 // Ready reports whether the VM may get traffic, and why not.
 func (v *VM) Ready() (bool, string) {
-	if v.draining.set() {
+	if v.drain.Draining() {
 		return false, "the VM is shutting down"
 	}
 	if !v.store.Ready() {
@@ -209,23 +276,16 @@
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
-	v.draining.raise()
 	log.Infof("leaves the list and finishes its requests")
-	select {
-	case <-ctx.Done():
-	case <-time.After(v.settings.DrainSettle()):
-	}
-	v.callers.SetKeepAlivesEnabled(false)
-	err := v.callers.Shutdown(ctx)
-	if err != nil {
-		return eris.Wrap(err, "drain")
+	if err := v.mesh.Load().Leave(ctx); err != nil {
+		log.Warnf("the platform's list does not show that this VM leaves: %v", err)
 	}
-	return nil
+	return v.drain.Shutdown(ctx, v.callers)
 }
 
 // Close stops the VM at once and waits for its goroutines. Drain comes first
 // when requests must not be cut.
 func (v *VM) Close() error {
-	v.draining.raise()
+	v.drain.Begin()
 	return v.closers.close()
 }
--- a/internal/standin/sycload/result.go
+++ b/internal/standin/sycload/result.go
@@ -23,15 +23,19 @@
 	// Faults describes the first wrong and failed answers.
 	Faults []string `json:"faults,omitempty"`
 
-	confirmed []string
-	refused   []string
+	exchanges []Exchange
 }
 
-// Confirmed lists the slots whose booking was confirmed, sorted.
-func (r Result) Confirmed() []string { return r.confirmed }
-
-// RefusedSlots lists the slots whose booking was answered as not run, sorted.
-func (r Result) RefusedSlots() []string { return r.refused }
+// RefusedSlots lists the slots whose booking was answered as not run.
+func (r Result) RefusedSlots() []string {
+	var slots []string
+	for _, e := range r.exchanges {
+		if e.Slot() != "" && e.Verdict() == Refused {
+			slots = append(slots, e.Slot())
+		}
+	}
+	return slots
+}
 
 // Percentiles of a distribution of latencies.
 type Percentiles struct {
@@ -54,6 +58,8 @@
 	Refusals map[string]int `json:"refusals"`
 	// Failed requests had no whole answer and an unknown outcome.
 	Failed int `json:"failed"`
+	// Resumes counts the answers to attempts to resume a broken stream.
+	Resumes int `json:"resumes"`
 	// WithinRate counts the requests sent within the customer's rate and burst,
 	// RefusedWithinRate by how many the answers fell short of them.
 	WithinRate        int `json:"within_rate"`
@@ -102,7 +108,7 @@
 			r.Bookings.Doubled++
 		}
 	}
-	for _, slot := range r.refused {
+	for _, slot := range r.RefusedSlots() {
 		if times[slot] > 0 {
 			r.Bookings.FalselyRefused++
 		}
