--- a/internal/traffic/sycgateway/exchange.go
+++ b/internal/traffic/sycgateway/exchange.go
@@ -188,7 +188,7 @@
 	}
 	step := size
 	if step < 0 {
-		step = readStep
+		step = min(readStep, limit+1)
 	}
 	var body []byte
 	for {
--- a/internal/traffic/sycgateway/gateway.go
+++ b/internal/traffic/sycgateway/gateway.go
@@ -176,7 +176,9 @@
 	f := failure(err)
 	code = f.Code
 	if f.Code == codeCancelled {
-		return
+		// A return would end the answer cleanly, and a caller that has only
+		// stopped sending would take it for a whole one.
+		panic(http.ErrAbortHandler)
 	}
 	if f.Status >= http.StatusInternalServerError {
 		logrus.Warnf("gateway: request %s on route %q failed: %s", x.id, x.route.Name(), f.Code)
--- a/internal/traffic/sycgateway/service.go
+++ b/internal/traffic/sycgateway/service.go
@@ -31,6 +31,9 @@
 	target   string
 	grant    sycwork.Grant
 	excluded []string
+	// watch ends an attempt whose endpoint is silent. It stops once an answer
+	// is passed on, at the caller's pace.
+	watch *time.Timer
 }
 
 // serveService answers a request on a service route.
@@ -171,8 +174,10 @@
 	header := c.header.Clone()
 	header.Set(sycapi.HeaderAttempt, attempt)
 	sent := time.Now()
-	ctx, cancel := c.attemptContext(ctx, sent)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.watch = c.watchSilence(cancel, sent)
+	defer c.watch.Stop()
 	answer, err := c.x.g.client.Do(ctx, sycproxy.Call{
 		Method: c.x.r.Method,
 		URL:    c.grant.Target().Address + c.target,
@@ -198,13 +203,14 @@
 	return nil
 }
 
-// attemptContext leaves time for another attempt where one is allowed: an
+// watchSilence leaves time for another attempt where one is allowed: an
 // endpoint that has gone silent gets half of the time.
-func (c *serviceCall) attemptContext(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
-	if c.kind != sycattempt.Repeatable || len(c.excluded) > 0 {
-		return ctx, func() {}
+func (c *serviceCall) watchSilence(cancel func(), now time.Time) *time.Timer {
+	patience := c.x.deadline.Sub(now)
+	if c.kind == sycattempt.Repeatable && len(c.excluded) == 0 {
+		patience /= 2
 	}
-	return context.WithTimeout(ctx, c.x.deadline.Sub(now)/2)
+	return time.AfterFunc(patience, cancel)
 }
 
 func (c *serviceCall) guard() func() bool {
@@ -269,6 +275,7 @@
 	x := c.x
 	x.copyHeader(a.Header)
 	x.begun = true
+	c.watch.Stop()
 	c.plan.Delivered()
 	x.w.WriteHeader(a.StatusCode)
 	buffer := make([]byte, copyBuffer)
