--- /dev/null
+++ b/internal/traffic/sycapi/api_test.go
@@ -0,0 +1,113 @@
+package sycapi_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+)
+
+var bounds = sycapi.Bounds{DefaultTokens: 16, MaxTokens: 100, MaxMessages: 10}
+
+func TestParse(t *testing.T) {
+	cases := []struct {
+		name   string
+		form   sycapi.Form
+		body   string
+		prompt string
+		tokens int
+	}{
+		{"text", sycapi.Text, `{"model":"m","prompt":"p"}`, "p", 16},
+		{"bound", sycapi.Text, `{"model":"m","prompt":"p","max_tokens":5}`, "p", 5},
+		{"newer bound", sycapi.Text, `{"model":"m","prompt":"p","max_completion_tokens":6}`, "p", 6},
+		{"chat", sycapi.Chat, `{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"u"}]}`, "system:\ns\nuser:\nu\n", 16},
+		{"parts", sycapi.Chat, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`, "user:\nab\n", 16},
+		{"unknown fields", sycapi.Text, `{"model":"m","prompt":"p","temperature":0.5,"user":"u"}`, "p", 16},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, err := sycapi.Parse(c.form, []byte(c.body), bounds)
+			must.NoError(t, err)
+			must.Eq(t, c.prompt, r.Prompt())
+			must.Eq(t, c.tokens, r.MaxTokens())
+			must.Eq(t, "m", r.Model())
+		})
+	}
+}
+
+func TestFailureIsWritten(t *testing.T) {
+	cases := []struct {
+		failure     sycapi.Failure
+		kind, retry string
+	}{
+		{sycapi.Failure{Status: 401, Code: "invalid_key", Outcome: sycapi.NotRun}, "authentication_error", ""},
+		{sycapi.Failure{Status: 429, Code: "rate_limited", Outcome: sycapi.NotRun, RetryAfter: 1500 * time.Millisecond}, "rate_limit_error", "2"},
+		{sycapi.Failure{Status: 400, Code: "invalid_json", Outcome: sycapi.NotRun}, "invalid_request_error", ""},
+		{sycapi.Failure{Status: 502, Code: "outcome_unknown", Outcome: sycapi.Unknown}, "server_error", ""},
+	}
+	for _, c := range cases {
+		w := httptest.NewRecorder()
+		c.failure.Write(w, "id")
+		must.Eq(t, c.failure.Status, w.Code)
+		must.Eq(t, string(c.failure.Outcome), w.Header().Get("Sycamorecart-Outcome"))
+		must.Eq(t, c.retry, w.Header().Get("Retry-After"))
+		var body struct {
+			Error struct {
+				Type, Code string
+				RequestID  string `json:"request_id"`
+			}
+		}
+		must.NoError(t, json.Unmarshal(w.Body.Bytes(), &body))
+		must.Eq(t, c.kind, body.Error.Type)
+		must.Eq(t, c.failure.Code, body.Error.Code)
+		must.Eq(t, "id", body.Error.RequestID)
+	}
+}
+
+// FuzzParse checks that every body is either refused with a client's error or
+// gives a request within its bounds.
+func FuzzParse(f *testing.F) {
+	f.Add(true, []byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true}`))
+	f.Add(false, []byte(`{"model":"m","prompt":"p","max_tokens":3}`))
+	f.Add(true, []byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Fuzz(func(t *testing.T, chat bool, body []byte) {
+		form := sycapi.Text
+		if chat {
+			form = sycapi.Chat
+		}
+		r, err := sycapi.Parse(form, body, bounds)
+		if err != nil {
+			var fault *sycapi.Failure
+			if !errors.As(err, &fault) || fault.Status != http.StatusBadRequest || fault.Outcome != sycapi.NotRun {
+				t.Fatalf("error %v", err)
+			}
+			return
+		}
+		if r.Model() == "" || r.Prompt() == "" || r.MaxTokens() < 1 || r.MaxTokens() > bounds.MaxTokens {
+			t.Fatalf("request %+v", r)
+		}
+	})
+}
+
+// FuzzToken checks that every text comes back from its chunk unchanged.
+func FuzzToken(f *testing.F) {
+	f.Add("plain")
+	f.Add("\"\\\n\t\x00\x1f\u2028é")
+	f.Fuzz(func(t *testing.T, text string) {
+		if !utf8.ValidString(text) {
+			return
+		}
+		r, err := sycapi.Parse(sycapi.Text, []byte(`{"model":"m","prompt":"p"}`), bounds)
+		must.NoError(t, err)
+		chunk := sycapi.NewAnswer(r, "id", 1).AppendToken(nil, 0, text)
+		var got struct{ Choices []struct{ Text string } }
+		must.NoError(t, json.Unmarshal(chunk, &got))
+		must.Eq(t, text, got.Choices[0].Text)
+	})
+}
--- /dev/null
+++ b/internal/traffic/sycstream/id_test.go
@@ -0,0 +1,35 @@
+package sycstream_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
+)
+
+func TestIDsAreReadBack(t *testing.T) {
+	id := sycstream.ID{Endpoint: "e", Stream: "s", Weights: "w", Adapter: "a", Digest: "d"}
+	got, err := sycstream.ParseID(id.String())
+	must.NoError(t, err)
+	must.Eq(t, id, got)
+	must.NotEq(t, sycstream.Digest("r", "m", "p", 1), sycstream.Digest("r", "mp", "", 1))
+}
+
+// FuzzParseID checks that whatever is taken for an id is one.
+func FuzzParseID(f *testing.F) {
+	f.Add(sycstream.ID{Endpoint: "e", Stream: "s"}.String())
+	f.Add("%%")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := sycstream.ParseID(text)
+		if err != nil {
+			return
+		}
+		if id.Endpoint == "" || id.Stream == "" {
+			t.Fatalf("id %+v", id)
+		}
+		again, err := sycstream.ParseID(id.String())
+		if err != nil || again != id {
+			t.Fatalf("%+v was read as %+v, %v", id, again, err)
+		}
+	})
+}
