--- a/internal/traffic/sycclaims/settings.go
+++ b/internal/traffic/sycclaims/settings.go
@@ -70,7 +70,7 @@
 	set(&o.Flush, 20*time.Millisecond)
 	set(&o.FlushMax, time.Second)
 	set(&o.Decide, 3*time.Second)
-	set(&o.Start, 5*time.Second)
+	set(&o.Start, min(5*time.Second, o.Lifetime/4))
 	set(&o.Ask, 200*time.Millisecond)
 	set(&o.Unreachable, 2*time.Second)
 	set(&o.Inline, 4<<10)
--- a/internal/traffic/sycgateway/gateway.go
+++ b/internal/traffic/sycgateway/gateway.go
@@ -203,14 +203,3 @@
 		Outcome: sycapi.Unknown,
 	}
 }
-
-// NewServer returns a server for callers with the gateway's limits.
-func NewServer(h http.Handler, l Limits) *http.Server {
-	return &http.Server{
-		Handler:                      h,
-		ReadHeaderTimeout:            l.HeaderRead,
-		IdleTimeout:                  l.Idle,
-		MaxHeaderBytes:               l.HeaderBytes,
-		DisableGeneralOptionsHandler: true,
-	}
-}
