Limit requests, and compare versions at like work before the first token

Change: sycvm admits by sycadmit; evidence is classed by the prompt tokens to be computed before the first token, in steps of two, the backlog at the engine included, and imported requests apart; counts travel once a second and only when changed.

--- a/internal/decide/sycdispatch/place.go
+++ b/internal/decide/sycdispatch/place.go
@@ -163,7 +163,7 @@
 		shared:    f.shared,
 		predicted: choice.FirstToken,
 	}
-	target := d.target(e, r, o)
+	target := d.target(now, e, r, o)
 	if choice.Import {
 		blocks := f.imported(choice.Index, o.Chain)
 		a.imported = len(blocks)
@@ -189,11 +189,12 @@
 	})
 }
 
-func (d *Dispatcher[P]) target(e *endpoint, r *Request, o Option) *sycwork.Target {
+func (d *Dispatcher[P]) target(now time.Duration, e *endpoint, r *Request, o Option) *sycwork.Target {
 	priority := 0
 	if c, ok := d.config.Customer(r.Customer); ok {
 		priority = c.Value().Priority()
 	}
+	l := e.load(now)
 	return &sycwork.Target{
 		Endpoint:      e.record.Name(),
 		Address:       e.record.Address(),
@@ -203,5 +204,7 @@
 		Version:       o.Version.Version,
 		Salt:          o.Salt,
 		Priority:      priority,
+		Requests:      l.requests,
+		Backlog:       l.prefill,
 	}
 }
--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -1,8 +1,11 @@
 package sycrollout
 
-import "time"
+import (
+	"math/bits"
+	"time"
+)
 
-// Load classes of an endpoint, by its work in flight when a request was sent.
+// Load classes of an endpoint, by its load when a request was sent.
 const (
 	LoadLow = iota
 	LoadMiddle
@@ -10,19 +13,18 @@
 	loadClasses
 )
 
-// Size classes of a request, by its prompt tokens that were not cached.
-const (
-	SizeSmall = iota
-	SizeMiddle
-	SizeLarge
-	sizeClasses
-)
-
 const (
-	middleLoad   = 4
-	highLoad     = 12
-	middleTokens = 512
-	largeTokens  = 4096
+	middleLoad = 4
+	highLoad   = 12
+	// smallTokens is the upper end of the first size class; each class after it
+	// ends at twice as many tokens, and the last has no end.
+	smallTokens = 128
+	// SizeClasses is the number of size classes, by the prompt tokens that had to
+	// be computed before the first token.
+	SizeClasses = 9
+	// SizeImported is the class of requests with imported blocks.
+	SizeImported = SizeClasses
+	sizeClasses  = SizeClasses + 1
 )
 
 // Cell is a kind of request whose versions are compared with each other.
@@ -50,26 +52,23 @@
 	return true
 }
 
-// LoadClass is the class of an endpoint with the given work in flight.
-func LoadClass(inFlight int) int {
+// LoadClass is the class of an endpoint with the given requests.
+func LoadClass(requests int) int {
 	switch {
-	case inFlight >= highLoad:
+	case requests >= highLoad:
 		return LoadHigh
-	case inFlight >= middleLoad:
+	case requests >= middleLoad:
 		return LoadMiddle
 	}
 	return LoadLow
 }
 
-// SizeClass is the class of a request with the given prompt tokens not cached.
+// SizeClass is the class of a request before whose first token the given prompt
+// tokens had to be computed: its own that were not cached, and those of the
+// requests before it.
 func SizeClass(tokens int) int {
-	switch {
-	case tokens >= largeTokens:
-		return SizeLarge
-	case tokens >= middleTokens:
-		return SizeMiddle
-	}
-	return SizeSmall
+	class := bits.Len(uint(max(tokens, 0) / smallTokens))
+	return min(class, SizeClasses-1)
 }
 
 // Counts is what was seen in a cell. Counts only grow.
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -23,7 +23,7 @@
 	slowShare         = 0.3
 	// minReference is the smallest number of the predecessor's requests in a cell
 	// that a comparison rests on.
-	minReference = 20
+	minReference = 10
 )
 
 // Subject is a version under comparison.
--- a/internal/decide/sycwork/work.go
+++ b/internal/decide/sycwork/work.go
@@ -64,6 +64,10 @@
 	Priority int
 	// Import is nil when nothing is worth fetching.
 	Import *Import
+	// Requests and Backlog estimate the endpoint's load without this attempt:
+	// its requests and their prompt tokens that are still to be computed.
+	Requests int
+	Backlog  int
 }
 
 // Outcome says how an attempt ended.
--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -1,14 +1,20 @@
 package sycvm
 
 import (
+	"context"
 	"crypto/tls"
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
 	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycadmit"
 )
 
 // peerTLS returns the settings of mutual TLS; nil where the settings name no
@@ -20,22 +26,47 @@
 	return sycpeer.TLSConfig(v.settings.Certificate(), v.settings.Key(), v.settings.Authority())
 }
 
+// self names this VM to the others.
+func (v *VM) self() sycmember.VM {
+	return sycmember.VM{
+		Address:       v.address,
+		FailureDomain: v.settings.FailureDomain(),
+		Incarnation:   v.incarnation,
+	}
+}
+
+// startLimits admits requests by the slots that this VM holds.
+func (v *VM) startLimits() {
+	v.roster = sycmember.New(v.self(), sycmember.Settings{ListLag: v.settings.ListLag()})
+	v.limiter = sycadmit.New(sycadmit.Options{
+		Loop:   v.loop,
+		Config: v.store.Config,
+		System: v.store.System,
+		Roster: v.roster,
+		Lender: v.calls,
+		Propose: func(ctx context.Context, op sycrecord.Operation) (sycconfig.Result, error) {
+			return v.store.Propose(ctx, sycstate.SystemStream, op)
+		},
+		Self:     v.self(),
+		Settings: sycadmit.Settings{Limit: syclimit.Settings{Hold: v.settings.Hold()}},
+	})
+	v.closers.add(v.limiter.Close)
+	v.store.OnChange(v.limiter.Refresh)
+}
+
 // startMesh gets in touch with the other VMs and serves their calls.
 func (v *VM) startMesh(security *tls.Config) error {
 	v.list = syclist.New(syclist.Options{Address: v.settings.ListURL()})
 	v.closers.add(v.list.Close)
 	mesh := sycmesh.New(sycmesh.Options{
-		Loop:   v.loop,
-		Client: v.calls,
-		List:   v.list,
-		Self: sycmember.VM{
-			Address:       v.address,
-			FailureDomain: v.settings.FailureDomain(),
-			Incarnation:   v.incarnation,
-		},
-		Settings: sycmember.Settings{ListLag: v.settings.ListLag()},
-		Applied:  v.store.Applied,
-		Digests:  &digests{vm: v},
+		Loop:    v.loop,
+		Client:  v.calls,
+		List:    v.list,
+		Self:    v.self(),
+		Roster:  v.roster,
+		Applied: v.limiter.Applied,
+		Changed: v.limiter.Refresh,
+		Digests: &digests{vm: v},
 	})
 	v.mesh.Store(mesh)
 	v.closers.add(mesh.Close)
@@ -46,6 +77,7 @@
 			Hello:    mesh,
 			Records:  v.store,
 			Snapshot: v.store,
+			Borrow:   v.limiter,
 			Share:    mesh,
 			Outcome:  v.claims,
 		},
@@ -74,7 +106,7 @@
 // ShareOut implements sycmesh.Digests. Load and service concern the VMs of the
 // own failure domain, evidence on versions all.
 func (d *digests) ShareOut(same bool, out *sycpeerpb.ShareRequest) {
-	out.Evidence = d.vm.versions.ShareOut()
+	out.Evidence = d.vm.versions.ShareOut(out.GetSequence())
 	if !same {
 		return
 	}
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/operate/sycoperator"
@@ -19,6 +20,7 @@
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/platform/syclist"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycadmit"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycdrain"
@@ -53,6 +55,8 @@
 	list     *syclist.Client
 	calls    *sycpeer.Client
 	mesh     atomic.Pointer[sycmesh.Mesh]
+	roster   *sycmember.Roster
+	limiter  *sycadmit.Limiter
 	claims   *sycclaims.Driver
 	chooser  *sycchoose.Chooser
 	drain    *sycdrain.Drain
@@ -129,6 +133,7 @@
 	if err := v.startClaims(); err != nil {
 		return err
 	}
+	v.startLimits()
 	v.startTraffic()
 	if err := v.startMesh(security); err != nil {
 		return err
@@ -191,7 +196,7 @@
 		Config:  v.store.Config,
 		Ready:   v.store.Ready,
 		Chooser: v.versions.Chooser(v.chooser),
-		Limiter: allowAll{},
+		Limiter: v.limiter,
 		Claims:  v.claims,
 		VM:      v.address,
 		Limits:  v.gatewayLimits(),
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -63,7 +63,7 @@
 		config:   o.Config,
 		versions: o.Versions,
 		waiting:  map[uint64]chan sycdispatch.Decision{},
-		gauges:   newGauges(),
+		gauges:   shown,
 		urgent:   make(chan struct{}, 1),
 		keeps:    make(chan sycdispatch.Keep, keepsWaiting),
 	}
--- a/internal/traffic/sycchoose/metric.go
+++ b/internal/traffic/sycchoose/metric.go
@@ -25,6 +25,9 @@
 	out     atomic.Int64
 }
 
+// shown holds the values of the process's chooser.
+var shown = newGauges()
+
 func newGauges() *gauges {
 	g := &gauges{}
 	register("sycamorecart_choose_queued_requests", &g.queued)
@@ -35,7 +38,6 @@
 }
 
 func register(name string, value *atomic.Int64) {
-	metrics.UnregisterMetric(name)
 	metrics.NewGauge(name, func() float64 { return float64(value.Load()) })
 }
 
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -13,16 +13,12 @@
 // Chooser returns a chooser that records how the attempts of versions under
 // rollout end.
 func (m *Manager) Chooser(inner sycwork.Chooser) sycwork.Chooser {
-	return &observer{manager: m, inner: inner, inFlight: map[string]int{}}
+	return &observer{manager: m, inner: inner}
 }
 
 type observer struct {
 	manager *Manager
 	inner   sycwork.Chooser
-
-	mu sync.Mutex
-	// inFlight counts this VM's attempts by endpoint.
-	inFlight map[string]int
 }
 
 // Choose passes the work on and watches the grant.
@@ -31,57 +27,35 @@
 	if err != nil {
 		return nil, err
 	}
-	endpoint := inner.Target().Endpoint
-	return &observed{
-		Grant:    inner,
-		observer: o,
-		route:    w.Route,
-		load:     sycrollout.LoadClass(o.add(endpoint, 1)),
-	}, nil
-}
-
-func (o *observer) add(endpoint string, n int) int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	before := o.inFlight[endpoint]
-	o.inFlight[endpoint] = before + n
-	if o.inFlight[endpoint] == 0 {
-		delete(o.inFlight, endpoint)
-	}
-	return before
+	return &observed{Grant: inner, manager: o.manager, route: w.Route}, nil
 }
 
 type observed struct {
 	sycwork.Grant
-	observer *observer
-	route    string
-	load     int
-	once     sync.Once
+	manager *Manager
+	route   string
+	once    sync.Once
 }
 
 // Done records the result once and passes it on.
 func (g *observed) Done(r sycwork.Result) {
-	g.once.Do(func() {
-		target := g.Target()
-		g.observer.add(target.Endpoint, -1)
-		g.observer.manager.record(g.route, g.load, target, r)
-	})
+	g.once.Do(func() { g.manager.record(g.route, g.Target(), r) })
 	g.Grant.Done(r)
 }
 
-// record counts an attempt of a version under rollout. Refused and cancelled
-// attempts say nothing of a version.
-func (m *Manager) record(route string, load int, target sycwork.Target, r sycwork.Result) {
+// record counts an attempt of a version under rollout. Attempts that did not
+// reach an engine, or were refused or cancelled, say nothing of a version.
+func (m *Manager) record(route string, target sycwork.Target, r sycwork.Result) {
 	generation, judged := m.view.Load().judged[target.Version]
-	if !judged || r.Outcome == sycwork.Refused || r.Outcome == sycwork.Cancelled {
+	if !judged || r.Unreachable || r.Outcome == sycwork.Refused || r.Outcome == sycwork.Cancelled {
 		return
 	}
 	cell := sycrollout.Cell{
 		Version:    target.Version,
 		Generation: generation,
 		Route:      route,
-		Load:       load,
-		Size:       sycrollout.SizeClass(r.PromptTokens - r.CachedTokens),
+		Load:       sycrollout.LoadClass(target.Requests),
+		Size:       sizeClass(target, r),
 	}
 	sample := sycrollout.Sample{
 		Failed:        r.Outcome == sycwork.Failed,
@@ -91,26 +65,77 @@
 	m.options.Loop.Post(func(time.Duration) { m.ledger.Record(cell, sample) })
 }
 
-// ShareOut returns this VM's evidence for its peers. It must not be called on
-// the control loop.
-func (m *Manager) ShareOut() []*sycpeerpb.VersionEvidence {
+// sizeClass keeps requests with imported blocks apart, since the import takes
+// part of their time.
+func sizeClass(target sycwork.Target, r sycwork.Result) int {
+	if target.Import != nil {
+		return sycrollout.SizeImported
+	}
+	return sycrollout.SizeClass(target.Backlog + r.PromptTokens - r.CachedTokens)
+}
+
+const (
+	// countsEvery is the number of digests from one with counts to the next.
+	countsEvery = 4
+	// allCountsEvery is the number of digests after which all counts are sent
+	// again, for VMs that missed them.
+	allCountsEvery = 40
+)
+
+// shared is what the newest digest tells.
+type shared struct {
+	sequence uint64
+	list     []*sycpeerpb.VersionEvidence
+	// sent holds the requests of each cell when its counts were last sent.
+	sent map[sycrollout.Cell]uint64
+}
+
+// ShareOut returns this VM's evidence for the digest with the given number:
+// its vetoes always, and from time to time the counts that have changed. It
+// must not be called on the control loop.
+func (m *Manager) ShareOut(sequence uint64) []*sycpeerpb.VersionEvidence {
 	var list []*sycpeerpb.VersionEvidence
 	m.options.Loop.Do(func(time.Duration) {
-		for cell, counts := range m.ledger.Own() {
-			list = append(list, encode(cell, counts))
-		}
-		for subject, reason := range m.vetoes {
-			list = append(list, &sycpeerpb.VersionEvidence{
-				Version:    subject.Version,
-				Generation: subject.Generation,
-				Veto:       true,
-				Reason:     reason,
-			})
+		if sequence != m.shared.sequence {
+			m.shared.sequence = sequence
+			m.shared.list = append(m.vetoesOut(), m.countsOut(sequence)...)
 		}
+		list = m.shared.list
 	})
 	return list
 }
 
+func (m *Manager) vetoesOut() []*sycpeerpb.VersionEvidence {
+	var list []*sycpeerpb.VersionEvidence
+	for subject, reason := range m.vetoes {
+		list = append(list, &sycpeerpb.VersionEvidence{
+			Version:    subject.Version,
+			Generation: subject.Generation,
+			Veto:       true,
+			Reason:     reason,
+		})
+	}
+	return list
+}
+
+func (m *Manager) countsOut(sequence uint64) []*sycpeerpb.VersionEvidence {
+	if sequence%countsEvery != 0 {
+		return nil
+	}
+	if sequence%allCountsEvery == 0 {
+		m.shared.sent = map[sycrollout.Cell]uint64{}
+	}
+	var list []*sycpeerpb.VersionEvidence
+	for cell, counts := range m.ledger.Own() {
+		if m.shared.sent[cell] == counts.Requests {
+			continue
+		}
+		m.shared.sent[cell] = counts.Requests
+		list = append(list, encode(cell, counts))
+	}
+	return list
+}
+
 // ShareIn takes in a peer's evidence and vetoes.
 func (m *Manager) ShareIn(from *sycpeerpb.Vm, evidence []*sycpeerpb.VersionEvidence) {
 	source := from.GetAddress() + "/" + from.GetIncarnation()
@@ -143,8 +168,8 @@
 		Load:          cell.Class(),
 		Requests:      c.Requests,
 		Failures:      c.Failures,
-		FirstToken:    c.FirstToken[:],
-		BetweenTokens: c.BetweenTokens[:],
+		FirstToken:    trim(c.FirstToken[:]),
+		BetweenTokens: trim(c.BetweenTokens[:]),
 	}
 }
 
@@ -154,7 +179,18 @@
 	if !cell.SetClass(e.GetLoad()) {
 		return cell, counts, false
 	}
-	n := copy(counts.FirstToken[:], e.GetFirstToken())
-	k := copy(counts.BetweenTokens[:], e.GetBetweenTokens())
-	return cell, counts, n == sycrollout.BucketCount && k == sycrollout.BucketCount
+	if len(e.GetFirstToken()) > sycrollout.BucketCount || len(e.GetBetweenTokens()) > sycrollout.BucketCount {
+		return cell, counts, false
+	}
+	copy(counts.FirstToken[:], e.GetFirstToken())
+	copy(counts.BetweenTokens[:], e.GetBetweenTokens())
+	return cell, counts, true
+}
+
+// trim drops the empty buckets at the end.
+func trim(buckets []uint64) []uint64 {
+	for len(buckets) > 0 && buckets[len(buckets)-1] == 0 {
+		buckets = buckets[:len(buckets)-1]
+	}
+	return buckets
 }
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -75,6 +75,7 @@
 	vetoes  map[sycrollout.Subject]string
 	stages  map[string]*stage
 	loads   map[loadKey]loadTime
+	shared  shared
 }
 
 // view is an immutable snapshot for traffic goroutines and status.
@@ -97,6 +98,7 @@
 		vetoes:  map[sycrollout.Subject]string{},
 		stages:  map[string]*stage{},
 		loads:   map[loadKey]loadTime{},
+		shared:  shared{sent: map[sycrollout.Cell]uint64{}},
 	}
 	m.view.Store(&view{})
 	o.Loop.Every(TickPeriod, m.judge)
