Add check, publish, watch, status, key and version

Cause: operators had no commands. Change: the commands, one file each; sycpublish reads records (JSON array or sequence), publishes in batches and waits until VMs report the offset; sycstate.ProposeAll appends several operations in one call. A store reads without waiting until it has its first proof of the log's end. Tests: go test -race ./cmd/sycamorecart (lost answer appends once, outage, refusals, exit codes, waiting).

--- /dev/null
+++ b/cmd/sycamorecart/command_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/subcommands"
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+// run executes a command as the command line does.
+func run(t *testing.T, c subcommands.Command, args ...string) subcommands.ExitStatus {
+	t.Helper()
+	flags := flag.NewFlagSet(c.Name(), flag.ContinueOnError)
+	c.SetFlags(flags)
+	must.NoError(t, flags.Parse(args))
+	return c.Execute(t.Context(), flags)
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "records.json")
+	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+const (
+	good     = `{"schema":2,"op":"put","kind":"customer","name":"c","spec":{"requests_per_second":1,"burst":1}}`
+	once     = `{"schema":2,"id":"once","op":"put","kind":"customer","name":"d","expect":0,"spec":{"requests_per_second":1,"burst":1}}`
+	faulty   = `{"schema":2,"op":"put","kind":"customer","name":"c","spec":{"rate":1}}`
+	conflict = `{"schema":2,"op":"put","kind":"customer","name":"c","expect":7,"spec":{"requests_per_second":1,"burst":1}}`
+)
+
+func TestPublish(t *testing.T) {
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	cases := []struct {
+		name    string
+		records string
+		lose    int
+		out     bool
+		status  subcommands.ExitStatus
+		// grows is the number of records that come to be in the log.
+		grows int
+	}{
+		{"accepted", good, 0, false, 0, 1},
+		{"lost answer", good, 1, false, 0, 1},
+		{"array", "[" + good + "," + good + "]", 0, false, 0, 2},
+		{"with an id", once, 0, false, 0, 1},
+		{"with an id again", once, 0, false, 1, 1},
+		{"refused", good + conflict, 0, false, 1, 2},
+		{"faulty", good + faulty, 0, false, 2, 0},
+		{"no JSON", "{", 0, false, 2, 0},
+		{"outage", good, 0, true, 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			before := len(platform.Records("config"))
+			platform.SetFaults(sycplatform.Faults{LoseAppends: c.lose, Log: sycplatform.Fault{Out: c.out}})
+			status := run(t, newPublish(), "-log", platform.URL(), "-timeout", "2s", write(t, c.records))
+			must.EqOp(t, c.status, status)
+			must.EqOp(t, c.grows, len(platform.Records("config"))-before)
+		})
+	}
+}
+
+func TestPublishWaitsForVMs(t *testing.T) {
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	cases := []struct {
+		name    string
+		applied string
+		status  subcommands.ExitStatus
+	}{
+		{"in force", `{"applied":{"config":100}}`, 0},
+		{"not on a member", `{"applied":{"config":100},"members":[{"address":"x","applied":{"config":0}}]}`, exitUnknown},
+		{"not on the VM", `{"applied":{"config":0}}`, exitUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Write([]byte(c.applied))
+			}))
+			t.Cleanup(vm.Close)
+			status := run(t, newPublish(), "-log", platform.URL(), "-timeout", "1s", "-wait", "-vm", vm.URL, write(t, good))
+			must.EqOp(t, c.status, status)
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	cases := []struct {
+		name   string
+		args   []string
+		status subcommands.ExitStatus
+	}{
+		{"nothing", nil, 2},
+		{"good", []string{write(t, good)}, 0},
+		{"faulty", []string{write(t, good), write(t, faulty)}, 1},
+		{"no file", []string{"/nonexistent"}, 1},
+		{"settings", []string{"-settings", "/nonexistent"}, 1},
+	}
+	for _, c := range cases {
+		must.EqOp(t, c.status, run(t, newCheck(), c.args...), must.Sprint(c.name))
+	}
+}
+
+func TestKeyRecordsTheHash(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key.json")
+	must.EqOp(t, 0, run(t, newKey(), "-customer", "c", "-record", path))
+	data, err := os.ReadFile(path)
+	must.NoError(t, err)
+	change, err := sycrecord.Parse(data)
+	must.NoError(t, err)
+	key, ok := change.Value().(sycrecord.Key)
+	must.True(t, ok)
+	must.EqOp(t, "c", key.Customer())
+	must.EqOp(t, 1, run(t, newKey(), "-customer", "c", "-record", path), must.Sprint("an existing file is kept"))
+	must.EqOp(t, 2, run(t, newKey()))
+}
+
+func TestStatus(t *testing.T) {
+	answer := map[string]any{"ready": true}
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		json.NewEncoder(w).Encode(answer)
+	}))
+	t.Cleanup(vm.Close)
+	secret := write(t, "secret\n")
+	must.EqOp(t, 0, run(t, newStatus(), "-token-file", secret, vm.URL))
+	must.EqOp(t, 0, run(t, newStatus(), "-json", "-token-file", secret, vm.URL))
+	must.EqOp(t, 1, run(t, newStatus(), vm.URL))
+	must.EqOp(t, 2, run(t, newStatus()))
+	answer["ready"] = false
+	must.EqOp(t, 1, run(t, newStatus(), "-token-file", secret, vm.URL))
+}
+
+func TestWatchEnds(t *testing.T) {
+	platform, err := sycplatform.New(sycplatform.Options{})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, platform.Close()) })
+	must.EqOp(t, 0, run(t, newWatch(), "-log", platform.URL(), "-all", "-for", "500ms"))
+	platform.SetFaults(sycplatform.Faults{Log: sycplatform.Fault{Out: true}})
+	must.EqOp(t, 1, run(t, newWatch(), "-log", platform.URL(), "-for", "500ms"))
+}
+
+func TestVersion(t *testing.T) {
+	must.EqOp(t, 0, run(t, newVersion()))
+	flags := flag.NewFlagSet("version", flag.ContinueOnError)
+	must.NoError(t, flags.Parse([]string{"extra"}))
+	must.EqOp(t, 2, newVersion().Execute(context.Background(), flags))
+}
--- a/cmd/sycamorecart/main.go
+++ b/cmd/sycamorecart/main.go
@@ -13,6 +13,12 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(newServe(), "")
+	subcommands.Register(newCheck(), "")
+	subcommands.Register(newPublish(), "")
+	subcommands.Register(newWatch(), "")
+	subcommands.Register(newStatus(), "")
+	subcommands.Register(newKey(), "")
+	subcommands.Register(newVersion(), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/cmd/sycamorecart/status.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
+)
+
+const statusUsage = `status [-json] [-token-file FILE] URL ...
+  Asks VMs' operators' listeners how they are: readiness, applied offsets and
+  the VMs that they know. With -json it prints each VM's whole status, one JSON
+  object after the other, with its rollouts and shares.
+
+  Example:
+    sycamorecart status http://127.0.0.1:8081
+
+  Exit codes: 0 all VMs are ready, 1 some are not or did not answer, 2 wrong
+  arguments.
+`
+
+// status shows how VMs are.
+type status struct {
+	json      bool
+	tokenFile string
+}
+
+func newStatus() subcommands.Command { return &status{} }
+
+// Name implements subcommands.Command.
+func (*status) Name() string { return "status" }
+
+// Synopsis implements subcommands.Command.
+func (*status) Synopsis() string { return "show how VMs are" }
+
+// Usage implements subcommands.Command.
+func (*status) Usage() string { return statusUsage }
+
+// SetFlags implements subcommands.Command.
+func (c *status) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print the whole status as JSON")
+	f.StringVar(&c.tokenFile, "token-file", "", "`file` with the operators' token")
+}
+
+// Execute implements subcommands.Command.
+func (c *status) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Fprint(os.Stderr, statusUsage)
+		return subcommands.ExitUsageError
+	}
+	secret, err := token(c.tokenFile)
+	if err != nil {
+		return fail(err, subcommands.ExitUsageError)
+	}
+	operator := sycpublish.NewOperator(secret)
+	defer operator.Close()
+	exit := subcommands.ExitSuccess
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, url := range f.Args() {
+		if err := c.show(ctx, operator, url, table); err != nil {
+			exit = fail(err, subcommands.ExitFailure)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return fail(err, subcommands.ExitFailure)
+	}
+	return exit
+}
+
+// notReadyError reports a VM that must get no traffic.
+type notReadyError struct {
+	url string
+	why string
+}
+
+// Error names the VM and the reason.
+func (e *notReadyError) Error() string { return e.url + " is not ready: " + e.why }
+
+func (c *status) show(ctx context.Context, operator *sycpublish.Operator, url string, out io.Writer) error {
+	raw, err := operator.Raw(ctx, url)
+	if err != nil {
+		return err
+	}
+	var vm sycpublish.VMStatus
+	if err := json.Unmarshal(raw, &vm); err != nil {
+		return fmt.Errorf("%s: %w", url, err)
+	}
+	if c.json {
+		fmt.Fprintf(out, "%s\n", raw)
+	} else {
+		showVM(out, vm)
+	}
+	if !vm.Ready {
+		return &notReadyError{url: url, why: vm.Why}
+	}
+	return nil
+}
+
+func showVM(out io.Writer, vm sycpublish.VMStatus) {
+	state := "ready"
+	if !vm.Ready {
+		state = "not ready"
+	}
+	if vm.Leads {
+		state += ", leads rollouts"
+	}
+	fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", vm.Address, vm.FailureDomain, applied(vm.Applied), state)
+	for _, member := range vm.Members {
+		fmt.Fprintf(out, "  knows %s\t%s\t%s\t\n", member.Address, member.FailureDomain, applied(member.Applied))
+	}
+}
+
+func applied(offsets map[string]uint64) string {
+	return fmt.Sprintf("config %d, system %d", offsets["config"], offsets["system"])
+}
--- /dev/null
+++ b/internal/operate/sycpublish/status.go
@@ -0,0 +1,153 @@
+package sycpublish
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of questions to VMs.
+const (
+	statusTimeout = 2 * time.Second
+	statusPoll    = 100 * time.Millisecond
+	maxStatus     = 64 << 20
+)
+
+// VMStatus is the part of a VM's status that operators' commands understand.
+type VMStatus struct {
+	Address       string `json:"address"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failure_domain"`
+	Ready         bool   `json:"ready"`
+	Why           string `json:"why"`
+	// Applied maps streams to the offset after the last applied record.
+	Applied map[string]uint64 `json:"applied"`
+	// Members are the VMs that this one knows, with what they reported last.
+	Members []MemberStatus `json:"members"`
+	Leads   bool           `json:"leads_rollouts"`
+}
+
+// MemberStatus is what a VM has heard of another.
+type MemberStatus struct {
+	Address       string            `json:"address"`
+	FailureDomain string            `json:"failure_domain"`
+	Applied       map[string]uint64 `json:"applied"`
+}
+
+// StatusError reports an answer other than success.
+type StatusError struct {
+	URL    string
+	Status int
+}
+
+// Error names the VM and the status.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s: status %d", e.URL, e.Status) }
+
+// Operator asks VMs' operators' listeners.
+type Operator struct {
+	http  *http.Client
+	token string
+}
+
+// NewOperator returns a client that sends a token unless it is empty.
+func NewOperator(token string) *Operator {
+	return &Operator{
+		http:  &http.Client{Timeout: statusTimeout, Transport: &http.Transport{}},
+		token: token,
+	}
+}
+
+// Close closes idle connections.
+func (o *Operator) Close() error {
+	o.http.CloseIdleConnections()
+	return nil
+}
+
+// Raw returns a VM's status as it answered.
+func (o *Operator) Raw(ctx context.Context, url string) (json.RawMessage, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(url, "/")+"/v1/status", http.NoBody)
+	if err != nil {
+		return nil, eris.Wrap(err, "sycpublish: request")
+	}
+	if o.token != "" {
+		request.Header.Set("Authorization", "Bearer "+o.token)
+	}
+	response, err := o.http.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "sycpublish: status")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{URL: url, Status: response.StatusCode}
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxStatus))
+	return data, eris.Wrap(err, "sycpublish: status")
+}
+
+// Status returns a VM's status.
+func (o *Operator) Status(ctx context.Context, url string) (VMStatus, error) {
+	data, err := o.Raw(ctx, url)
+	if err != nil {
+		return VMStatus{}, err
+	}
+	var status VMStatus
+	if err := json.Unmarshal(data, &status); err != nil {
+		return VMStatus{}, eris.Wrapf(err, "sycpublish: status of %s", url)
+	}
+	return status, nil
+}
+
+// Await waits until the VMs at the given URLs, and the members that they know,
+// have applied a stream up to an offset. When the context ends it returns what
+// is lacking.
+func (o *Operator) Await(ctx context.Context, urls []string, stream string, next uint64) error {
+	ticker := time.NewTicker(statusPoll)
+	defer ticker.Stop()
+	for {
+		lacking := o.lacking(ctx, urls, stream, next)
+		if len(lacking) == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return &BehindError{VMs: lacking}
+		}
+	}
+}
+
+// BehindError lists VMs on which a record is not known to be in force.
+type BehindError struct {
+	VMs []string
+}
+
+// Error lists the VMs with what is known of each.
+func (e *BehindError) Error() string {
+	return "not known to be in force on " + strings.Join(e.VMs, ", ")
+}
+
+func (o *Operator) lacking(ctx context.Context, urls []string, stream string, next uint64) []string {
+	var list []string
+	for _, url := range urls {
+		status, err := o.Status(ctx, url)
+		if err != nil {
+			list = append(list, fmt.Sprintf("%s (%v)", url, err))
+			continue
+		}
+		if status.Applied[stream] < next {
+			list = append(list, fmt.Sprintf("%s (applied %d of %d)", url, status.Applied[stream], next))
+		}
+		for _, member := range status.Members {
+			if member.Applied[stream] < next {
+				list = append(list, fmt.Sprintf("%s (applied %d of %d)", member.Address, member.Applied[stream], next))
+			}
+		}
+	}
+	return list
+}
--- a/internal/operate/sycstate/archive.go
+++ b/internal/operate/sycstate/archive.go
@@ -146,7 +146,7 @@
 // due reports whether the log may forget what no snapshot covers.
 func (a *archive) due(f *follower) bool {
 	state := f.state.Load()
-	if state.Next() == 0 || !f.ready.Load() {
+	if a.store.options.ReadOnly || state.Next() == 0 || !f.ready.Load() {
 		return false
 	}
 	uncovered, known := f.oldestRecord()
--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -142,7 +142,8 @@
 	o := f.store.options
 	start := o.Loop.Now()
 	from := f.state.Load().Next()
-	page, err := o.Log.Read(f.store.context(), f.stream, from, pageRecords, o.Wait)
+	wait := f.wait()
+	page, err := o.Log.Read(f.store.context(), f.stream, from, pageRecords, wait)
 	if err != nil {
 		log.Debugf("reading %s failed: %v", f.stream, err)
 		return false
@@ -158,7 +159,16 @@
 		return false
 	}
 	f.offer(batch{records: fromLog(page.Records), next: page.Next, start: start, proves: true})
-	return len(page.Records) > 0 || o.Loop.Now()-start >= o.Wait/2
+	return len(page.Records) > 0 || o.Loop.Now()-start >= wait/2
+}
+
+// wait is how long a read is held: not at all before the first proof and after
+// a failure, so that a VM learns at once that it is at the log's end.
+func (f *follower) wait() time.Duration {
+	if f.proven.Load() < 0 || f.failures.Load() > 0 {
+		return 0
+	}
+	return f.store.options.Wait
 }
 
 // batch is the answer of the log or a peer.
--- a/internal/operate/sycstate/propose.go
+++ b/internal/operate/sycstate/propose.go
@@ -32,53 +32,138 @@
 // Unwrap returns the cause.
 func (e *OutcomeError) Unwrap() error { return e.Err }
 
-// Propose appends an operation and waits until this VM has folded it. An empty
-// id is replaced by a new one. An append whose answer is lost is repeated only
-// after a read that began later has reached the log's end without the id, and
-// under the same id. The error is *OutcomeError, *syclog.UnavailableError or
-// *syclog.RefusedError; after the last two the operation has had no effect. It
-// must not be called on the control loop.
+// Propose appends an operation and waits until this VM has folded it; see ProposeAll.
 func (s *Store) Propose(ctx context.Context, stream string, op sycrecord.Operation) (sycconfig.Result, error) {
+	results, err := s.ProposeAll(ctx, stream, op)
+	if err != nil {
+		return sycconfig.Result{}, err
+	}
+	return results[0], nil
+}
+
+// ProposeAll appends operations in one call of the log and waits until this VM
+// has folded them. An empty id is replaced by a new one. An append whose answer
+// is lost is repeated only after a read that began later has reached the log's
+// end without the operations, and under the same ids. The error is
+// *OutcomeError, *syclog.UnavailableError or *syclog.RefusedError; after the
+// last two the operations have had no effect. The ids must differ. It must not be
+// called on the control loop.
+func (s *Store) ProposeAll(ctx context.Context, stream string, ops ...sycrecord.Operation) ([]sycconfig.Result, error) {
 	f := s.follower(stream)
 	if f == nil {
-		return sycconfig.Result{}, &StreamError{Stream: stream}
+		return nil, &StreamError{Stream: stream}
+	}
+	if len(ops) == 0 {
+		return nil, nil
 	}
+	p := &proposal{follower: f}
+	for _, op := range ops {
+		if err := p.add(op); err != nil {
+			return nil, err
+		}
+	}
+	p.await()
+	defer p.forget()
+	return p.run(ctx)
+}
+
+// proposal is a set of operations on its way into the log.
+type proposal struct {
+	follower *follower
+	entries  []syclog.Entry
+	// waiters are parallel to entries.
+	waiters []chan sycconfig.Result
+}
+
+func (p *proposal) add(op sycrecord.Operation) error {
 	if op.ID == "" {
-		op.ID = s.options.Self + "/" + uuid.NewString()
+		op.ID = p.follower.store.options.Self + "/" + uuid.NewString()
 	}
 	if op.Schema == 0 {
 		op.Schema = sycrecord.NewestSchema
 	}
 	data, err := json.Marshal(op)
 	if err != nil {
-		return sycconfig.Result{}, eris.Wrap(err, "state: propose")
+		return eris.Wrap(err, "state: propose")
 	}
-	waiter := f.await(op.ID)
-	defer f.forget(op.ID)
-	return f.propose(ctx, syclog.Entry{ID: op.ID, Data: data}, waiter)
+	p.entries = append(p.entries, syclog.Entry{ID: op.ID, Data: data})
+	p.waiters = append(p.waiters, make(chan sycconfig.Result, 1))
+	return nil
 }
 
-func (f *follower) propose(ctx context.Context, entry syclog.Entry, waiter <-chan sycconfig.Result) (sycconfig.Result, error) {
-	for {
-		_, err := f.store.options.Log.Append(ctx, f.stream, entry)
+// await registers interest in the results.
+func (p *proposal) await() {
+	p.follower.store.options.Loop.Do(func(time.Duration) {
+		for i, entry := range p.entries {
+			p.follower.waiting[entry.ID] = p.waiters[i]
+		}
+	})
+}
+
+func (p *proposal) forget() {
+	p.follower.store.options.Loop.Do(func(time.Duration) {
+		for _, entry := range p.entries {
+			delete(p.follower.waiting, entry.ID)
+		}
+	})
+}
+
+// run appends until the operations have been seen in the log.
+func (p *proposal) run(ctx context.Context) ([]sycconfig.Result, error) {
+	for lostBefore := false; ; lostBefore = true {
+		_, err := p.follower.store.options.Log.Append(ctx, p.follower.stream, p.entries...)
 		var lost *syclog.LostError
 		if err != nil && !errors.As(err, &lost) {
-			return sycconfig.Result{}, err
+			if lostBefore {
+				return nil, p.unknown(err)
+			}
+			return nil, err
 		}
-		after := f.store.options.Loop.Now()
-		result, seen, waitErr := f.waitResult(ctx, waiter, after, err != nil)
+		after := p.follower.store.options.Loop.Now()
+		results, waitErr := p.results(ctx, after, err != nil)
 		if waitErr != nil {
-			return sycconfig.Result{}, &OutcomeError{Stream: f.stream, ID: entry.ID, Err: errors.Join(waitErr, err)}
+			return nil, p.unknown(errors.Join(waitErr, err))
+		}
+		if results == nil {
+			continue
 		}
+		if lostBefore && anyRepeated(results) {
+			// A snapshot passed over the first copy of an operation.
+			return nil, p.unknown(results[0].Err())
+		}
+		return results, nil
+	}
+}
+
+func (p *proposal) unknown(err error) error {
+	return &OutcomeError{Stream: p.follower.stream, ID: p.entries[0].ID, Err: err}
+}
+
+func anyRepeated(results []sycconfig.Result) bool {
+	for _, result := range results {
 		var repeated *sycconfig.RepeatedError
 		if errors.As(result.Err(), &repeated) {
-			// A snapshot passed over the operation's own first copy.
-			return sycconfig.Result{}, &OutcomeError{Stream: f.stream, ID: entry.ID, Err: repeated}
+			return true
 		}
-		if seen {
-			return result, nil
+	}
+	return false
+}
+
+// results waits for the results of all operations; they are nil if the append
+// was lost and had no effect.
+func (p *proposal) results(ctx context.Context, after time.Duration, lost bool) ([]sycconfig.Result, error) {
+	results := make([]sycconfig.Result, 0, len(p.waiters))
+	for _, waiter := range p.waiters {
+		result, seen, err := p.follower.waitResult(ctx, waiter, after, lost)
+		if err != nil {
+			return nil, err
+		}
+		if !seen {
+			return nil, nil
 		}
+		results = append(results, result)
 	}
+	return results, nil
 }
 
 // waitResult waits for the result of an operation. If the append's answer was
@@ -110,14 +195,3 @@
 		}
 	}
 }
-
-// await registers interest in the result of an operation.
-func (f *follower) await(id string) <-chan sycconfig.Result {
-	waiter := make(chan sycconfig.Result, 1)
-	f.store.options.Loop.Do(func(time.Duration) { f.waiting[id] = waiter })
-	return waiter
-}
-
-func (f *follower) forget(id string) {
-	f.store.options.Loop.Do(func(time.Duration) { delete(f.waiting, id) })
-}
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -49,6 +49,8 @@
 	PeerPoll time.Duration
 	// Retention is how long the log keeps records.
 	Retention time.Duration
+	// ReadOnly keeps the store from appending snapshots, for operators' commands.
+	ReadOnly bool
 }
 
 // Defaults fills the fields that are zero.
