--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -24,9 +24,16 @@
 	selfMissing bool
 	selfAbsent  time.Duration
 	lastReading time.Duration
+	// firstHello is when this VM began to introduce itself; valid if
+	// introduced is set.
+	introduced bool
+	firstHello time.Duration
 	// advanced is when a report of the own failure domain last differed from
 	// the one before.
 	advanced time.Duration
+	// cached holds the targets of introductions, nil when they must be chosen
+	// anew.
+	cached []*Member
 	// next is the rotating start of what reports pass on.
 	next int
 }
@@ -83,13 +90,33 @@
 	m.absentTo = now
 }
 
+// Complete reports whether the roster can be relied on to hold every VM of the
+// failure domain that registered before this one: the list has been read, or
+// it is out of reach and the fleet is so small that answers to introductions
+// name all of it.
+func (r *Roster) Complete(now time.Duration) bool {
+	if r.listed {
+		return !r.selfMissing
+	}
+	return r.introduced && now-r.firstHello > r.settings.ListLag && len(r.members) < r.settings.Small
+}
+
 // Removed reports whether the platform has removed this VM from its list.
 func (r *Roster) Removed() bool {
-	return r.selfMissing && r.lastReading-r.selfAbsent > r.settings.ListLag
+	return r.selfMissing && r.lastReading-r.selfAbsent > 2*r.settings.ListLag
 }
 
-// Heard takes a VM's report of itself.
-func (r *Roster) Heard(now time.Duration, report Report) {
+// Seen takes an introduction by another VM. It is a sign of life; what the VM
+// acts on counts only when it answers this one, because an introduction may
+// have been under way for long.
+func (r *Roster) Seen(now time.Duration, vm VM) {
+	if m := r.add(vm); m != nil {
+		m.meet(now, vm)
+	}
+}
+
+// Answered takes a VM's answer to an introduction that was sent at a time.
+func (r *Roster) Answered(now, sent time.Duration, report Report) {
 	for _, vm := range report.Known {
 		r.add(vm)
 	}
@@ -97,18 +124,31 @@
 	if m == nil {
 		return
 	}
+	if m.alive && sent < m.since {
+		return
+	}
+	m.meet(now, report.VM)
 	if m.differs(report) && report.VM.FailureDomain == r.self.FailureDomain {
 		r.advanced = now
 	}
-	m.vm = report.VM
 	m.report = report
 	m.report.Known = nil
-	m.heard = now
 	m.known = true
 }
 
+// meet notes a sign of life, and forgets what a former process reported.
+func (m *Member) meet(now time.Duration, vm VM) {
+	if m.vm.Incarnation != vm.Incarnation {
+		m.since = now
+		m.known = false
+	}
+	m.vm = vm
+	m.heard = now
+	m.alive = true
+}
+
 func (m *Member) differs(next Report) bool {
-	return !m.known || m.vm.Incarnation != next.VM.Incarnation ||
+	return !m.known ||
 		m.report.ConfigNext != next.ConfigNext || m.report.SystemNext != next.SystemNext
 }
 
@@ -136,6 +176,7 @@
 		return nil
 	}
 	m := &Member{vm: vm}
+	r.cached = nil
 	r.members = slices.Insert(r.members, i, m)
 	return m
 }
@@ -155,11 +196,12 @@
 	if !m.absent || m.absentTo-m.absentFrom <= lag || m.absentTo-r.advanced <= lag {
 		return false
 	}
-	return !m.known || m.absentTo-m.heard > lag
+	return !m.alive || m.absentTo-m.heard > lag
 }
 
 // prune drops the members that are gone and that no slot table names.
 func (r *Roster) prune() {
+	r.cached = nil
 	r.members = slices.DeleteFunc(r.members, func(m *Member) bool {
 		return r.gone(m) && !r.expected[m.vm.Address]
 	})
@@ -180,7 +222,7 @@
 // Live returns the members that have reported lately, ordered by address.
 func (r *Roster) Live(now time.Duration) []*Member {
 	silence := time.Duration(r.settings.Suspect * float64(r.interval()))
-	return r.filter(func(m *Member) bool { return m.known && now-m.heard <= silence })
+	return r.filter(func(m *Member) bool { return m.alive && now-m.heard <= silence })
 }
 
 func (r *Roster) filter(keep func(*Member) bool) []*Member {
--- a/internal/decide/sycslot/doc.go
+++ b/internal/decide/sycslot/doc.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 )
 
@@ -27,6 +28,20 @@
 	SystemNext uint64
 }
 
+// View is what a VM knows when it decides on its slots.
+type View struct {
+	Config *sycconfig.State
+	System *sycconfig.State
+	// Peers holds all other VMs that the platform has not removed. Complete
+	// tells that it holds every VM of the failure domain that registered before
+	// this one; no slot is begun before.
+	Peers    []Peer
+	Complete bool
+	// Removed tells that the platform has removed this VM, which then accrues
+	// nothing.
+	Removed bool
+}
+
 // Settings tunes a Machine.
 type Settings struct {
 	// ClaimStep is the wait between the VMs that may claim a slot.
@@ -45,14 +60,13 @@
 type tenure struct {
 	// fraction accrues now; it is at most wanted.
 	fraction syclimit.Fraction
-	// wanted is what the state gives.
+	// wanted is what the state gives, from the slot as it stands there.
 	wanted syclimit.Fraction
-	// share is the domain's share that wanted comes from.
-	share float64
+	slot   slot
 	// wide is set when the domain's share grew, which concerns all domains.
 	wide bool
-	// config and system are the offsets that the other VMs must report before
-	// wanted accrues.
+	// config and system are offsets after the last change of the slot. The
+	// other VMs must report them before wanted accrues.
 	config uint64
 	system uint64
 }
--- a/internal/decide/sycslot/machine.go
+++ b/internal/decide/sycslot/machine.go
@@ -34,19 +34,20 @@
 	}
 }
 
-// Update follows a change of state or of reports. peers holds all other VMs
-// that the platform has not removed; removed tells that it has removed this
-// one, which then stops to accrue.
-func (m *Machine) Update(config, system *sycconfig.State, peers []Peer, removed bool) {
-	m.configNext = max(m.configNext, config.Next())
-	m.systemNext = max(m.systemNext, system.Next())
-	m.follow(config, system)
-	if removed {
+// Update follows a change of what the VM knows.
+func (m *Machine) Update(v View) {
+	m.configNext = max(m.configNext, v.Config.Next())
+	m.systemNext = max(m.systemNext, v.System.Next())
+	m.follow(v.Config, v.System)
+	if v.Removed {
 		clear(m.tenures)
 		return
 	}
+	if !v.Complete {
+		return
+	}
 	for _, t := range m.tenures {
-		if t.fraction != t.wanted && m.confirmed(t, peers) {
+		if t.fraction != t.wanted && m.confirmed(t, v.Peers) {
 			t.fraction = t.wanted
 			t.wide = false
 		}
@@ -64,22 +65,20 @@
 	m.tenures = held
 }
 
-// keep continues a tenure under the fraction that the state now gives.
+// keep continues a tenure of a slot as the state now gives it.
 func (m *Machine) keep(t *tenure, s slot) *tenure {
-	wanted := syclimit.NewFraction(s.share * s.fraction)
-	if t == nil {
-		t = &tenure{wanted: -1, share: s.share}
-	}
-	if t.wanted == wanted {
+	if t != nil && t.slot == s {
 		return t
 	}
 	next := &tenure{
-		wanted:   wanted,
-		fraction: min(t.fraction, wanted),
-		share:    s.share,
-		wide:     t.wide || s.share > t.share,
-		config:   m.configNext,
-		system:   m.systemNext,
+		wanted: syclimit.NewFraction(s.share * s.fraction),
+		slot:   s,
+		config: m.configNext,
+		system: m.systemNext,
+	}
+	if t != nil {
+		next.fraction = min(t.fraction, next.wanted)
+		next.wide = t.wide || s.share > t.slot.share
 	}
 	return next
 }
@@ -130,6 +129,9 @@
 	fraction float64
 	// generation is that of the holder record, 0 if there is none.
 	generation uint64
+	// table and record are the offsets of the slot table and holder record.
+	table  uint64
+	record uint64
 }
 
 // slots returns the slots of a failure domain in the order of its table.
@@ -140,7 +142,7 @@
 			continue
 		}
 		for _, f := range o.Value().Slots() {
-			list = append(list, resolve(system, o.Value().Share(), f))
+			list = append(list, resolve(system, o, f))
 		}
 	}
 	return list
@@ -148,13 +150,17 @@
 
 // resolve finds the holder of a slot. A holder record counts while the table
 // names the address that the record replaced.
-func resolve(system *sycconfig.State, share float64, f sycrecord.SlotFields) slot {
-	s := slot{name: f.Name, home: f.Address, holder: f.Address, share: share, fraction: f.Fraction}
+func resolve(system *sycconfig.State, table sycconfig.Object[sycrecord.Slots], f sycrecord.SlotFields) slot {
+	s := slot{
+		name: f.Name, home: f.Address, holder: f.Address,
+		share: table.Value().Share(), fraction: f.Fraction, table: table.Offset(),
+	}
 	o, ok := system.Holder(f.Name)
 	if !ok {
 		return s
 	}
 	s.generation = o.Generation()
+	s.record = o.Offset()
 	if o.Value().Home() == f.Address {
 		s.holder = o.Value().Address()
 	}
@@ -175,7 +181,7 @@
 	for _, o := range config.Slots() {
 		domain := o.Value().FailureDomain()
 		for _, f := range o.Value().Slots() {
-			s := resolve(system, o.Value().Share(), f)
+			s := resolve(system, o, f)
 			h := byAddress[s.holder]
 			h.Address, h.FailureDomain = s.holder, domain
 			h.Fraction += syclimit.NewFraction(s.share * s.fraction)
