--- a/internal/decide/sycconfig/apply.go
+++ b/internal/decide/sycconfig/apply.go
@@ -105,14 +105,32 @@
 	if err := s.admit(op); err != nil {
 		return err
 	}
-	if err := s.check(op, change.Value()); err != nil {
+	value, err := s.evaluate(change)
+	if err != nil {
 		return err
 	}
-	s.set(offset, op.Kind, op.Name, change.Value())
+	if err := s.check(op, value); err != nil {
+		return err
+	}
+	s.set(offset, op.Kind, op.Name, value)
 	s.unreadable = s.unreadable.without(unreadableKey(op.Kind, op.Name))
 	return nil
 }
 
+// evaluate returns the value that an operation gives to its object; nil for a
+// delete.
+func (s *State) evaluate(change sycrecord.Change) (sycrecord.Value, error) {
+	op := change.Operation()
+	if op.Verb != sycrecord.Merge {
+		return change.Value(), nil
+	}
+	old := s.collection(op.Kind).value(op.Name)
+	if old == nil {
+		return nil, &MissingError{Kind: op.Kind, Name: op.Name}
+	}
+	return change.Merged(old)
+}
+
 // admit checks what can be judged from the envelope.
 func (s *State) admit(op sycrecord.Operation) error {
 	if s.stream != "" && streamOf(op.Kind) != s.stream {
--- a/internal/decide/sycconfig/chunk.go
+++ b/internal/decide/sycconfig/chunk.go
@@ -123,11 +123,20 @@
 	a.parts = rest
 }
 
-// SnapshotDue reports whether a snapshot must be appended so that the log's
-// retention loses nothing. Uncovered is when the log took the oldest record
-// that no complete snapshot covers, or the newest snapshot itself. The draw,
-// from 0 to 1, spreads the VMs between a quarter and a half of the retention.
-func SnapshotDue(now, uncovered time.Time, retention time.Duration, draw float64) bool {
+// SnapshotRecords is the least number of records after a snapshot that make a
+// new one worth while: a VM that starts from the log folds no more than twice
+// as many.
+const SnapshotRecords = 8192
+
+// SnapshotDue reports whether a snapshot must be appended, because the log's
+// retention would lose something or because many records have followed the last
+// one. Uncovered is when the log took the oldest record that no complete
+// snapshot covers, or the newest snapshot itself; records counts those after the
+// snapshot. The draw, from 0 to 1, spreads the VMs between a quarter and a half
+// of the retention, and between once and twice SnapshotRecords.
+func SnapshotDue(now, uncovered time.Time, retention time.Duration, records uint64, draw float64) bool {
 	quarter := float64(retention) / 4
-	return now.Sub(uncovered) > time.Duration(quarter+draw*quarter)
+	old := now.Sub(uncovered) > time.Duration(quarter+draw*quarter)
+	many := float64(records) > SnapshotRecords*(1+draw)
+	return old || many
 }
--- a/internal/decide/sycconfig/error.go
+++ b/internal/decide/sycconfig/error.go
@@ -54,7 +54,7 @@
 	return &ConflictError{Path: path, Message: fmt.Sprintf(format, args...)}
 }
 
-// MissingError refuses the deletion of an object that is not there.
+// MissingError refuses to delete or merge into an object that is not there.
 type MissingError struct {
 	Kind sycrecord.Kind
 	Name string
--- a/internal/decide/sycconfig/fold_test.go
+++ b/internal/decide/sycconfig/fold_test.go
@@ -41,6 +41,10 @@
 	return op{verb: "put", kind: kind, name: name, expect: anyGeneration, schema: 2, spec: spec}
 }
 
+func merge(kind, name, spec string) op {
+	return op{verb: "merge", kind: kind, name: name, expect: anyGeneration, schema: 2, spec: spec}
+}
+
 func del(kind, name string) op {
 	return op{verb: "delete", kind: kind, name: name, expect: anyGeneration, schema: 2}
 }
@@ -93,6 +97,10 @@
 		{"slot in two domains", []op{put("slots", "x", slotsSpec(0.5, "a", "127.0.0.1:1")), put("slots", "y", slotsSpec(0.5, "a", "127.0.0.1:2"))}, &sycconfig.ConflictError{Path: "spec.slots", Message: `slot "a" is in failure domain "x"`}},
 		{"address in two domains", []op{put("slots", "x", slotsSpec(0.5, "a", "127.0.0.1:1")), put("slots", "y", slotsSpec(0.5, "b", "127.0.0.1:1"))}, &sycconfig.ConflictError{Path: "spec.slots", Message: `address "127.0.0.1:1" is in failure domain "x"`}},
 		{"deletion of nothing", []op{del("route", "r")}, &sycconfig.MissingError{Kind: "route", Name: "r"}},
+		{"merge into nothing", []op{merge("customer", "c", `{"burst":3}`)}, &sycconfig.MissingError{Kind: "customer", Name: "c"}},
+		{"merge of a fault", []op{put("customer", "c", customerSpec), merge("customer", "c", `{"burst":0}`)}, &sycrecord.FaultsError{Faults: []sycrecord.Fault{{Path: "spec.burst", Message: "must be from 1 to 1e9"}}}},
+		{"merge of an unknown field", []op{put("customer", "c", customerSpec), put("key", "k", keySpec("c", 1)), merge("key", "k", `{"with":true}`)}, &sycrecord.FaultsError{Faults: []sycrecord.Fault{{Path: "spec.with", Message: "is not a field; known are customer, sha256, withdrawn"}}}},
+		{"merge in schema 1", []op{put("customer", "c", customerSpec), merge("customer", "c", `{"burst":3}`).inSchema(1)}, &sycrecord.FaultsError{Faults: []sycrecord.Fault{{Path: "op", Message: `"merge" needs schema version 2`}}}},
 		{"newer schema", []op{put("customer", "c", `{"new":1}`).inSchema(3)}, &sycrecord.SchemaError{Schema: 3}},
 	}
 	for _, c := range cases {
@@ -103,6 +111,23 @@
 	}
 }
 
+func TestMergeKeepsOtherFields(t *testing.T) {
+	before, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec), put("key", "k", keySpec("c", 1)))
+	after, results := fold(before, merge("customer", "c", `{"burst":5}`), merge("customer", "c", `{"weight":3}`), merge("key", "k", `{"withdrawn":true}`))
+	for _, result := range results {
+		must.True(t, result.Accepted(), must.Sprint(result.Reason()))
+	}
+	customer, _ := after.Customer("c")
+	must.EqOp(t, 1.0, customer.Value().Rate())
+	must.EqOp(t, 5.0, customer.Value().Burst())
+	must.EqOp(t, 3.0, customer.Value().Weight())
+	must.EqOp(t, uint64(3), customer.Generation())
+	_, works := after.Owner(fmt.Sprintf("%064x", 1))
+	must.False(t, works)
+	_, works = before.Owner(fmt.Sprintf("%064x", 1))
+	must.True(t, works, must.Sprint("the former state is unchanged"))
+}
+
 func TestMalformedRecordsOnlyAdvance(t *testing.T) {
 	state, _ := fold(sycconfig.NewState(), put("customer", "c", customerSpec))
 	for _, data := range []string{"", "null", "{", `{"schema":2}`, strings.Repeat(" ", sycrecord.MaxRecord+1)} {
--- a/internal/decide/sycconfig/object.go
+++ b/internal/decide/sycconfig/object.go
@@ -31,6 +31,8 @@
 	// generation is 0 for an object that never was.
 	generation(name string) uint64
 	exists(name string) bool
+	// value is nil if the object does not exist.
+	value(name string) sycrecord.Value
 	apply(offset uint64, name string, value sycrecord.Value)
 	advance(offset uint64, name string)
 	setGeneration(name string, generation uint64)
@@ -66,6 +68,15 @@
 	return ok
 }
 
+// value implements collection.
+func (m objects[T]) value(name string) sycrecord.Value {
+	o, ok := m.get(name)
+	if !ok {
+		return nil
+	}
+	return o.value
+}
+
 // apply sets or deletes an object. The value is nil exactly for a delete.
 func (m *objects[T]) apply(offset uint64, name string, value sycrecord.Value) {
 	typed, put := value.(T)
--- a/internal/decide/sycconfig/property_test.go
+++ b/internal/decide/sycconfig/property_test.go
@@ -25,8 +25,11 @@
 	}
 	kind := rapid.SampledFrom([]string{"customer", "key", "route", "version", "slots", "lease"}).Draw(t, "kind")
 	o := put(kind, name, kinds[kind])
-	if rapid.IntRange(0, 4).Draw(t, "verb") == 0 {
+	switch rapid.IntRange(0, 4).Draw(t, "verb") {
+	case 0:
 		o = del(kind, name)
+	case 1:
+		o = merge(kind, name, kinds[kind])
 	}
 	return o.expecting(rapid.IntRange(anyGeneration, 4).Draw(t, "expect")).
 		inSchema(rapid.SampledFrom([]int{1, 2, 2, 2, 3}).Draw(t, "schema")).
--- a/internal/decide/sycconfig/restore.go
+++ b/internal/decide/sycconfig/restore.go
@@ -154,11 +154,12 @@
 	if err != nil {
 		return nil
 	}
-	if s.check(op, change.Value()) != nil {
+	value, err := s.evaluate(change)
+	if err != nil || s.check(op, value) != nil {
 		return nil
 	}
 	generation := s.Generation(op.Kind, op.Name)
-	s.set(u.Offset, op.Kind, op.Name, change.Value())
+	s.set(u.Offset, op.Kind, op.Name, value)
 	s.collection(op.Kind).setGeneration(op.Name, generation)
 	return nil
 }
--- a/internal/decide/sycrecord/parse.go
+++ b/internal/decide/sycrecord/parse.go
@@ -24,14 +24,15 @@
 // Change is a valid operation with its typed value.
 type Change struct {
 	operation Operation
-	// value is nil exactly if the operation is a delete.
+	// value is nil exactly if the operation is not a put.
 	value Value
 }
 
 // Operation is the operation as it was written.
 func (c Change) Operation() Operation { return c.operation }
 
-// Value is the object's new value; nil for a delete.
+// Value is the object's new value; nil for a delete, and for a merge, whose value
+// depends on the object; see Merged.
 func (c Change) Value() Value { return c.value }
 
 // Parse reads an operation strictly. The error is *FaultsError with all
@@ -92,7 +93,7 @@
 	f.require(len(op.ID) <= MaxID, "id", "has %d bytes; at most %d are allowed", len(op.ID), MaxID)
 	f.require(op.ID != "" || !published, "id", "is required")
 	validateName(op.Name, "name", f)
-	f.require(op.Verb == Put || op.Verb == Delete, "op", "must be %q or %q, not %q", Put, Delete, op.Verb)
+	f.require(op.Verb == Put || op.Verb == Merge || op.Verb == Delete, "op", "must be %q, %q or %q, not %q", Put, Merge, Delete, op.Verb)
 	f.require(op.Kind != "", "kind", "is required")
 }
 
@@ -109,7 +110,7 @@
 
 // parseSpec returns the typed value of a put and notes faults.
 func (op Operation) parseSpec(f *faults) Value {
-	read, known := readers[op.Kind]
+	codec, known := codecs[op.Kind]
 	if !known {
 		f.require(op.Kind == "", "kind", "%q is unknown", op.Kind)
 		return nil
@@ -119,8 +120,15 @@
 		return nil
 	}
 	if op.Spec == nil {
-		f.add("spec", "is required in a put")
+		f.add("spec", "is required in a %s", op.Verb)
 		return nil
 	}
-	return read(op, f)
+	if op.Verb != Merge {
+		return codec.read(op, f)
+	}
+	if op.Schema == 1 {
+		f.add("op", "%q needs schema version 2", Merge)
+		return nil
+	}
+	return codec.merge(nil, op, f)
 }
--- a/internal/decide/sycrecord/record.go
+++ b/internal/decide/sycrecord/record.go
@@ -31,6 +31,10 @@
 const (
 	Put    Verb = "put"
 	Delete Verb = "delete"
+	// Merge sets the fields that its spec names and keeps the others. It is
+	// evaluated on the object as it is when the operation is folded, so that
+	// operations on different fields do not conflict. It needs schema version 2.
+	Merge Verb = "merge"
 )
 
 // NewestSchema is the newest schema version that this program reads.
--- a/internal/operate/sycstate/archive.go
+++ b/internal/operate/sycstate/archive.go
@@ -150,11 +150,13 @@
 		return false
 	}
 	uncovered, known := f.oldestRecord()
+	records := state.Next()
 	if newest, ok := a.assemblers[f.stream].Newest(); ok {
 		uncovered, known = newest.Time(), true
+		records -= min(records, newest.Next())
 	}
 	// A VM that started from a peer cannot know the age of the records.
-	return !known || sycconfig.SnapshotDue(time.Now(), uncovered, a.store.options.Retention, a.draw)
+	return !known || sycconfig.SnapshotDue(time.Now(), uncovered, a.store.options.Retention, records, a.draw)
 }
 
 // append writes a snapshot of the present state.
--- a/internal/operate/sycstate/rig_test.go
+++ b/internal/operate/sycstate/rig_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -38,7 +39,6 @@
 // peers reaches the other stores of a test directly.
 type peers struct {
 	stores atomic.Pointer[[]*sycstate.Store]
-	turn   atomic.Uint64
 }
 
 func (p *peers) pick() (*sycstate.Store, error) {
@@ -46,15 +46,29 @@
 	if stores == nil || len(*stores) == 0 {
 		return nil, errCut
 	}
-	return (*stores)[p.turn.Add(1)%uint64(len(*stores))], nil
+	return (*stores)[rand.IntN(len(*stores))], nil
 }
 
+// askedPeers is the number of peers that one question goes to at most.
+const askedPeers = 3
+
+// Records asks peers until one has records, as sycpeer.Fetcher does.
 func (p *peers) Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error) {
-	store, err := p.pick()
-	if err != nil {
-		return nil, err
+	var reply *sycpeerpb.RecordsReply
+	for range askedPeers {
+		store, err := p.pick()
+		if err != nil {
+			return nil, err
+		}
+		reply, err = store.Records(ctx, &sycpeerpb.RecordsRequest{Stream: stream, From: from, Max: limit})
+		if err != nil {
+			return nil, err
+		}
+		if len(reply.Records) > 0 {
+			break
+		}
 	}
-	return store.Records(ctx, &sycpeerpb.RecordsRequest{Stream: stream, From: from, Max: limit})
+	return reply, nil
 }
 
 func (p *peers) Snapshot(ctx context.Context, stream string) (uint64, []byte, error) {
@@ -85,22 +99,28 @@
 	peers   *peers
 }
 
-// start runs a store; address is the log's.
+// start runs a store with short times; address is the log's.
 func start(t testing.TB, address string, cut bool, known ...*vm) *vm {
+	t.Helper()
+	return startWith(t, sycstate.Options{
+		Wait:      200 * time.Millisecond,
+		PeerPoll:  20 * time.Millisecond,
+		Retention: 2 * time.Second,
+	}, address, cut, known...)
+}
+
+// startWith runs a store with the times of the options.
+func startWith(t testing.TB, o sycstate.Options, address string, cut bool, known ...*vm) *vm {
 	t.Helper()
 	v := &vm{network: &network{}, peers: &peers{}}
 	v.network.cut.Store(cut)
 	v.know(known...)
 	loop := sycloop.New()
-	v.store = sycstate.New(sycstate.Options{
-		Loop:      loop,
-		Log:       syclog.New(syclog.Options{Address: address, Transport: v.network}),
-		Peers:     v.peers,
-		Self:      fmt.Sprintf("vm-%p", v),
-		Wait:      200 * time.Millisecond,
-		PeerPoll:  20 * time.Millisecond,
-		Retention: 2 * time.Second,
-	})
+	o.Loop = loop
+	o.Log = syclog.New(syclog.Options{Address: address, Transport: v.network})
+	o.Peers = v.peers
+	o.Self = fmt.Sprintf("vm-%p", v)
+	v.store = sycstate.New(o)
 	t.Cleanup(func() {
 		must.NoError(t, v.store.Close())
 		must.NoError(t, loop.Close())
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -59,7 +59,7 @@
 		o.Wait = time.Second
 	}
 	if o.PeerPoll == 0 {
-		o.PeerPoll = 500 * time.Millisecond
+		o.PeerPoll = 300 * time.Millisecond
 	}
 	if o.Retention == 0 {
 		o.Retention = 24 * time.Hour
