--- a/internal/operate/sycstate/archive.go
+++ b/internal/operate/sycstate/archive.go
@@ -146,15 +146,17 @@
 // due reports whether the log may forget what no snapshot covers.
 func (a *archive) due(f *follower) bool {
 	state := f.state.Load()
-	if state.Next() == 0 || !f.ready.Load() {
+	if a.store.options.ReadOnly || state.Next() == 0 || !f.ready.Load() {
 		return false
 	}
 	uncovered, known := f.oldestRecord()
+	records := state.Next()
 	if newest, ok := a.assemblers[f.stream].Newest(); ok {
 		uncovered, known = newest.Time(), true
+		records -= min(records, newest.Next())
 	}
 	// A VM that started from a peer cannot know the age of the records.
-	return !known || sycconfig.SnapshotDue(time.Now(), uncovered, a.store.options.Retention, a.draw)
+	return !known || sycconfig.SnapshotDue(time.Now(), uncovered, a.store.options.Retention, records, a.draw)
 }
 
 // append writes a snapshot of the present state.
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -49,6 +49,8 @@
 	PeerPoll time.Duration
 	// Retention is how long the log keeps records.
 	Retention time.Duration
+	// ReadOnly keeps the store from appending snapshots, for operators' commands.
+	ReadOnly bool
 }
 
 // Defaults fills the fields that are zero.
@@ -57,7 +59,7 @@
 		o.Wait = time.Second
 	}
 	if o.PeerPoll == 0 {
-		o.PeerPoll = 500 * time.Millisecond
+		o.PeerPoll = 300 * time.Millisecond
 	}
 	if o.Retention == 0 {
 		o.Retention = 24 * time.Hour
