Borrow sooner, return what is not needed, keep asking slow peers

Change: requests for loans look ahead by what arrivals need beyond the own accrual, may overlap per peer, and come by time or estimate; unneeded loans are returned after 100 ms and credited at the lender; loans are valid for 400 ms, so a restarted VM lends again sooner.

--- a/internal/decide/syclimit/action.go
+++ b/internal/decide/syclimit/action.go
@@ -29,8 +29,16 @@
 	ID       uint64
 	Customer string
 	Amount   Micro
-	// Settled lists earlier loans of the peer that are spent.
-	Settled []uint64
+	// Settled lists earlier loans of the peer that are no longer held. An Amount
+	// of 0 only reports these; its answer has no effect.
+	Settled []Settled
+}
+
+// Settled is a loan that its borrower no longer holds.
+type Settled struct {
+	ID uint64
+	// Returned is the part that was not spent.
+	Returned Micro
 }
 
 func (Grant) action()  {}
@@ -62,7 +70,7 @@
 	ID          uint64
 	Customer    string
 	Amount      Micro
-	Settled     []uint64
+	Settled     []Settled
 }
 
 // Loan answers a LoanRequest.
--- a/internal/decide/syclimit/bucket.go
+++ b/internal/decide/syclimit/bucket.go
@@ -37,6 +37,7 @@
 	id     uint64
 	// amount is what is left of the loan.
 	amount  Micro
+	taken   time.Duration
 	expires time.Duration
 }
 
@@ -99,13 +100,15 @@
 	b.loans = slices.Delete(b.loans, 0, n)
 }
 
-// settle ends a loan that its borrower has spent.
-func (b *bucket) settle(key loanKey) {
+// settle ends a loan that its borrower no longer holds and takes back what was
+// not spent.
+func (b *bucket) settle(key loanKey, returned Micro) {
 	i := slices.IndexFunc(b.loans, func(l lentLoan) bool { return l.key == key })
 	if i < 0 {
 		return
 	}
 	b.lent -= b.loans[i].amount
+	b.own += min(max(returned, 0), b.loans[i].amount)
 	b.loans = slices.Delete(b.loans, i, i+1)
 }
 
@@ -136,16 +139,26 @@
 
 // hold adds a loan, trimmed so that the VM holds no more than the burst.
 func (b *bucket) hold(l heldLoan) {
-	l.amount = min(l.amount, b.limit.burst-b.own-b.borrowed())
-	if l.amount <= 0 {
-		return
-	}
+	l.amount = max(min(l.amount, b.limit.burst-b.own-b.borrowed()), 0)
 	i, _ := slices.BinarySearchFunc(b.held, l, func(a, b heldLoan) int {
 		return int(min(max(a.expires-b.expires, -1), 1))
 	})
 	b.held = slices.Insert(b.held, i, l)
 }
 
+// returnable removes the loans that were taken before a time.
+func (b *bucket) returnable(before time.Duration) []heldLoan {
+	var list []heldLoan
+	b.held = slices.DeleteFunc(b.held, func(l heldLoan) bool {
+		if l.taken >= before {
+			return false
+		}
+		list = append(list, l)
+		return true
+	})
+	return list
+}
+
 // available is what can be spent.
 func (b *bucket) available() Micro { return b.own + b.borrowed() }
 
--- a/internal/decide/syclimit/customer.go
+++ b/internal/decide/syclimit/customer.go
@@ -40,11 +40,6 @@
 // demand is the number of tokens that requests will probably need in a span.
 func (c *customer) demand(span time.Duration) Micro { return gained(c.arrivals, span) }
 
-// shortage is what the waiting requests lack.
-func (c *customer) shortage() Micro {
-	return max(Token*Micro(len(c.waiting))-c.bucket.available(), 0)
-}
-
 func (c *customer) lender(address string) *lender {
 	i := slices.IndexFunc(c.lenders, func(l *lender) bool { return l.peer.Address == address })
 	if i < 0 {
--- a/internal/decide/syclimit/fleet_test.go
+++ b/internal/decide/syclimit/fleet_test.go
@@ -9,7 +9,11 @@
 	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 )
 
-const customer = "spring"
+const (
+	customer = "spring"
+	// askTimeout is when a request for a loan counts as failed.
+	askTimeout = 400 * time.Millisecond
+)
 
 // faults is what happens in a run of the fleet.
 type faults struct {
@@ -19,6 +23,7 @@
 	burst    float64
 	load     float64 // requests a second over all VMs
 	skew     bool    // all requests go to the first VM
+	apart    bool    // VMs do not lend
 	delay    time.Duration
 	loss     float64
 	repeat   float64
@@ -139,7 +144,7 @@
 	v.machine = syclimit.New(fl.f.settings, now, uint64(v.incarnation)<<32)
 	var peers []syclimit.Peer
 	for i, p := range fl.vms {
-		if i == v.index || fl.share(i) == 0 {
+		if i == v.index || fl.share(i) == 0 || fl.f.apart {
 			continue
 		}
 		peers = append(peers, syclimit.Peer{Address: strconv.Itoa(i), Near: p.domain() == v.domain(), Fraction: syclimit.NewFraction(fl.share(i))})
@@ -236,7 +241,7 @@
 			to.handle(func(now time.Duration) { to.lend(now, v, incarnation, sent, a, request) })
 		})
 	}
-	fl.after(time.Second, func() {
+	fl.after(askTimeout, func() {
 		if v.incarnation == incarnation {
 			v.handle(func(now time.Duration) {
 				fl.arrived(v, a.ID)
--- a/internal/decide/syclimit/lender.go
+++ b/internal/decide/syclimit/lender.go
@@ -1,6 +1,9 @@
 package syclimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Peer is another VM that accrues tokens.
 type Peer struct {
@@ -11,12 +14,26 @@
 	Fraction Fraction
 }
 
-// growthMemory is the time over which a peer's grants tell how fast it gains
-// tokens that it does not need itself.
-const growthMemory = 2 * time.Second
-
-// maxSettled bounds the spent loans that wait to be reported to one peer.
-const maxSettled = 64
+const (
+	// growthMemory is the time over which a peer's answers tell how fast it
+	// gains tokens that it does not need itself.
+	growthMemory = 2 * time.Second
+	// leastGrowth is the smallest estimate, as a part of the peer's full rate.
+	leastGrowth = 64
+	// leastAccrued is the accrual for which a peer is asked again.
+	leastAccrued = Token / 16
+	// maxSettled bounds the loans that wait to be reported to one peer.
+	maxSettled = 64
+	// maxPending bounds the requests to one peer for one customer.
+	maxPending = 3
+)
+
+// request is a request for a loan that has no answer yet.
+type request struct {
+	id     uint64
+	sent   time.Duration
+	wanted Micro
+}
 
 // lender is what a customer's bucket knows of a peer that may lend to it.
 type lender struct {
@@ -26,15 +43,14 @@
 	asOf time.Duration
 	// growth is the estimated gain in micro-tokens a second.
 	growth Micro
-	// pending is the id of the request under way, 0 if none is.
-	pending uint64
-	sent    time.Duration
-	wanted  Micro
+	// pending is in order of sending.
+	pending []request
 	// dryUntil is when the peer is next worth asking.
 	dryUntil time.Duration
 	dry      time.Duration
-	// settled lists spent loans that the peer has not been told of.
-	settled []uint64
+	// settled lists loans that are no longer held and that the peer has not been
+	// told of.
+	settled []Settled
 }
 
 // newLender assumes that an unknown peer has accrued its fraction undisturbed.
@@ -51,18 +67,13 @@
 	if at < l.dryUntil {
 		return 0
 	}
-	gain := gained(l.growth, at-l.asOf)
-	return min(l.left+gain, lendable(l.peer, limit, s))
+	return min(l.left+gained(l.growth, at-l.asOf), lendable(l.peer, limit, s))
 }
 
 // supply is what the peer can probably lend in the time from now to at.
 func (l *lender) supply(now, at time.Duration, limit Limit, s Settings) Micro {
-	start := max(now, l.dryUntil)
-	if at <= start {
-		return 0
-	}
 	if now < l.dryUntil {
-		return gained(l.growth, at-start)
+		return gained(l.growth, at-l.dryUntil)
 	}
 	return l.estimate(now, limit, s) + gained(l.growth, at-now)
 }
@@ -74,13 +85,64 @@
 	return Micro(scale(uint64(rate), uint64(min(span, maxStep)), uint64(time.Second)))
 }
 
+// expected is what the requests under way will probably bring.
+func (l *lender) expected(now time.Duration, limit Limit, s Settings) Micro {
+	if len(l.pending) == 0 {
+		return 0
+	}
+	return min(l.estimate(now, limit, s), l.pending[len(l.pending)-1].wanted)
+}
+
+// askable reports whether the peer may be asked now: it is not, while an
+// answer may still be expected soon.
+func (l *lender) askable(now time.Duration, s Settings) bool {
+	n := len(l.pending)
+	if now < l.dryUntil || n >= maxPending {
+		return false
+	}
+	return n == 0 || now-l.pending[n-1].sent >= s.AskInterval
+}
+
+// worthwhile reports whether the peer probably has enough for another request:
+// what is missing, a part of what it can lend, or what it accrues in half an ask
+// interval if that matters.
+func (l *lender) worthwhile(now time.Duration, missing Micro, limit Limit, s Settings) bool {
+	idle := now - l.asOf
+	if idle >= s.AskInterval/2 && gained(l.peer.Fraction.Of(limit.rate), idle) >= leastAccrued {
+		return true
+	}
+	return l.estimate(now, limit, s) >= max(min(missing, lendable(l.peer, limit, s)/4), 1)
+}
+
+// ask starts a request.
+func (l *lender) ask(now time.Duration, customer string, id uint64, amount Micro) Ask {
+	l.pending = append(l.pending, request{id: id, sent: now, wanted: amount})
+	return Ask{Peer: l.peer.Address, ID: id, Customer: customer, Amount: amount, Settled: l.report()}
+}
+
+// report takes the loans to report out.
+func (l *lender) report() []Settled {
+	settled := l.settled
+	l.settled = nil
+	return settled
+}
+
+// end removes a request that was answered or failed.
+func (l *lender) end(id uint64) (request, bool) {
+	i := slices.IndexFunc(l.pending, func(r request) bool { return r.id == id })
+	if i < 0 {
+		return request{}, false
+	}
+	r := l.pending[i]
+	l.pending = slices.Delete(l.pending, i, i+1)
+	return r, true
+}
+
 // answered updates the estimate from a loan.
-func (l *lender) answered(now time.Duration, loan Loan, limit Limit, s Settings) {
-	span := l.sent - l.asOf
-	l.pending = 0
-	l.left = loan.Left
+func (l *lender) answered(now time.Duration, r request, loan Loan, limit Limit, s Settings) {
 	full := l.peer.Fraction.Of(limit.rate)
-	l.growth = min(full, l.observed(loan, span, full))
+	l.growth = min(full, l.observed(r, loan, full))
+	l.left = loan.Left
 	l.asOf = now
 	if loan.Amount > 0 {
 		l.dry = 0
@@ -90,20 +152,24 @@
 }
 
 // observed is the gain that the peer's answers show.
-func (l *lender) observed(loan Loan, span time.Duration, full Micro) Micro {
-	if loan.Amount >= l.wanted || loan.Left > 0 || l.asOf == 0 || span > growthMemory {
+func (l *lender) observed(r request, loan Loan, full Micro) Micro {
+	span := r.sent - l.asOf
+	if loan.Amount >= r.wanted || loan.Left > 0 || l.asOf == 0 || span > growthMemory {
 		return full
 	}
 	if span <= 0 {
 		return l.growth
 	}
 	gain := Micro(scale(uint64(loan.Amount), uint64(time.Second), uint64(span)))
-	return max((gain+l.growth)/2, full/64)
+	return max((gain+3*l.growth)/4, full/leastGrowth)
 }
 
-// failed marks the peer as not worth asking for a while.
-func (l *lender) failed(now time.Duration, s Settings) {
-	l.pending = 0
+// failed marks the peer as not worth asking for a while, unless it has answered
+// since.
+func (l *lender) failed(now time.Duration, r request, s Settings) {
+	if l.asOf > r.sent {
+		return
+	}
 	l.left = 0
 	l.asOf = now
 	l.backOff(now, s)
@@ -114,19 +180,9 @@
 	l.dryUntil = now + l.dry
 }
 
-// spent notes a loan to report with the next request.
-func (l *lender) spent(id uint64) {
+// settle notes a loan to report with the next request.
+func (l *lender) settle(s Settled) {
 	if len(l.settled) < maxSettled {
-		l.settled = append(l.settled, id)
+		l.settled = append(l.settled, s)
 	}
 }
-
-// ask starts a request.
-func (l *lender) ask(now time.Duration, customer string, id uint64, amount Micro) Ask {
-	l.pending = id
-	l.sent = now
-	l.wanted = amount
-	settled := l.settled
-	l.settled = nil
-	return Ask{Peer: l.peer.Address, ID: id, Customer: customer, Amount: amount, Settled: settled}
-}
--- a/internal/decide/syclimit/loan.go
+++ b/internal/decide/syclimit/loan.go
@@ -1,16 +1,20 @@
 package syclimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Lend answers a peer's request for tokens; the loan is debited. Requests of
 // this VM that wait go first. A repeated request is answered with nothing.
 func (m *Machine) Lend(now time.Duration, r LoanRequest, l Limit) Loan {
 	c := m.open(now, r.Customer, l)
 	b := &c.bucket
-	for _, id := range r.Settled {
-		b.settle(loanKey{borrower: r.Borrower, incarnation: r.Incarnation, id: id})
-	}
 	m.accrue(now, c)
+	for _, s := range r.Settled {
+		b.settle(loanKey{borrower: r.Borrower, incarnation: r.Incarnation, id: s.ID}, s.Returned)
+	}
+	b.clip(m.limit(now, b.limit))
 	free := m.lendableNow(now, c)
 	key := loanKey{borrower: r.Borrower, incarnation: r.Incarnation, id: r.ID}
 	amount := min(free, r.Amount)
@@ -35,39 +39,64 @@
 // Answer takes a loan for a request that this VM sent. One that comes late,
 // twice or unasked is dropped.
 func (m *Machine) Answer(now time.Duration, peer, name string, id uint64, loan Loan) []Action {
-	c, l := m.pending(peer, name, id)
+	c, l := m.lender(peer, name)
 	if l == nil {
 		return nil
 	}
+	r, ok := l.end(id)
+	if !ok {
+		return nil
+	}
 	m.accrue(now, c)
 	c.bucket.expire(now)
-	expires := l.sent + loan.Valid
-	l.answered(now, loan, c.bucket.limit, m.settings)
+	l.answered(now, r, loan, c.bucket.limit, m.settings)
+	expires := r.sent + loan.Valid
 	if loan.Amount > 0 && now < expires {
-		c.bucket.hold(heldLoan{lender: peer, id: id, amount: loan.Amount, expires: expires})
+		c.bucket.hold(heldLoan{lender: peer, id: id, amount: loan.Amount, taken: now, expires: expires})
+		m.attend(c)
 	}
 	return m.serve(now, c)
 }
 
 // AskFailed ends a request that got no answer.
 func (m *Machine) AskFailed(now time.Duration, peer, name string, id uint64) []Action {
-	c, l := m.pending(peer, name, id)
+	c, l := m.lender(peer, name)
 	if l == nil {
 		return nil
 	}
-	l.failed(now, m.settings)
+	r, ok := l.end(id)
+	if !ok {
+		return nil
+	}
+	l.failed(now, r, m.settings)
 	return m.serve(now, c)
 }
 
-// pending returns the state of a request that is under way.
-func (m *Machine) pending(peer, name string, id uint64) (*customer, *lender) {
+func (m *Machine) lender(peer, name string) (*customer, *lender) {
 	c, ok := m.customers[name]
 	if !ok {
 		return nil, nil
 	}
-	l := c.lender(peer)
-	if l == nil || l.pending != id {
-		return nil, nil
+	return c, c.lender(peer)
+}
+
+// giveBack returns loans that were not needed soon after they came.
+func (m *Machine) giveBack(now time.Duration, c *customer) []Action {
+	for _, l := range c.bucket.returnable(now - m.settings.ReturnAfter) {
+		if from := c.lender(l.lender); from != nil {
+			from.settle(Settled{ID: l.id, Returned: l.amount})
+		}
 	}
-	return c, l
+	var actions []Action
+	for _, l := range c.lenders {
+		if returns(l.settled) {
+			m.lastID++
+			actions = append(actions, Ask{Peer: l.peer.Address, ID: m.lastID, Customer: c.name, Settled: l.report()})
+		}
+	}
+	return actions
+}
+
+func returns(list []Settled) bool {
+	return slices.ContainsFunc(list, func(s Settled) bool { return s.Returned > 0 })
 }
--- a/internal/decide/syclimit/machine.go
+++ b/internal/decide/syclimit/machine.go
@@ -16,8 +16,8 @@
 	fraction Fraction
 	peers    []Peer
 	lastID   uint64
-	// customers holds those with state, short those with waiting requests in
-	// the order in which they began to wait.
+	// customers holds those with state, short those with waiting requests or
+	// loans, in the order in which they became so.
 	customers map[string]*customer
 	short     []*customer
 	swept     time.Duration
@@ -45,9 +45,7 @@
 	if len(c.waiting) >= m.settings.QueueLength {
 		return []Action{Refuse{Customer: name, Request: request, Cause: QueueFull, RetryAfter: m.retryAfter(now, c, len(c.waiting))}}
 	}
-	if len(c.waiting) == 0 {
-		m.short = append(m.short, c)
-	}
+	m.attend(c)
 	c.waiting = append(c.waiting, waiter{
 		request:  request,
 		arrived:  now,
--- a/internal/decide/syclimit/serve.go
+++ b/internal/decide/syclimit/serve.go
@@ -21,8 +21,9 @@
 	c.bucket.expire(now)
 	actions := m.grant(now, c)
 	actions = append(actions, m.refuse(now, c)...)
-	if len(c.waiting) > 0 {
-		actions = append(actions, m.ask(now, c)...)
+	actions = append(actions, m.ask(now, c)...)
+	if len(c.waiting) == 0 {
+		actions = append(actions, m.giveBack(now, c)...)
 	}
 	m.dropServed()
 	return actions
@@ -39,7 +40,7 @@
 		}
 		for _, l := range c.bucket.spend() {
 			if from := c.lender(l.lender); from != nil {
-				from.spent(l.id)
+				from.settle(Settled{ID: l.id})
 			}
 		}
 		actions = append(actions, Grant{Customer: c.name, Request: w.request, Waited: now - w.arrived})
@@ -101,47 +102,47 @@
 }
 
 // ask requests loans from the peers that probably have most, the near ones
-// first, until the shortage is covered.
+// first, until what is missing is covered.
 func (m *Machine) ask(now time.Duration, c *customer) []Action {
-	short := c.shortage()
-	ahead := c.demand(m.settings.AskInterval)
+	ahead := m.ahead(c)
+	missing := Token*Micro(len(c.waiting)) + ahead - c.bucket.available()
+	if missing <= 0 || len(c.waiting) == 0 && c.bucket.available() > ahead/2 {
+		return nil
+	}
 	width := m.settings.AskWidth
 	for _, l := range c.lenders {
-		if l.pending != 0 {
-			short -= min(l.estimate(now, c.bucket.limit, m.settings), l.wanted)
-			width--
-		}
+		missing -= l.expected(now, c.bucket.limit, m.settings)
+		width -= len(l.pending)
 	}
 	var actions []Action
 	for _, l := range m.ranked(now, c) {
-		if short <= 0 || width <= 0 {
+		if missing <= 0 || width <= 0 {
 			break
 		}
-		estimate := l.estimate(now, c.bucket.limit, m.settings)
-		if estimate < m.worthwhile(l, c, short) {
+		if !l.worthwhile(now, missing, c.bucket.limit, m.settings) {
 			continue
 		}
+		estimate := l.estimate(now, c.bucket.limit, m.settings)
 		m.lastID++
-		actions = append(actions, l.ask(now, c.name, m.lastID, short+ahead))
-		short -= min(estimate, short+ahead)
+		actions = append(actions, l.ask(now, c.name, m.lastID, missing))
+		missing -= min(estimate, missing)
 		width--
 	}
 	return actions
 }
 
-// worthwhile is the least estimate for which a peer is asked: the shortage or
-// what the peer gains in an ask interval, whichever is less.
-func (m *Machine) worthwhile(l *lender, c *customer, short Micro) Micro {
-	interval := gained(l.peer.Fraction.Of(c.bucket.limit.rate), m.settings.AskInterval)
-	part := lendable(l.peer, c.bucket.limit, m.settings)
-	return max(min(interval, short, part), 1)
+// ahead is what requests will probably need in the next interval beyond what
+// accrues here.
+func (m *Machine) ahead(c *customer) Micro {
+	own := m.fraction.Of(c.bucket.limit.rate)
+	return max(c.demand(m.settings.AskInterval)-gained(own, m.settings.AskInterval), 0)
 }
 
-// ranked returns the lenders without a request under way, best first.
+// ranked returns the lenders that may be asked, best first.
 func (m *Machine) ranked(now time.Duration, c *customer) []*lender {
 	var list []*lender
 	for _, l := range c.lenders {
-		if l.pending == 0 {
+		if l.askable(now, m.settings) {
 			list = append(list, l)
 		}
 	}
@@ -176,6 +177,9 @@
 // wake is when a customer's service may have something new to do.
 func (m *Machine) wake(now time.Duration, c *customer) time.Duration {
 	next := now + m.settings.AskInterval/4
+	if len(c.waiting) == 0 {
+		return now + m.settings.ReturnAfter
+	}
 	for _, w := range c.waiting {
 		next = min(next, w.deadline)
 	}
@@ -186,7 +190,16 @@
 	return next
 }
 
-// dropServed removes customers without waiting requests from short.
+// attend puts a customer among those that Tick serves.
+func (m *Machine) attend(c *customer) {
+	if !slices.Contains(m.short, c) {
+		m.short = append(m.short, c)
+	}
+}
+
+// dropServed removes the customers that Tick need not serve.
 func (m *Machine) dropServed() {
-	m.short = slices.DeleteFunc(m.short, func(c *customer) bool { return len(c.waiting) == 0 })
+	m.short = slices.DeleteFunc(m.short, func(c *customer) bool {
+		return len(c.waiting) == 0 && len(c.bucket.held) == 0
+	})
 }
--- a/internal/decide/syclimit/setting.go
+++ b/internal/decide/syclimit/setting.go
@@ -19,6 +19,8 @@
 	LendShare float64
 	// ClockError bounds the relative error of a VM's clock rate.
 	ClockError float64
+	// ReturnAfter is how long a loan that is not needed is kept.
+	ReturnAfter time.Duration
 	// AskInterval is the time that a request for a loan plans for.
 	AskInterval time.Duration
 	// MinDry and MaxDry bound the wait before a peer that had nothing to lend
@@ -35,13 +37,14 @@
 func (s Settings) Defaults() Settings {
 	setDefault(&s.Hold, 500*time.Millisecond)
 	setDefault(&s.QueueLength, 256)
-	setDefault(&s.LoanValid, time.Second)
+	setDefault(&s.LoanValid, 400*time.Millisecond)
 	setDefault(&s.LendShare, 0.5)
 	setDefault(&s.ClockError, 0.0005)
+	setDefault(&s.ReturnAfter, 100*time.Millisecond)
 	setDefault(&s.AskInterval, 100*time.Millisecond)
 	setDefault(&s.MinDry, 100*time.Millisecond)
 	setDefault(&s.MaxDry, 1600*time.Millisecond)
-	setDefault(&s.AskWidth, 4)
+	setDefault(&s.AskWidth, 8)
 	setDefault(&s.Idle, time.Minute)
 	return s
 }
@@ -66,6 +69,7 @@
 	check(s.LoanValid > 0, "loan validity must be above 0")
 	check(s.LendShare > 0 && s.LendShare <= 1, "lend share must be above 0 and at most 1")
 	check(s.ClockError >= 0 && s.ClockError < 0.5, "clock error must be at least 0 and below 0.5")
+	check(s.ReturnAfter > 0, "return time must be above 0")
 	check(s.AskInterval > 0, "ask interval must be above 0")
 	check(s.MinDry > 0 && s.MinDry <= s.MaxDry, "dry waits must be above 0 and in order")
 	check(s.AskWidth > 0, "ask width must be above 0")
--- a/internal/traffic/sycadmit/loan.go
+++ b/internal/traffic/sycadmit/loan.go
@@ -20,9 +20,12 @@
 		Id:         a.ID,
 		Customer:   a.Customer,
 		Amount:     int64(a.Amount),
-		Settled:    a.Settled,
 		Generation: generation,
 	}
+	for _, s := range a.Settled {
+		request.Settled = append(request.Settled, s.ID)
+		request.Returned = append(request.Returned, int64(s.Returned))
+	}
 	if l.control.closed {
 		return
 	}
@@ -83,8 +86,21 @@
 		ID:          in.GetId(),
 		Customer:    in.GetCustomer(),
 		Amount:      syclimit.Micro(in.GetAmount()),
-		Settled:     in.GetSettled(),
+		Settled:     settled(in),
 	}, c.limit(in.GetCustomer()))
 	lent.AddInt64(int64(loan.Amount))
 	return loan
 }
+
+// settled pairs the loans that a request reports with what they return.
+func settled(in *sycpeerpb.BorrowRequest) []syclimit.Settled {
+	list := make([]syclimit.Settled, 0, len(in.GetSettled()))
+	for i, id := range in.GetSettled() {
+		s := syclimit.Settled{ID: id}
+		if i < len(in.GetReturned()) {
+			s.Returned = syclimit.Micro(in.GetReturned()[i])
+		}
+		list = append(list, s)
+	}
+	return list
+}
