Bound the requests for loans of a VM

Cause: a skewed, tight limit sent 528 messages a second over 8 VMs. Change: a budget of asks a second per VM, and a peer is asked again once a part of what it can lend has probably come back.

--- a/internal/decide/syclimit/lender.go
+++ b/internal/decide/syclimit/lender.go
@@ -111,7 +111,9 @@
 	if idle >= s.AskInterval/2 && gained(l.peer.Fraction.Of(limit.rate), idle) >= leastAccrued {
 		return true
 	}
-	return l.estimate(now, limit, s) >= max(min(missing, lendable(l.peer, limit, s)/4), 1)
+	part := lendable(l.peer, limit, s)
+	enough := max(part/4, min(part*3/4, Token))
+	return l.estimate(now, limit, s) >= max(min(missing, enough), 1)
 }
 
 // ask starts a request.
--- a/internal/decide/syclimit/machine.go
+++ b/internal/decide/syclimit/machine.go
@@ -16,6 +16,9 @@
 	fraction Fraction
 	peers    []Peer
 	lastID   uint64
+	// asks is what is left of the budget for requests for loans at asksAt.
+	asks   Micro
+	asksAt time.Duration
 	// customers holds those with state, short those with waiting requests or
 	// loans, in the order in which they became so.
 	customers map[string]*customer
--- a/internal/decide/syclimit/serve.go
+++ b/internal/decide/syclimit/serve.go
@@ -116,13 +116,14 @@
 	}
 	var actions []Action
 	for _, l := range m.ranked(now, c) {
-		if missing <= 0 || width <= 0 {
+		if missing <= 0 || width <= 0 || !m.mayAsk(now) {
 			break
 		}
 		if !l.worthwhile(now, missing, c.bucket.limit, m.settings) {
 			continue
 		}
 		estimate := l.estimate(now, c.bucket.limit, m.settings)
+		m.asks -= Token
 		m.lastID++
 		actions = append(actions, l.ask(now, c.name, m.lastID, missing))
 		missing -= min(estimate, missing)
@@ -131,6 +132,14 @@
 	return actions
 }
 
+// mayAsk reports whether the budget allows another request for a loan.
+func (m *Machine) mayAsk(now time.Duration) bool {
+	rate := toMicro(m.settings.AskRate)
+	m.asks = min(m.asks+gained(rate, now-m.asksAt), max(rate/4, Token))
+	m.asksAt = now
+	return m.asks >= Token
+}
+
 // ahead is what requests will probably need in the next interval beyond what
 // accrues here.
 func (m *Machine) ahead(c *customer) Micro {
--- a/internal/decide/syclimit/setting.go
+++ b/internal/decide/syclimit/setting.go
@@ -29,6 +29,9 @@
 	MaxDry time.Duration
 	// AskWidth bounds the requests for loans that one customer has under way.
 	AskWidth int
+	// AskRate bounds the requests for loans a second that this VM sends, for all
+	// customers.
+	AskRate float64
 	// Idle is how long a customer without requests keeps its state.
 	Idle time.Duration
 }
@@ -45,6 +48,7 @@
 	setDefault(&s.MinDry, 100*time.Millisecond)
 	setDefault(&s.MaxDry, 1600*time.Millisecond)
 	setDefault(&s.AskWidth, 8)
+	setDefault(&s.AskRate, 400)
 	setDefault(&s.Idle, time.Minute)
 	return s
 }
@@ -73,6 +77,7 @@
 	check(s.AskInterval > 0, "ask interval must be above 0")
 	check(s.MinDry > 0 && s.MinDry <= s.MaxDry, "dry waits must be above 0 and in order")
 	check(s.AskWidth > 0, "ask width must be above 0")
+	check(s.AskRate > 0, "ask rate must be above 0")
 	check(s.Idle > 0, "idle time must be above 0")
 	if len(faults) == 0 {
 		return nil
