--- a/internal/decide/syclimit/fleet_property_test.go
+++ b/internal/decide/syclimit/fleet_property_test.go
@@ -25,6 +25,7 @@
 		crashes: rapid.IntRange(0, 6).Draw(t, "crashes"),
 		herd:    rapid.Bool().Draw(t, "herd"),
 		cut:     rapid.Bool().Draw(t, "cut"),
+		moves:   rapid.IntRange(0, 10).Draw(t, "moves"),
 		flashes: rapid.IntRange(0, 10).Draw(t, "flashes"),
 		changes: rapid.IntRange(0, 2).Draw(t, "changes"),
 		length:  12 * time.Second,
--- a/internal/decide/syclimit/fleet_test.go
+++ b/internal/decide/syclimit/fleet_test.go
@@ -33,6 +33,7 @@
 	herd     bool // all VMs restart together in mid-run
 	cut      bool // the last VM's answers are lost in the middle third
 	changes  int  // changes of the limit
+	moves    int  // moves of half a VM's fraction to another VM
 	flashes  int  // moments at which every VM gets many requests
 	length   time.Duration
 	settings syclimit.Settings
@@ -104,6 +105,7 @@
 	paused      time.Duration // true time until which nothing is handled
 	down        bool
 	limit       syclimit.Limit
+	fraction    syclimit.Fraction
 }
 
 func newFleet(f faults, seed uint64) *fleet {
@@ -111,6 +113,7 @@
 	fl.figures.causes = map[syclimit.Cause]int{}
 	for i := range f.vms {
 		v := &vm{fleet: fl, index: i, drift: f.drift * (2*fl.rng.Float64() - 1), offset: time.Duration(fl.rng.IntN(1e9))}
+		v.fraction = syclimit.NewFraction(fl.share(i))
 		fl.vms = append(fl.vms, v)
 	}
 	return fl
@@ -150,7 +153,7 @@
 		peers = append(peers, syclimit.Peer{Address: strconv.Itoa(i), Near: p.domain() == v.domain(), Fraction: syclimit.NewFraction(fl.share(i))})
 	}
 	v.act(v.machine.SetPeers(now, peers))
-	v.act(v.machine.SetFraction(now, syclimit.NewFraction(fl.share(v.index))))
+	v.act(v.machine.SetFraction(now, v.fraction))
 }
 
 // handle runs f when the VM is up and not paused; a crash loses it.
@@ -340,6 +343,9 @@
 			}
 		})
 	}
+	for range fl.f.moves {
+		fl.after(fl.anyTime(), func() { fl.move(fl.anyVM(), fl.anyVM()) })
+	}
 	for range fl.f.flashes {
 		count := 1 + fl.rng.IntN(20)
 		fl.after(fl.anyTime(), func() { fl.flash(count) })
@@ -350,6 +356,22 @@
 	}
 }
 
+// move takes half a VM's fraction away and then gives it to another VM.
+func (fl *fleet) move(from, to *vm) {
+	if from == to || from.down || to.down {
+		return
+	}
+	from.handle(func(now time.Duration) {
+		part := from.fraction / 2
+		from.fraction -= part
+		from.act(from.machine.SetFraction(now, from.fraction))
+		to.fraction += part
+		if !to.down && to.paused <= fl.now {
+			to.act(to.machine.SetFraction(to.local(), to.fraction))
+		}
+	})
+}
+
 func (fl *fleet) flash(count int) {
 	for _, v := range fl.vms {
 		for range count {
