--- /dev/null
+++ b/internal/decide/syclimit/cost_test.go
@@ -0,0 +1,69 @@
+package syclimit_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
+)
+
+// machineWithPeers returns a machine that accrues half and has the given peers.
+func machineWithPeers(peers int) *syclimit.Machine {
+	m := syclimit.New(syclimit.Settings{}, 0, 1)
+	list := make([]syclimit.Peer, peers)
+	for i := range list {
+		list[i] = syclimit.Peer{Address: fmt.Sprint("10.0.0.", i, ":1"), Fraction: syclimit.Whole / syclimit.Fraction(2*peers)}
+	}
+	m.SetPeers(0, list)
+	m.SetFraction(0, syclimit.Whole/2)
+	return m
+}
+
+// BenchmarkAdmit measures the decision on one request that finds a token.
+func BenchmarkAdmit(b *testing.B) {
+	for _, customers := range []int{1, 1000, 23000} {
+		b.Run(fmt.Sprint("customers-", customers), func(b *testing.B) {
+			m := machineWithPeers(7)
+			names := make([]string, customers)
+			for i := range names {
+				names[i] = fmt.Sprint("customer-", i)
+			}
+			limit := syclimit.NewLimit(1e6, 1e6, 0)
+			now := 10 * time.Second
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now += 10 * time.Microsecond
+				m.Admit(now, uint64(i), names[i%customers], limit, time.Hour)
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the bytes that an active customer takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, peers := range []int{7, 32} {
+		b.Run(fmt.Sprint("peers-", peers), func(b *testing.B) {
+			const customers = 10000
+			for range b.N {
+				before := heapBytes()
+				m := machineWithPeers(peers)
+				limit := syclimit.NewLimit(10, 10, 0)
+				for i := range customers {
+					m.Admit(10*time.Second, uint64(i), fmt.Sprint("customer-", i), limit, time.Hour)
+				}
+				b.ReportMetric(float64(heapBytes()-before)/customers, "B/customer")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/decide/syclimit/customer.go
+++ b/internal/decide/syclimit/customer.go
@@ -18,6 +18,7 @@
 	bucket bucket
 	// waiting is in order of arrival.
 	waiting []waiter
+	// lenders is nil until the customer first runs short here.
 	lenders []*lender
 	used    time.Duration
 	// arrivals is the smoothed rate of requests, in micro-tokens a second.
--- a/internal/decide/syclimit/machine.go
+++ b/internal/decide/syclimit/machine.go
@@ -107,7 +107,9 @@
 func (m *Machine) SetPeers(now time.Duration, peers []Peer) []Action {
 	m.peers = append([]Peer(nil), peers...)
 	for _, c := range m.customers {
-		c.setPeers(m.peers, m.settings)
+		if c.lenders != nil {
+			c.setPeers(m.peers, m.settings)
+		}
 	}
 	return m.Tick(now)
 }
@@ -160,7 +162,6 @@
 	c = &customer{name: name, used: now}
 	c.bucket = bucket{limit: l, at: now, own: m.steps.accrued(now, l, m.settings.ClockError)}
 	c.bucket.clip(m.limit(now, l))
-	c.setPeers(m.peers, m.settings)
 	m.customers[name] = c
 	return c
 }
--- a/internal/decide/syclimit/serve.go
+++ b/internal/decide/syclimit/serve.go
@@ -20,6 +20,9 @@
 	m.accrue(now, c)
 	c.bucket.expire(now)
 	actions := m.grant(now, c)
+	if c.lenders == nil && m.missing(c) > 0 {
+		c.setPeers(m.peers, m.settings)
+	}
 	actions = append(actions, m.refuse(now, c)...)
 	actions = append(actions, m.ask(now, c)...)
 	if len(c.waiting) == 0 {
@@ -104,9 +107,8 @@
 // ask requests loans from the peers that probably have most, the near ones
 // first, until what is missing is covered.
 func (m *Machine) ask(now time.Duration, c *customer) []Action {
-	ahead := m.ahead(c)
-	missing := Token*Micro(len(c.waiting)) + ahead - c.bucket.available()
-	if missing <= 0 || len(c.waiting) == 0 && c.bucket.available() > ahead/2 {
+	missing := m.missing(c)
+	if missing <= 0 {
 		return nil
 	}
 	width := m.settings.AskWidth
@@ -140,6 +142,16 @@
 	return m.asks >= Token
 }
 
+// missing is what the waiting requests, and those that will probably come in
+// the next interval, lack. Without waiting ones it is 0 while half is there.
+func (m *Machine) missing(c *customer) Micro {
+	ahead := m.ahead(c)
+	if len(c.waiting) == 0 && c.bucket.available() > ahead/2 {
+		return 0
+	}
+	return Token*Micro(len(c.waiting)) + ahead - c.bucket.available()
+}
+
 // ahead is what requests will probably need in the next interval beyond what
 // accrues here.
 func (m *Machine) ahead(c *customer) Micro {
