--- a/internal/decide/syclimit/figures_test.go
+++ b/internal/decide/syclimit/figures_test.go
@@ -23,6 +23,9 @@
 		{"small-balanced-80%", func(f *faults) { f.rate, f.burst, f.load, f.length = 2, 5, 1.6, 2*time.Minute }},
 		{"small-skewed-80%", func(f *faults) { f.rate, f.burst, f.load, f.length, f.skew = 2, 5, 1.6, 2*time.Minute, true }},
 		{"tight-skewed-80%", func(f *faults) { f.burst, f.skew = 20, true }},
+		{"shift-80%", func(f *faults) { f.shift = true }},
+		{"shift-95%", func(f *faults) { f.load, f.shift = 190, true }},
+		{"shift-slow-80%", func(f *faults) { f.shift, f.delay = true, 40*time.Millisecond }},
 		{"loss-5%", func(f *faults) { f.loss, f.skew = 0.05, true }},
 		{"one-way-cut", func(f *faults) { f.cut = true }},
 		{"herd", func(f *faults) { f.herd = true }},
@@ -36,10 +39,15 @@
 			b.Run(c.name+"/"+m.name, func(b *testing.B) {
 				var sum figures
 				over := -f.burst
+				var recovered time.Duration
 				for i := range b.N {
 					got := newFleet(m.faults, uint64(i)).run()
 					over = max(over, overspend(got.spends, f.rate, f.burst))
 					sum.add(got)
+					recovered += recovery(got.spends, f)
+				}
+				if f.shift {
+					b.ReportMetric(float64(recovered.Milliseconds())/float64(b.N), "ms-to-rate")
 				}
 				report(b, f, sum, over)
 			})
@@ -84,3 +92,21 @@
 	b.ReportMetric(float64(sum.messages)/seconds/float64(f.vms), "messages/s/VM")
 	b.ReportMetric(sum.waited.Seconds()*1000/float64(max(sum.granted, 1)), "ms-wait")
 }
+
+// recovery is the time from the shift of the load until 95% of the requests of
+// a second are admitted.
+func recovery(spends []time.Duration, f faults) time.Duration {
+	const step = 50 * time.Millisecond
+	for from := f.length / 2; from+time.Second < f.length; from += step {
+		count := 0.0
+		for _, at := range spends {
+			if at >= from && at < from+time.Second {
+				count++
+			}
+		}
+		if count >= 0.95*f.load {
+			return from - f.length/2
+		}
+	}
+	return f.length / 2
+}
--- a/internal/decide/syclimit/fleet_test.go
+++ b/internal/decide/syclimit/fleet_test.go
@@ -23,6 +23,7 @@
 	burst    float64
 	load     float64 // requests a second over all VMs
 	skew     bool    // all requests go to the first VM
+	shift    bool    // all requests go to the first VM from the middle on
 	apart    bool    // VMs do not lend
 	delay    time.Duration
 	loss     float64
@@ -304,7 +305,7 @@
 	gap := time.Duration(fl.rng.ExpFloat64() / fl.f.load * float64(time.Second))
 	fl.after(gap, func() {
 		i := 0
-		if !fl.f.skew {
+		if !fl.f.skew && (!fl.f.shift || fl.now < fl.f.length/2) {
 			i = fl.rng.IntN(len(fl.vms))
 		}
 		fl.vms[i].admit()
--- /dev/null
+++ b/internal/decide/syclimit/machine_test.go
@@ -0,0 +1,171 @@
+package syclimit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
+)
+
+const (
+	// half is the default of Settings.LendShare.
+	half  = 2
+	burst = 8 * syclimit.Token
+)
+
+func loanRequest(id uint64, amount syclimit.Micro) syclimit.LoanRequest {
+	return syclimit.LoanRequest{Borrower: "b", Incarnation: "1", ID: id, Customer: customer, Amount: amount}
+}
+
+// A VM that gains a fraction leaves room for the loans of the one that lost it.
+func TestGainLeavesRoomForLoans(t *testing.T) {
+	limit := syclimit.NewLimit(1000, 8, 0)
+	from := syclimit.New(syclimit.Settings{}, 0, 1)
+	to := syclimit.New(syclimit.Settings{}, 0, 1)
+	from.SetFraction(0, syclimit.Whole)
+	now := 10 * time.Second
+	loan := from.Lend(now, loanRequest(1, burst), limit)
+	must.Eq(t, burst/half, loan.Amount)
+	from.SetFraction(now, 0)
+	to.SetFraction(now, syclimit.Whole)
+	to.Lend(now, loanRequest(2, 0), limit)
+	now += loan.Valid
+	own, _, _ := to.Held(now-1, customer)
+	must.LessEq(t, burst, own+loan.Amount)
+	must.Zero(t, to.Lend(now-1, loanRequest(3, burst), limit).Amount)
+	own, _, _ = to.Held(now+time.Second, customer)
+	must.Eq(t, burst, own)
+}
+
+func TestLoansAreLentOnceAndRoomComesBack(t *testing.T) {
+	limit := syclimit.NewLimit(1000, 8, 0)
+	cases := []struct {
+		name string
+		then func(m *syclimit.Machine, now time.Duration) time.Duration
+		lent syclimit.Micro
+		own  syclimit.Micro
+	}{
+		{name: "held", lent: burst / half, own: burst / half, then: func(_ *syclimit.Machine, now time.Duration) time.Duration {
+			return now + 300*time.Millisecond
+		}},
+		{name: "asked for again", lent: burst / half, own: burst / half, then: func(m *syclimit.Machine, now time.Duration) time.Duration {
+			m.Lend(now, loanRequest(1, burst), limit)
+			return now
+		}},
+		{name: "spent", own: burst, then: func(m *syclimit.Machine, now time.Duration) time.Duration {
+			r := loanRequest(2, 0)
+			r.Settled = []syclimit.Settled{{ID: 1}}
+			m.Lend(now, r, limit)
+			return now + 300*time.Millisecond
+		}},
+		{name: "returned", own: burst, then: func(m *syclimit.Machine, now time.Duration) time.Duration {
+			r := loanRequest(2, 0)
+			r.Settled = []syclimit.Settled{{ID: 1, Returned: burst / half}, {ID: 1, Returned: burst / half}}
+			m.Lend(now, r, limit)
+			return now
+		}},
+		{name: "expired", own: burst, then: func(_ *syclimit.Machine, now time.Duration) time.Duration {
+			return now + 10*time.Second
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := syclimit.New(syclimit.Settings{}, 0, 1)
+			m.SetFraction(0, syclimit.Whole)
+			now := 10 * time.Second
+			must.Eq(t, burst/half, m.Lend(now, loanRequest(1, burst), limit).Amount)
+			own, _, lent := m.Held(c.then(m, now), customer)
+			must.Eq(t, c.lent, lent)
+			must.Eq(t, c.own, own)
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name     string
+		fraction syclimit.Fraction
+		limit    syclimit.Limit
+		requests int
+		refused  int
+		cause    syclimit.Cause
+	}{
+		{name: "within the burst", fraction: syclimit.Whole, limit: syclimit.NewLimit(1, 8, 0), requests: 8},
+		{name: "over the rate", fraction: syclimit.Whole, limit: syclimit.NewLimit(1, 8, 0), requests: 12, refused: 4, cause: syclimit.OverRate},
+		{name: "short enough to wait", fraction: syclimit.Whole, limit: syclimit.NewLimit(10, 8, 0), requests: 12},
+		{name: "more than the queue", fraction: syclimit.Whole, limit: syclimit.NewLimit(1e6, 8, 0), requests: 300, refused: 36, cause: syclimit.QueueFull},
+		{name: "no slots", limit: syclimit.NewLimit(10, 8, 0), requests: 1, refused: 1, cause: syclimit.NoSlots},
+		{name: "no limit", fraction: syclimit.Whole, requests: 1, refused: 1, cause: syclimit.LimitGone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := syclimit.New(syclimit.Settings{}, 0, 1)
+			m.SetFraction(0, c.fraction)
+			refused := 0
+			for i := range c.requests {
+				for _, a := range m.Admit(time.Minute, uint64(i), customer, c.limit, time.Hour) {
+					if r, ok := a.(syclimit.Refuse); ok {
+						refused++
+						must.Eq(t, c.cause, r.Cause)
+						must.Positive(t, r.RetryAfter)
+					}
+				}
+			}
+			must.Eq(t, c.refused, refused)
+		})
+	}
+}
+
+// A caller that comes back when it was told to must find its token.
+func TestRetryAfterIsTrue(t *testing.T) {
+	limit := syclimit.NewLimit(0.5, 1, 0)
+	m := syclimit.New(syclimit.Settings{}, 0, 1)
+	m.SetFraction(0, syclimit.Whole)
+	now := time.Minute
+	must.Len(t, 1, m.Admit(now, 1, customer, limit, time.Hour))
+	refusal, ok := m.Admit(now, 2, customer, limit, time.Hour)[0].(syclimit.Refuse)
+	must.True(t, ok)
+	must.LessEq(t, 2100*time.Millisecond, refusal.RetryAfter)
+	now += refusal.RetryAfter
+	actions := m.Admit(now, 3, customer, limit, time.Hour)
+	for len(actions) == 0 && now < 2*time.Minute {
+		now += 10 * time.Millisecond
+		actions = m.Tick(now)
+	}
+	_, ok = actions[0].(syclimit.Grant)
+	must.True(t, ok)
+}
+
+func TestGrantsAreFirstInFirstOut(t *testing.T) {
+	limit := syclimit.NewLimit(20, 1, 0)
+	m := syclimit.New(syclimit.Settings{}, 0, 1)
+	m.SetFraction(0, syclimit.Whole)
+	now := time.Minute
+	var granted []uint64
+	collect := func(actions []syclimit.Action) {
+		for _, a := range actions {
+			if g, ok := a.(syclimit.Grant); ok {
+				granted = append(granted, g.Request)
+			}
+		}
+	}
+	for i := range uint64(6) {
+		collect(m.Admit(now, i, customer, limit, time.Hour))
+	}
+	m.Cancel(customer, 3)
+	for range 100 {
+		now += 5 * time.Millisecond
+		collect(m.Tick(now))
+	}
+	must.Eq(t, []uint64{0, 1, 2, 4, 5}, granted)
+}
+
+func TestSettingsFaultsAreListedTogether(t *testing.T) {
+	must.NoError(t, syclimit.Settings{}.Defaults().Validate())
+	bad := syclimit.Settings{}.Defaults()
+	bad.LendShare, bad.QueueLength = 2, -1
+	err := bad.Validate()
+	must.ErrorContains(t, err, "lend share")
+	must.ErrorContains(t, err, "queue length")
+}
