--- a/internal/decide/syclimit/fleet_test.go
+++ b/internal/decide/syclimit/fleet_test.go
@@ -9,7 +9,11 @@
 	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 )
 
-const customer = "spring"
+const (
+	customer = "spring"
+	// askTimeout is when a request for a loan counts as failed.
+	askTimeout = 400 * time.Millisecond
+)
 
 // faults is what happens in a run of the fleet.
 type faults struct {
@@ -19,6 +23,8 @@
 	burst    float64
 	load     float64 // requests a second over all VMs
 	skew     bool    // all requests go to the first VM
+	shift    bool    // all requests go to the first VM from the middle on
+	apart    bool    // VMs do not lend
 	delay    time.Duration
 	loss     float64
 	repeat   float64
@@ -28,6 +34,7 @@
 	herd     bool // all VMs restart together in mid-run
 	cut      bool // the last VM's answers are lost in the middle third
 	changes  int  // changes of the limit
+	moves    int  // moves of half a VM's fraction to another VM
 	flashes  int  // moments at which every VM gets many requests
 	length   time.Duration
 	settings syclimit.Settings
@@ -99,6 +106,7 @@
 	paused      time.Duration // true time until which nothing is handled
 	down        bool
 	limit       syclimit.Limit
+	fraction    syclimit.Fraction
 }
 
 func newFleet(f faults, seed uint64) *fleet {
@@ -106,6 +114,7 @@
 	fl.figures.causes = map[syclimit.Cause]int{}
 	for i := range f.vms {
 		v := &vm{fleet: fl, index: i, drift: f.drift * (2*fl.rng.Float64() - 1), offset: time.Duration(fl.rng.IntN(1e9))}
+		v.fraction = syclimit.NewFraction(fl.share(i))
 		fl.vms = append(fl.vms, v)
 	}
 	return fl
@@ -139,13 +148,13 @@
 	v.machine = syclimit.New(fl.f.settings, now, uint64(v.incarnation)<<32)
 	var peers []syclimit.Peer
 	for i, p := range fl.vms {
-		if i == v.index || fl.share(i) == 0 {
+		if i == v.index || fl.share(i) == 0 || fl.f.apart {
 			continue
 		}
 		peers = append(peers, syclimit.Peer{Address: strconv.Itoa(i), Near: p.domain() == v.domain(), Fraction: syclimit.NewFraction(fl.share(i))})
 	}
 	v.act(v.machine.SetPeers(now, peers))
-	v.act(v.machine.SetFraction(now, syclimit.NewFraction(fl.share(v.index))))
+	v.act(v.machine.SetFraction(now, v.fraction))
 }
 
 // handle runs f when the VM is up and not paused; a crash loses it.
@@ -236,7 +245,7 @@
 			to.handle(func(now time.Duration) { to.lend(now, v, incarnation, sent, a, request) })
 		})
 	}
-	fl.after(time.Second, func() {
+	fl.after(askTimeout, func() {
 		if v.incarnation == incarnation {
 			v.handle(func(now time.Duration) {
 				fl.arrived(v, a.ID)
@@ -296,7 +305,7 @@
 	gap := time.Duration(fl.rng.ExpFloat64() / fl.f.load * float64(time.Second))
 	fl.after(gap, func() {
 		i := 0
-		if !fl.f.skew {
+		if !fl.f.skew && (!fl.f.shift || fl.now < fl.f.length/2) {
 			i = fl.rng.IntN(len(fl.vms))
 		}
 		fl.vms[i].admit()
@@ -335,6 +344,9 @@
 			}
 		})
 	}
+	for range fl.f.moves {
+		fl.after(fl.anyTime(), func() { fl.move(fl.anyVM(), fl.anyVM()) })
+	}
 	for range fl.f.flashes {
 		count := 1 + fl.rng.IntN(20)
 		fl.after(fl.anyTime(), func() { fl.flash(count) })
@@ -345,6 +357,22 @@
 	}
 }
 
+// move takes half a VM's fraction away and then gives it to another VM.
+func (fl *fleet) move(from, to *vm) {
+	if from == to || from.down || to.down {
+		return
+	}
+	from.handle(func(now time.Duration) {
+		part := from.fraction / 2
+		from.fraction -= part
+		from.act(from.machine.SetFraction(now, from.fraction))
+		to.fraction += part
+		if !to.down && to.paused <= fl.now {
+			to.act(to.machine.SetFraction(to.local(), to.fraction))
+		}
+	})
+}
+
 func (fl *fleet) flash(count int) {
 	for _, v := range fl.vms {
 		for range count {
