Test the dispatcher against crashes, lost events, herds and hot prefixes

Cause: the tests found three faults. A suspect endpoint that got no traffic never cleared; a probing one was never chosen; waiting for a prefill under way counted that prefill twice and so was never chosen. Tests: go test -race ./internal/decide/sycdispatch ./internal/decide/sychealth.

--- /dev/null
+++ b/internal/decide/sycdispatch/cache_test.go
@@ -0,0 +1,132 @@
+package sycdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+)
+
+// warm returns a rig of three engines, of which e1 holds the prompt.
+func warm(t *testing.T, prompt string) *rig {
+	r := newRig(t, 1)
+	r.engines(3, 4)
+	for _, name := range []string{"e0", "e1", "e2"} {
+		r.report(name, "first", 0)
+	}
+	r.holds("e1", "first", "a", prompt)
+	return r
+}
+
+func TestHolderIsChosenForItsOwnCustomerOnly(t *testing.T) {
+	prompt := text("shared", 50)
+	r := warm(t, prompt)
+	d := r.place("a", prompt+"tail")
+	must.Eq(t, "e1", d.Target.Endpoint)
+	must.Eq(t, 50*sycblock.TokensPerBlock, d.CachedTokens)
+	other := r.place("b", prompt+"tail")
+	must.Eq(t, 0, other.CachedTokens)
+	must.Nil(t, other.Target.Import)
+	must.NotEq(t, d.Target.Salt, other.Target.Salt)
+}
+
+func TestEntriesOfCrashedEngineGoAtOnce(t *testing.T) {
+	prompt := text("shared", 50)
+	tests := []struct {
+		name  string
+		crash func(r *rig)
+	}{
+		{"new incarnation in a report", func(r *rig) { r.report("e1", "second", 0) }},
+		{"new incarnation in an answer", func(r *rig) {
+			d := r.place("b", text("other", 8))
+			for d.Target.Endpoint != "e1" {
+				d = r.place("b", text("other", 8))
+			}
+			r.Finish(r.now, d.ID, sycwork.Result{
+				Outcome: sycwork.Succeeded, Incarnation: "second", PromptTokens: 512,
+			})
+		}},
+		{"no connection for an attempt", func(r *rig) {
+			d := r.place("a", prompt)
+			r.Finish(r.now, d.ID, sycwork.Result{Outcome: sycwork.Failed, Unreachable: true})
+		}},
+		{"no connection for a poll", func(r *rig) { r.Unreachable(r.now, "e1") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := warm(t, prompt)
+			tt.crash(r)
+			r.Events(r.now, "e1", sycdispatch.Batch{
+				Incarnation: "first", First: 0, Next: 1,
+				Events: []sycprefix.Event{{Seq: 0, Op: sycprefix.Store, Blocks: chainOf("a", prompt)}},
+			})
+			d := r.place("a", prompt)
+			must.Eq(t, 0, d.CachedTokens)
+			must.Nil(t, d.Target.Import)
+		})
+	}
+}
+
+func TestLostEventsEndImportsUntilResync(t *testing.T) {
+	prompt := text("shared", 200)
+	r := warm(t, prompt)
+	d := r.elsewhere("e1", "a", prompt)
+	must.NotNil(t, d.Target.Import)
+	must.Eq(t, "first", d.Target.Import.Incarnation)
+	must.Eq(t, "http://e1:80", d.Target.Import.From)
+	must.Eq(t, chainOf("a", prompt), d.Target.Import.Blocks)
+	r.Cancel(r.now, d.ID)
+
+	gap := sycdispatch.Batch{Incarnation: "first", First: 0, Next: 9}
+	must.True(t, r.Events(r.now, "e1", gap).Resync)
+	d = r.elsewhere("e1", "a", prompt)
+	must.Nil(t, d.Target.Import)
+	r.Cancel(r.now, d.ID)
+
+	position := r.Resync(r.now, "e1", "first", 9, chainOf("a", prompt)[:100])
+	must.Eq(t, sycdispatch.Position{Incarnation: "first", From: 9}, position)
+	d = r.elsewhere("e1", "a", prompt)
+	must.NotNil(t, d.Target.Import)
+	must.Len(t, 100, d.Target.Import.Blocks)
+}
+
+func TestSharedPrefixIsComputedOnce(t *testing.T) {
+	prompt := text("cold", 100)
+	r := newRig(t, 1)
+	r.engines(4, 4)
+	first := r.place("a", prompt+text("one", 2))
+	second := r.request("a", prompt+text("two", 2))
+	r.Submit(r.now, second)
+	must.Len(t, 0, r.Take())
+	r.now += 500 * time.Millisecond
+	r.FirstToken(r.now, first.ID)
+	decisions := r.Take()
+	must.Len(t, 1, decisions)
+	must.Eq(t, second.ID, decisions[0].ID)
+	must.Eq(t, first.Target.Endpoint, decisions[0].Target.Endpoint)
+	must.Eq(t, 100*sycblock.TokensPerBlock, decisions[0].CachedTokens)
+}
+
+func TestPrefixInUseIsKeptInStore(t *testing.T) {
+	prompt := text("shared", 50)
+	r := warm(t, prompt)
+	r.put("endpoint", "kv", `{"address":"http://kv:80","failure_domain":"near","type":"kv_store"}`)
+	r.Resync(r.now, "kv", "k", 0, nil)
+	d := r.place("a", prompt+text("tail", 3))
+	must.Len(t, 0, r.TakeKeeps())
+	r.FirstToken(r.now, d.ID)
+	keeps := r.TakeKeeps()
+	must.Len(t, 1, keeps)
+	must.Eq(t, "kv", keeps[0].Store)
+	must.Eq(t, chainOf("a", prompt), keeps[0].Blocks)
+	r.Kept(r.now, "kv", "k", keeps[0].Blocks)
+	r.report("e1", "second", 0)
+	r.Unreachable(r.now, "e1")
+	d = r.place("a", prompt+text("tail", 3))
+	must.Eq(t, "http://kv:80", d.Target.Import.From)
+	must.Eq(t, chainOf("a", prompt), d.Target.Import.Blocks)
+}
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -30,6 +30,8 @@
 	crowdedPart = 0.9
 	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
 	suspectPenalty = 200 * time.Millisecond
+	// probePreference is the advantage of an endpoint that waits for its probe.
+	probePreference = 200 * time.Millisecond
 )
 
 // Report is what an engine said of its load.
@@ -143,10 +145,14 @@
 }
 
 func (e *endpoint) penalty() time.Duration {
-	if e.health.State() == sychealth.Healthy {
+	switch e.health.State() {
+	case sychealth.Healthy:
 		return 0
+	case sychealth.Probing:
+		return -probePreference
+	default:
+		return suspectPenalty
 	}
-	return suspectPenalty
 }
 
 // own is the load that this VM has put on the endpoint.
--- a/internal/decide/sychealth/health.go
+++ b/internal/decide/sychealth/health.go
@@ -52,6 +52,8 @@
 	// shortestPause and longestPause bound the time out before a probe.
 	shortestPause = 250 * time.Millisecond
 	longestPause  = 10 * time.Second
+	// suspicion is how long an endpoint is suspect that gets no work.
+	suspicion = 5 * time.Second
 )
 
 // Health is the health of one endpoint.
@@ -64,7 +66,7 @@
 	successes int
 	// pause is the time out that comes next; it doubles with every failed probe.
 	pause time.Duration
-	// until is the end of the present time out.
+	// until is the end of the present time out or suspicion.
 	until time.Duration
 	// unreachable is true while the endpoint is out because nothing listens.
 	unreachable bool
@@ -74,7 +76,7 @@
 // New returns the health of an endpoint of which nothing bad is known.
 func New(seed uint64) *Health {
 	return &Health{
-		state:  Healthy,
+		state:  State(chart.Initial()),
 		random: rand.New(rand.NewPCG(seed, 0)),
 		pause:  shortestPause,
 	}
@@ -92,14 +94,11 @@
 // Observe takes an event and reports whether the state has changed.
 func (h *Health) Observe(now time.Duration, e Event) bool {
 	h.count(e)
-	for _, t := range transitions {
-		if t.from != h.state || t.event != e || !t.guard(h, now) {
-			continue
-		}
-		h.enter(now, t.to, e)
-		return true
+	next, taken := chart.Fire(string(h.state), string(e), moment{health: h, now: now})
+	if taken {
+		h.enter(now, State(next), e)
 	}
-	return false
+	return taken
 }
 
 func (h *Health) count(e Event) {
@@ -129,6 +128,7 @@
 		h.successes = 0
 	case Suspect:
 		h.slows = 0
+		h.until = now + suspicion
 	case Healthy:
 		h.pause = shortestPause
 	case Probing:
--- a/internal/decide/sychealth/health_test.go
+++ b/internal/decide/sychealth/health_test.go
@@ -26,6 +26,8 @@
 		{"one failure", []sychealth.Event{failure}, sychealth.Suspect},
 		{"cleared", []sychealth.Event{failure, success, success, success}, sychealth.Healthy},
 		{"failures with successes between", []sychealth.Event{failure, failure, success, failure}, sychealth.Suspect},
+		{"suspicion ends", []sychealth.Event{failure, elapsed, elapsed, elapsed, elapsed, elapsed}, sychealth.Healthy},
+		{"fails again after suspicion", []sychealth.Event{failure, elapsed, elapsed, elapsed, elapsed, elapsed, failure, failure}, sychealth.Out},
 		{"failures in a row", []sychealth.Event{failure, failure, failure}, sychealth.Out},
 		{"connection refused", []sychealth.Event{refused}, sychealth.Out},
 		{"a few slow", []sychealth.Event{slow, slow}, sychealth.Healthy},
--- a/internal/decide/sycroute/policy.go
+++ b/internal/decide/sycroute/policy.go
@@ -52,7 +52,8 @@
 	Near bool
 	// Network is the round trip to the endpoint.
 	Network time.Duration
-	// Penalty is added for an endpoint in doubtful health.
+	// Penalty is added for an endpoint in doubtful health; it is negative for
+	// one that should be tried.
 	Penalty time.Duration
 	// Prefill is the number of prompt tokens to compute up to the request's
 	// first token, if nothing of its own prompt were held.
--- a/internal/decide/sycroute/prefix.go
+++ b/internal/decide/sycroute/prefix.go
@@ -111,6 +111,7 @@
 		s.ready = c.predict(float64(c.Source.Held)) + cost
 	}
 	s.time = s.ready
+	s.time = max(s.time, 0)
 	s.time += time.Duration(replacePart * (float64(q.Blocks) - c.Held) * float64(c.Replace))
 	if !c.Near {
 		s.time += c.Network + farFloor
@@ -120,7 +121,8 @@
 	}
 	saved := c.Speed.Prefill((float64(c.Coming) - s.held) * sycblock.TokensPerBlock)
 	if float64(saved) > comingPart*float64(c.ComingWait) {
-		s.later = c.ComingWait + c.predict(float64(c.Coming))
+		rest := float64(q.Tokens - c.Coming*sycblock.TokensPerBlock)
+		s.later = c.ComingWait + c.Network + c.Speed.FirstToken(rest)
 	}
 	return s
 }
--- a/internal/traffic/sycchoose/policy_bench_test.go
+++ b/internal/traffic/sycchoose/policy_bench_test.go
@@ -30,11 +30,14 @@
 	plans              int
 	maxTokens          int
 	duration           time.Duration
+	// shift is the time after which a customer's hottest plan is given up for
+	// the next one.
+	shift time.Duration
 }
 
 var (
-	morning = workload{"morning", 90, 1, 5, 1500, 2500, 150, 8, 24, 8 * time.Second}
-	evening = workload{"evening", 24, 1, 5, 4000, 12000, 800, 6, 64, 8 * time.Second}
+	morning = workload{"morning", 90, 1, 5, 1500, 2500, 150, 8, 24, 8 * time.Second, 4 * time.Second}
+	evening = workload{"evening", 20, 1, 5, 4000, 12000, 800, 6, 64, 8 * time.Second, 4 * time.Second}
 )
 
 // text returns n tokens that differ between names from the first block on.
@@ -44,14 +47,14 @@
 	return strings.Repeat(word, size/len(word)+1)[:size]
 }
 
-func (w workload) work(r *rand.Rand, serial int) sycwork.Work {
+func (w workload) work(r *rand.Rand, serial int, due time.Duration) sycwork.Work {
 	customer := r.Float64() * (float64(w.customers-1) + w.greedy)
 	name := max(int(customer-w.greedy)+1, 0)
 	if customer < w.greedy {
 		name = 0
 	}
 	// Few plans are very hot.
-	plan := int(float64(w.plans) * r.Float64() * r.Float64())
+	plan := int(float64(w.plans)*r.Float64()*r.Float64()) + int(due/w.shift)
 	prompt := text(w.system, "customer", name) + text(w.plan, "plan", name, plan) + text(w.tail, "request", serial)
 	return sycwork.Work{
 		Customer:  fmt.Sprint("c", name),
@@ -85,7 +88,7 @@
 
 // drive sends an open load to a site; requests of the warm-up aren't counted.
 func drive(t testing.TB, s *site, w workload, seed uint64) *outcome {
-	const warmUp = 2 * time.Second
+	const warmUp = 5 * time.Second
 	r := rand.New(rand.NewPCG(seed, 1))
 	o := &outcome{answers: map[string][]answer{}}
 	var running sync.WaitGroup
@@ -93,7 +96,7 @@
 	due := time.Duration(0)
 	for serial := 0; due < w.duration+warmUp; serial++ {
 		due += time.Duration(r.ExpFloat64() / w.perSecond * float64(time.Second))
-		work := w.work(r, serial)
+		work := w.work(r, serial, due)
 		vm := s.vms[r.IntN(len(s.vms))]
 		counted := due > warmUp
 		time.Sleep(time.Until(start.Add(due)))
