Tell routers' connections apart with one scan for many; run scenarios of faults

Change: sycprocess.Owners answers all waiting lookups from one scan; a balancer with health checks for load and scenarios; routers on IP numbers of their own, so that no outgoing connection takes a stopped router's port; sycscenario and 'sycamorebench faults' run 11 faults alone and 5 pairs.

--- /dev/null
+++ b/cmd/sycamorebench/faults.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycscenario"
+)
+
+const faultsUsage = `faults [flags]
+
+Runs real router processes through faults, each alone and then two together,
+while customers send requests, and prints how often each property was tried and
+broken. Exit 1 when one was broken.
+
+  sycamorebench faults -binary ./sycamorecart
+  sycamorebench faults -only 'herd' -verbose
+
+`
+
+type faultsCommand struct {
+	workload string
+	binary   string
+	only     string
+	seed     uint64
+	verbose  bool
+}
+
+// Name is the command's name.
+func (*faultsCommand) Name() string { return "faults" }
+
+// Synopsis describes the command in a line.
+func (*faultsCommand) Synopsis() string { return "run routers through faults and check the properties" }
+
+// Usage describes the command.
+func (*faultsCommand) Usage() string { return faultsUsage }
+
+// SetFlags declares the flags.
+func (c *faultsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.workload, "workload", "bottlers", "bottlers or dairies")
+	f.StringVar(&c.binary, "binary", "", "router `program`; sycamorecart beside this one by default")
+	f.StringVar(&c.only, "only", "", "run only the scenarios whose name contains `text`")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the requests")
+	f.BoolVar(&c.verbose, "verbose", false, "show the routers' logs")
+}
+
+// Execute runs the scenarios.
+func (c *faultsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	total, err := c.run(ctx)
+	if err != nil {
+		return failed(err)
+	}
+	if err := total.Write(os.Stdout); err != nil {
+		return failed(err)
+	}
+	if !total.Sound() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *faultsCommand) options() (sycscenario.Options, error) {
+	workload, ok := sycload.FindWorkload(c.workload)
+	if !ok {
+		return sycscenario.Options{}, eris.Errorf("no workload %q", c.workload)
+	}
+	binary := c.binary
+	if binary == "" {
+		found, err := sycdeploy.FindBinary()
+		if err != nil {
+			return sycscenario.Options{}, err
+		}
+		binary = found
+	}
+	var output io.Writer
+	if c.verbose {
+		output = os.Stderr
+	}
+	return sycscenario.Options{Binary: binary, Workload: workload, Seed: c.seed, Output: output}, nil
+}
+
+func (c *faultsCommand) run(ctx context.Context) (*sycoracle.Ledger, error) {
+	options, err := c.options()
+	if err != nil {
+		return nil, err
+	}
+	total := sycoracle.NewLedger()
+	for _, s := range sycscenario.Scenarios() {
+		if !strings.Contains(s.Name(), c.only) {
+			continue
+		}
+		ledger, result, err := sycscenario.Run(ctx, s, options)
+		if err != nil {
+			return nil, err
+		}
+		t := result.Total
+		fmt.Printf("%s: sent %d, right %d, wrong %d, refused %d, failed %d, resumes %d\n",
+			s.Name(), t.Sent, t.Right, t.Wrong, t.Refused, t.Failed, t.Resumes)
+		total.Add(s.Name(), ledger)
+	}
+	return total, nil
+}
--- a/cmd/sycamorebench/load.go
+++ b/cmd/sycamorebench/load.go
@@ -130,8 +130,12 @@
 	fmt.Fprintf(os.Stderr, "sent %d of %d, answered %d, wrong %d\n", p.Sent, p.Planned, p.Answered, p.Wrong)
 }
 
-// readyTimeout bounds the wait for the routers of -self.
-const readyTimeout = 20 * time.Second
+const (
+	// readyTimeout bounds the wait for the routers of -self.
+	readyTimeout = 20 * time.Second
+	// balancerPeriod is how often the balancer of -self checks the routers.
+	balancerPeriod = 250 * time.Millisecond
+)
 
 func (c *loadCommand) runSelf(ctx context.Context) (result sycload.Result, err error) {
 	deployment, err := c.deploy(ctx)
@@ -143,7 +147,10 @@
 			err = cerr
 		}
 	}()
+	balancer := sycdeploy.NewBalancer(deployment, balancerPeriod)
+	defer balancer.Close()
 	c.options.Routers = deployment.URLs()
+	c.options.Available = balancer.Available
 	c.options.Keys = deployment.Keys()
 	c.options.Model = sycdeploy.Model
 	c.options.BookPath = sycdeploy.BookPath
--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&serviceCommand{}, "stand-ins")
 	subcommands.Register(&demoCommand{}, "load")
 	subcommands.Register(&loadCommand{}, "load")
+	subcommands.Register(&faultsCommand{}, "load")
 	subcommands.Register(&reportCommand{}, "load")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/standin/sycdeploy/deploy.go
+++ b/internal/standin/sycdeploy/deploy.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,7 @@
 	"sycamorecart.example/sycamorecart/internal/standin/syckvstore"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
 )
 
@@ -85,8 +87,10 @@
 	// keys has the secret of each customer's key.
 	keys map[string]string
 	// published counts the records, for their ids.
-	published int
+	published atomic.Int64
 	closers   []func() error
+	// owners tells the routers' connections apart.
+	owners *sycprocess.Owners
 
 	// mu guards routers, which the proxies' goroutines read.
 	mu      sync.Mutex
@@ -97,6 +101,7 @@
 // is ready.
 func New(ctx context.Context, o Options) (*Deployment, error) {
 	d := &Deployment{options: o, keys: map[string]string{}}
+	d.owners = sycprocess.NewOwners(d.pids)
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
@@ -187,7 +192,7 @@
 		if !r.Running() {
 			continue
 		}
-		if err := r.awaitReady(ctx); err != nil {
+		if err := r.AwaitReady(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/sycdeploy/links.go
+++ b/internal/standin/sycdeploy/links.go
@@ -4,7 +4,6 @@
 	"net"
 
 	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
-	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 )
 
 // newProxy returns a proxy to something in a failure domain; routers of other
@@ -31,15 +30,24 @@
 
 // sourceDomain is the failure domain of the router that opened a connection.
 func (d *Deployment) sourceDomain(client net.Conn) string {
+	pid := d.owners.Of(client)
+	for _, r := range d.Routers() {
+		if pid != 0 && r.pid() == pid {
+			return r.domain
+		}
+	}
+	return ""
+}
+
+// pids lists the processes of the routers.
+func (d *Deployment) pids() []int {
 	var pids []int
-	domains := map[int]string{}
 	for _, r := range d.Routers() {
 		if pid := r.pid(); pid != 0 {
 			pids = append(pids, pid)
-			domains[pid] = r.domain
 		}
 	}
-	return domains[sycprocess.Owner(client, pids)]
+	return pids
 }
 
 // CutDomains cuts two failure domains off from each other, or ends that: the
--- a/internal/standin/sycdeploy/records.go
+++ b/internal/standin/sycdeploy/records.go
@@ -58,13 +58,7 @@
 func (d *Deployment) endpointRecords() []sycrecord.Operation {
 	var list []sycrecord.Operation
 	for _, e := range d.engines {
-		list = append(list, Put(sycrecord.KindEndpoint, e.name, sycrecord.EndpointFields{
-			Address:       e.proxy.URL(),
-			FailureDomain: e.domain,
-			Type:          sycrecord.EndpointEngine,
-			Models:        []string{Model},
-			Fencing:       d.options.Engine.ChecksFencing,
-		}))
+		list = append(list, d.EngineRecord(e, false))
 	}
 	for _, w := range d.workers {
 		list = append(list, Put(sycrecord.KindEndpoint, w.name, sycrecord.EndpointFields{
@@ -81,6 +75,18 @@
 	}))
 }
 
+// EngineRecord returns the record of an engine, as it stays or leaves.
+func (d *Deployment) EngineRecord(e *Engine, leaving bool) sycrecord.Operation {
+	return Put(sycrecord.KindEndpoint, e.name, sycrecord.EndpointFields{
+		Address:       e.proxy.URL(),
+		FailureDomain: e.domain,
+		Type:          sycrecord.EndpointEngine,
+		Models:        []string{Model},
+		Fencing:       d.options.Engine.ChecksFencing,
+		Leaving:       leaving,
+	})
+}
+
 // slotRecords gives each failure domain a share by its number of VMs and each
 // of its VMs an equal fraction.
 func (d *Deployment) slotRecords() []sycrecord.Operation {
@@ -114,8 +120,7 @@
 func (d *Deployment) Publish(ctx context.Context, operations ...sycrecord.Operation) error {
 	var body appendBody
 	for _, op := range operations {
-		d.published++
-		op.ID = fmt.Sprintf("deployment-%d-%d", d.options.Seed, d.published)
+		op.ID = fmt.Sprintf("deployment-%d-%d", d.options.Seed, d.published.Add(1))
 		body.Records = append(body.Records, logRecord{ID: op.ID, Data: op})
 	}
 	data, err := json.Marshal(body)
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -17,8 +17,14 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 )
 
-// stopPatience is how long a router may take to stop.
-const stopPatience = time.Minute
+const (
+	// stopPatience is how long a router may take to stop.
+	stopPatience = time.Minute
+	// firstHost is the last part of the first router's IP number. Each router has
+	// one of its own in 127.0.0.0/24, whose ports no outgoing connection takes
+	// while the router is down.
+	firstHost = 10
+)
 
 // Router is a router process of a deployment.
 type Router struct {
@@ -58,20 +64,16 @@
 
 // planRouters chooses the routers' addresses and writes their settings.
 func (d *Deployment) planRouters() error {
-	total := 0
-	for _, domain := range d.options.Workload.Domains() {
-		total += domain.VMs()
-	}
-	addresses, err := freeAddresses(3 * total)
-	if err != nil {
-		return err
-	}
 	var routers []*Router
 	for _, domain := range d.options.Workload.Domains() {
 		for i := range domain.VMs() {
 			r := &Router{deployment: d, name: fmt.Sprintf("vm-%s-%d", domain.Name(), i+1), domain: domain.Name()}
+			ip := fmt.Sprintf("127.0.0.%d", firstHost+len(routers))
+			addresses, err := freeAddresses(ip, 3)
+			if err != nil {
+				return err
+			}
 			r.callers, r.operators, r.peers = addresses[0], addresses[1], addresses[2]
-			addresses = addresses[3:]
 			if err := r.prepare(); err != nil {
 				return err
 			}
@@ -84,8 +86,8 @@
 	return nil
 }
 
-// freeAddresses finds loopback addresses that nothing listens on.
-func freeAddresses(n int) ([]string, error) {
+// freeAddresses finds ports of an IP number that nothing listens on.
+func freeAddresses(ip string, n int) ([]string, error) {
 	var listeners []net.Listener
 	defer func() {
 		for _, l := range listeners {
@@ -94,7 +96,7 @@
 	}()
 	addresses := make([]string, 0, n)
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, eris.Wrap(err, "free address")
 		}
@@ -217,7 +219,8 @@
 	}
 }
 
-func (r *Router) awaitReady(ctx context.Context) error {
+// AwaitReady waits until the router says that it may get requests.
+func (r *Router) AwaitReady(ctx context.Context) error {
 	for {
 		if r.ready(ctx) {
 			return nil
--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -151,13 +152,11 @@
 	x.tokens = append(x.tokens, text)
 }
 
-// post sends a request to the arrival's router. A router that can't be
-// connected to is passed over, as a balancer would.
+// post sends a request to the arrival's router. A router that is not available
+// or can't be connected to is passed over, as a balancer would.
 func (r *runner) post(ctx context.Context, a *arrival, path string, body []byte, header http.Header) (*http.Response, error) {
-	routers := r.options.Routers
 	var err error
-	for i := range routers {
-		router := routers[(a.router+i)%len(routers)]
+	for _, router := range r.candidates(a.router) {
 		var request *http.Request
 		request, err = http.NewRequestWithContext(ctx, http.MethodPost, router+path, bytes.NewReader(body))
 		if err != nil {
@@ -177,6 +176,22 @@
 	return nil, err
 }
 
+// candidates lists the available routers from the nth on, or all when none is available.
+func (r *runner) candidates(n int) []string {
+	all := r.options.Routers
+	ordered := slices.Concat(all[n%len(all):], all[:n%len(all)])
+	if r.options.Available == nil {
+		return ordered
+	}
+	available := slices.DeleteFunc(slices.Clone(ordered), func(router string) bool {
+		return !r.options.Available(router)
+	})
+	if len(available) == 0 {
+		return ordered
+	}
+	return available
+}
+
 // notConnected reports whether nothing can have been sent.
 func notConnected(err error) bool {
 	var op *net.OpError
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -23,6 +23,9 @@
 	Workload Workload
 	// Routers are the base URLs of the entry VMs.
 	Routers []string
+	// Available reports whether a router may get new requests, as a balancer's
+	// health checks do; nil allows all.
+	Available func(router string) bool
 	// Keys gives the secret of each customer's key.
 	Keys map[string]string
 	// Model is the model asked for.
--- a/internal/standin/sycprocess/process_test.go
+++ b/internal/standin/sycprocess/process_test.go
@@ -57,6 +57,7 @@
 		{"others", []int{1}, 0},
 	}
 	for _, tt := range tests {
-		must.Eq(t, tt.want, sycprocess.Owner(accepted, tt.pids), must.Sprint(tt.name))
+		owners := sycprocess.NewOwners(func() []int { return tt.pids })
+		must.Eq(t, tt.want, owners.Of(accepted), must.Sprint(tt.name))
 	}
 }
--- /dev/null
+++ b/internal/standin/sycscenario/faults.go
@@ -0,0 +1,244 @@
+package sycscenario
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
+	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
+)
+
+const (
+	// restartBound is how long a restarted VM may take until it serves.
+	restartBound = 5 * time.Second
+	// changeGrace is how long a change of the configuration may take everywhere.
+	changeGrace = 2 * time.Second
+	// badShare is the largest share that a bad version may get.
+	badShare = 0.15
+	badBake  = 500 * time.Millisecond
+	// badGrace is how long a bad version may get requests after its first.
+	badGrace   = 3 * time.Second
+	badWeights = "bad"
+)
+
+// calm has no faults.
+func calm() Scenario { return Scenario{name: "calm"} }
+
+// enginesCrash makes engines lose everything, one of them twice.
+func enginesCrash() Scenario {
+	crash := func(indexes ...int) func(context.Context, *run) error {
+		return func(_ context.Context, r *run) error {
+			for _, i := range indexes {
+				r.Engines()[i%len(r.Engines())].Crash()
+			}
+			return nil
+		}
+	}
+	return Scenario{name: "engines crash", steps: []step{
+		{time.Second, crash(0, 4)},
+		{2500 * time.Millisecond, crash(0, 1, 7)},
+	}}
+}
+
+// herd kills every second VM at once and starts all of them together.
+func herd() Scenario {
+	return Scenario{name: "herd restarts", steps: []step{
+		{1500 * time.Millisecond, func(ctx context.Context, r *run) error {
+			var killed []*sycdeploy.Router
+			for i, router := range r.Routers() {
+				if i%2 == 0 {
+					router.Kill()
+					killed = append(killed, router)
+				}
+			}
+			var group errgroup.Group
+			for _, router := range killed {
+				group.Go(func() error { return restart(ctx, r, router) })
+			}
+			return group.Wait()
+		}},
+	}}
+}
+
+// restart starts a VM and checks how soon it is ready.
+func restart(ctx context.Context, r *run, router *sycdeploy.Router) error {
+	start := time.Now()
+	if err := router.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	err := router.AwaitReady(ctx)
+	sycoracle.CheckRestart(r.ledger, time.Since(start), restartBound)
+	return err
+}
+
+// drains shuts VMs down gracefully and starts them again.
+func drains() Scenario {
+	drain := func(i int) func(context.Context, *run) error {
+		return func(ctx context.Context, r *run) error {
+			router := r.Routers()[i%len(r.Routers())]
+			if err := router.Stop(); err != nil {
+				r.ledger.Check(sycoracle.DrainWhole, false, "%s", err)
+			}
+			return restart(ctx, r, router)
+		}
+	}
+	return Scenario{
+		name: "drains",
+		steps: []step{
+			{500 * time.Millisecond, drain(0)},
+			{1500 * time.Millisecond, drain(3)},
+			{1500 * time.Millisecond, drain(5)},
+		},
+		checks: []func(*run){func(r *run) { sycoracle.CheckDrain(r.ledger, r.result.Exchanges()) }},
+	}
+}
+
+// domainsCut cuts the first failure domain off from the others, and heals it.
+func domainsCut() Scenario {
+	cut := func(on bool) func(context.Context, *run) error {
+		return func(_ context.Context, r *run) error {
+			domains := r.Domains()
+			for _, other := range domains[1:] {
+				r.CutDomains(domains[0], other, on)
+			}
+			return nil
+		}
+	}
+	return Scenario{name: "domains cut", steps: []step{
+		{time.Second, cut(true)},
+		{4 * time.Second, cut(false)},
+	}}
+}
+
+// platformCut cuts the first failure domain off from the platform, and heals it.
+func platformCut() Scenario {
+	link := func(f sycfault.Fault) func(context.Context, *run) error {
+		return func(_ context.Context, r *run) error {
+			r.SetPlatformLink(r.Domains()[0], f)
+			return nil
+		}
+	}
+	return Scenario{name: "domain cut from platform", steps: []step{
+		{time.Second, link(sycfault.Fault{Cut: true})},
+		{4 * time.Second, link(sycfault.Fault{})},
+	}}
+}
+
+// logFails makes the log lose answers, then fail, then hang.
+func logFails() Scenario {
+	set := func(f sycplatform.Faults) func(context.Context, *run) error {
+		return func(_ context.Context, r *run) error {
+			r.Platform().SetFaults(f)
+			return nil
+		}
+	}
+	return Scenario{name: "log fails", steps: []step{
+		{500 * time.Millisecond, set(sycplatform.Faults{LoseAppends: 5})},
+		{2 * time.Second, set(sycplatform.Faults{Log: sycplatform.Fault{Out: true}})},
+		{3 * time.Second, set(sycplatform.Faults{Log: sycplatform.Fault{Hang: true}})},
+		{4 * time.Second, set(sycplatform.Faults{LoseAppends: 3})},
+	}}
+}
+
+// keyRevoked revokes the key of the first customer.
+func keyRevoked() Scenario {
+	const mark = "revoked"
+	return Scenario{
+		name: "key revoked",
+		steps: []step{{1500 * time.Millisecond, func(ctx context.Context, r *run) error {
+			customer := r.CustomerNames()[0]
+			hash := sha256.Sum256([]byte(r.Keys()[customer]))
+			r.mark(mark)
+			return r.Publish(ctx, sycdeploy.Put(sycrecord.KindKey, "key-"+customer, sycrecord.KeyFields{
+				Customer:  customer,
+				SHA256:    hex.EncodeToString(hash[:]),
+				Withdrawn: true,
+			}))
+		}}},
+		checks: []func(*run){func(r *run) {
+			sycoracle.CheckRevoked(r.ledger, r.result.Exchanges(), r.CustomerNames()[0], r.marked(mark), changeGrace)
+		}},
+	}
+}
+
+// engineLeaves marks an engine as leaving.
+func engineLeaves() Scenario {
+	const mark = "left"
+	const index = 1
+	return Scenario{
+		name: "engine leaves",
+		steps: []step{{1500 * time.Millisecond, func(ctx context.Context, r *run) error {
+			r.mark(mark)
+			return r.Publish(ctx, r.EngineRecord(r.Engines()[index], true))
+		}}},
+		checks: []func(*run){func(r *run) {
+			sycoracle.CheckLeaving(r.ledger, r.Engines()[index].Requests(), r.marked(mark), changeGrace)
+		}},
+	}
+}
+
+// badVersion rolls out a version that fails every request.
+func badVersion() Scenario {
+	return Scenario{
+		name: "bad version",
+		steps: []step{{0, func(ctx context.Context, r *run) error {
+			fault := sycengine.Failure{Weights: badWeights, Share: 1, Mode: sycengine.ModeError}
+			for _, e := range r.Engines() {
+				e.SetFaults(sycengine.Faults{Failures: []sycengine.Failure{fault}})
+			}
+			return r.Publish(ctx, sycdeploy.Put(sycrecord.KindVersion, "bad", sycrecord.VersionFields{
+				Model:    sycdeploy.Model,
+				Weights:  badWeights,
+				Deadline: time.Now().Add(time.Minute),
+				Canary:   0.1,
+				Steps:    []float64{0.5, 1},
+				Bake:     sycrecord.Duration(badBake),
+			}))
+		}}},
+		checks: []func(*run){func(r *run) {
+			var requests []sycengine.Request
+			for _, e := range r.Engines() {
+				requests = append(requests, e.Requests()...)
+			}
+			sycoracle.CheckBadVersion(r.ledger, requests, badWeights, badShare, badGrace)
+		}},
+	}
+}
+
+// answersCross makes engines and services answer late, crossed or not at all.
+func answersCross() Scenario {
+	return Scenario{name: "answers cross", steps: []step{
+		{500 * time.Millisecond, func(_ context.Context, r *run) error {
+			for _, e := range r.Engines() {
+				e.SetFaults(sycengine.Faults{Cross: 2, Late: sycrecord.Duration(50 * time.Millisecond)})
+			}
+			for _, w := range r.Workers() {
+				w.SetFaults(sycservice.Faults{Cross: 1, Lose: 1, Fail: 1, Late: sycrecord.Duration(50 * time.Millisecond)})
+			}
+			return nil
+		}},
+	}}
+}
+
+// Scenarios lists all scenarios: each fault alone, then two together.
+func Scenarios() []Scenario {
+	return []Scenario{
+		calm(), enginesCrash(), herd(), drains(), domainsCut(), platformCut(), logFails(),
+		keyRevoked(), engineLeaves(), badVersion(), answersCross(),
+		together(enginesCrash(), herd()),
+		together(domainsCut(), logFails()),
+		together(keyRevoked(), platformCut()),
+		together(badVersion(), herd()),
+		together(answersCross(), domainsCut()),
+	}
+}
--- /dev/null
+++ b/internal/standin/sycscenario/scenario.go
@@ -0,0 +1,238 @@
+// Package sycscenario runs deployments with real router processes through
+// faults and checks the properties that must hold.
+package sycscenario
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+const (
+	// loadTime is how long requests are sent in a scenario.
+	loadTime = 6 * time.Second
+	// startTimeout bounds the start of a deployment.
+	startTimeout = time.Minute
+	// engineSpeed makes engines faster, so that a run is short.
+	engineSpeed = 4
+	// balancerPeriod is how often the balancer checks the VMs, and drainSettle how
+	// long a leaving VM stays open for it to notice.
+	balancerPeriod = 100 * time.Millisecond
+	drainSettle    = 800 * time.Millisecond
+	// listLag is how old the VM list's answers are.
+	listLag = 500 * time.Millisecond
+)
+
+// Options says what to run scenarios with.
+type Options struct {
+	// Binary is the router program.
+	Binary string
+	// Workload is the deployment.
+	Workload sycload.Workload
+	Seed     uint64
+	// Output receives the routers' logs; nil discards them.
+	Output io.Writer
+}
+
+// step is something done at a time of the run.
+type step struct {
+	// at is counted from the start of the load.
+	at time.Duration
+	do func(ctx context.Context, r *run) error
+}
+
+// Scenario is a sequence of faults during a load.
+type Scenario struct {
+	name  string
+	steps []step
+	// checks look at what is special to the scenario, after the load.
+	checks []func(r *run)
+}
+
+// Name is the scenario's name.
+func (s Scenario) Name() string { return s.name }
+
+// run is a scenario in progress.
+type run struct {
+	*sycdeploy.Deployment
+	ledger   *sycoracle.Ledger
+	result   sycload.Result
+	workload sycload.Workload
+
+	mu sync.Mutex
+	// marks holds when something happened, by name.
+	marks map[string]time.Time
+}
+
+// mark notes that something happens now.
+func (r *run) mark(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.marks[name] = time.Now()
+}
+
+func (r *run) marked(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.marks[name]
+}
+
+// Domains lists the names of the failure domains.
+func (r *run) Domains() []string {
+	var names []string
+	for _, d := range r.workload.Domains() {
+		names = append(names, d.Name())
+	}
+	return names
+}
+
+// CustomerNames lists the customers.
+func (r *run) CustomerNames() []string {
+	var names []string
+	for _, c := range r.workload.Customers() {
+		names = append(names, c.Name())
+	}
+	return names
+}
+
+// together runs the steps of several scenarios at the same times.
+func together(list ...Scenario) Scenario {
+	var joined Scenario
+	for i, s := range list {
+		if i > 0 {
+			joined.name += " + "
+		}
+		joined.name += s.name
+		joined.steps = append(joined.steps, s.steps...)
+		joined.checks = append(joined.checks, s.checks...)
+	}
+	return joined
+}
+
+// Run runs a scenario and returns the ledger of its checks.
+func Run(ctx context.Context, s Scenario, o Options) (ledger *sycoracle.Ledger, result sycload.Result, err error) {
+	deployment, err := deploy(ctx, o)
+	if err != nil {
+		return nil, result, err
+	}
+	defer func() { err = errors.Join(err, deployment.Close()) }()
+	r := &run{
+		Deployment: deployment,
+		workload:   o.Workload,
+		ledger:     sycoracle.NewLedger(),
+		marks:      map[string]time.Time{},
+	}
+	r.watchKeys()
+	if err := r.drive(ctx, s, o); err != nil {
+		return nil, result, err
+	}
+	r.evidence(o).CheckAll(r.ledger)
+	for _, check := range s.checks {
+		check(r)
+	}
+	return r.ledger, r.result, nil
+}
+
+func deploy(ctx context.Context, o Options) (*sycdeploy.Deployment, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return sycdeploy.New(ctx, sycdeploy.Options{
+		Workload: o.Workload,
+		Binary:   o.Binary,
+		Settings: map[string]string{
+			"platform.list_lag": listLag.String(),
+			"drain.settle":      drainSettle.String(),
+		},
+		Platform: sycplatform.Options{ListLag: listLag},
+		Engine:   sycengine.Options{Speed: engineSpeed},
+		Seed:     o.Seed,
+		Output:   o.Output,
+	})
+}
+
+// drive sends the load while it takes the steps and samples the VMs' status.
+func (r *run) drive(ctx context.Context, s Scenario, o Options) error {
+	sampling, stop := context.WithCancel(ctx)
+	defer stop()
+	var samples []sycoracle.Applied
+	var watcher errgroup.Group
+	watcher.Go(func() error {
+		samples = r.sample(sampling)
+		return nil
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	start := time.Now()
+	for _, st := range s.steps {
+		group.Go(func() error {
+			if !wait(ctx, time.Until(start.Add(st.at))) {
+				return ctx.Err()
+			}
+			return eris.Wrapf(st.do(ctx, r), "scenario %s", s.name)
+		})
+	}
+	balancer := sycdeploy.NewBalancer(r.Deployment, balancerPeriod)
+	defer balancer.Close()
+	group.Go(func() (err error) {
+		r.result, err = sycload.Run(ctx, sycload.Options{
+			Workload:  o.Workload,
+			Routers:   r.URLs(),
+			Available: balancer.Available,
+			Keys:      r.Keys(),
+			BookPath:  sycdeploy.BookPath,
+			Seed:      o.Seed,
+			Duration:  loadTime,
+		})
+		return err
+	})
+	err := group.Wait()
+	stop()
+	_ = watcher.Wait()
+	sycoracle.CheckConfig(r.ledger, samples)
+	return err
+}
+
+// watchKeys lets the endpoints look out for callers' keys.
+func (r *run) watchKeys() {
+	for _, secret := range r.Keys() {
+		for _, e := range r.Engines() {
+			e.Watch(secret)
+		}
+		for _, w := range r.Workers() {
+			w.Watch(secret)
+		}
+	}
+}
+
+func (r *run) evidence(o Options) sycoracle.Evidence {
+	evidence := sycoracle.Evidence{Customers: o.Workload.Customers(), Exchanges: r.result.Exchanges()}
+	for _, e := range r.Engines() {
+		evidence.Requests = append(evidence.Requests, e.Requests()...)
+		evidence.Sightings += e.Sightings()
+	}
+	for _, w := range r.Workers() {
+		evidence.Calls = append(evidence.Calls, w.Calls()...)
+		evidence.Sightings += w.Sightings()
+	}
+	return evidence
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
