--- a/internal/decide/syclimit/machine.go
+++ b/internal/decide/syclimit/machine.go
@@ -16,8 +16,11 @@
 	fraction Fraction
 	peers    []Peer
 	lastID   uint64
-	// customers holds those with state, short those with waiting requests in
-	// the order in which they began to wait.
+	// asks is what is left of the budget for requests for loans at asksAt.
+	asks   Micro
+	asksAt time.Duration
+	// customers holds those with state, short those with waiting requests or
+	// loans, in the order in which they became so.
 	customers map[string]*customer
 	short     []*customer
 	swept     time.Duration
@@ -45,9 +48,7 @@
 	if len(c.waiting) >= m.settings.QueueLength {
 		return []Action{Refuse{Customer: name, Request: request, Cause: QueueFull, RetryAfter: m.retryAfter(now, c, len(c.waiting))}}
 	}
-	if len(c.waiting) == 0 {
-		m.short = append(m.short, c)
-	}
+	m.attend(c)
 	c.waiting = append(c.waiting, waiter{
 		request:  request,
 		arrived:  now,
@@ -106,7 +107,9 @@
 func (m *Machine) SetPeers(now time.Duration, peers []Peer) []Action {
 	m.peers = append([]Peer(nil), peers...)
 	for _, c := range m.customers {
-		c.setPeers(m.peers, m.settings)
+		if c.lenders != nil {
+			c.setPeers(m.peers, m.settings)
+		}
 	}
 	return m.Tick(now)
 }
@@ -159,7 +162,6 @@
 	c = &customer{name: name, used: now}
 	c.bucket = bucket{limit: l, at: now, own: m.steps.accrued(now, l, m.settings.ClockError)}
 	c.bucket.clip(m.limit(now, l))
-	c.setPeers(m.peers, m.settings)
 	m.customers[name] = c
 	return c
 }
