Keep a fault proxy accepting when descriptors run out

Cause: one failed accept ended the proxy, and its callers hung. Change: a failed accept is tried again after a pause, until the listener is closed.

--- a/internal/standin/sycfault/proxy.go
+++ b/internal/standin/sycfault/proxy.go
@@ -2,6 +2,7 @@
 package sycfault
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -14,6 +15,8 @@
 const (
 	anyAddress  = "127.0.0.1:0"
 	dialTimeout = 5 * time.Second
+	// acceptPause is the time between a failed accept and the next.
+	acceptPause = 10 * time.Millisecond
 )
 
 // Options configures a proxy.
@@ -197,12 +200,14 @@
 func (p *Proxy) accept() error {
 	for {
 		client, err := p.listener.Accept()
-		if err != nil {
-			if p.tomb.Alive() {
-				return err
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if err != nil {
+			// The process may be out of descriptors for a while.
+			p.sleep(acceptPause)
+			continue
+		}
 		p.tomb.Go(func() error {
 			p.serve(client)
 			return nil
