Make introductions smaller and rarer at large fleets

Cause: an introduction took 676 bytes both ways with 7 known VMs; at 107 peers and 20 a second that is over the budget of 16 KB/s. Change: known VMs are passed without incarnation and four at a time in large fleets, 10 introductions a second, faster only while a slot waits.

--- a/internal/decide/sycmember/doc.go
+++ b/internal/decide/sycmember/doc.go
@@ -78,7 +78,8 @@
 	Relays int
 	// Small is the size of a fleet in which all VMs introduce themselves to all.
 	Small int
-	// KnownPerReply bounds the VMs that a report passes on.
+	// KnownPerReply bounds the VMs that a report passes on in a fleet that is
+	// not small; in a small one all are.
 	KnownPerReply int
 	// MaxMembers bounds the roster.
 	MaxMembers int
@@ -87,12 +88,12 @@
 // Defaults returns the settings with unset fields filled in.
 func (s Settings) Defaults() Settings {
 	setDefault(&s.HelloInterval, time.Second)
-	setDefault(&s.HelloRate, 20)
+	setDefault(&s.HelloRate, 10)
 	setDefault(&s.Suspect, 3)
 	setDefault(&s.ListLag, 5*time.Second)
 	setDefault(&s.Relays, 2)
 	setDefault(&s.Small, 16)
-	setDefault(&s.KnownPerReply, 16)
+	setDefault(&s.KnownPerReply, 4)
 	setDefault(&s.MaxMembers, 4096)
 	return s
 }
--- a/internal/decide/sycmember/hello.go
+++ b/internal/decide/sycmember/hello.go
@@ -67,12 +67,17 @@
 	return list
 }
 
+// hasteFactor is how much more often a VM introduces itself while it waits for
+// reports.
+const hasteFactor = 10
+
 // Hasten makes introductions to the own failure domain due soon, because a
 // report from it is waited for.
-func (r *Roster) Hasten(now, wait time.Duration) {
+func (r *Roster) Hasten(now time.Duration) {
+	soon := now + r.interval()/hasteFactor
 	for _, m := range r.members {
 		if m.vm.FailureDomain == r.self.FailureDomain {
-			m.due = min(m.due, now+wait)
+			m.due = min(m.due, soon)
 		}
 	}
 }
--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -235,13 +235,19 @@
 	return list
 }
 
-// Known returns a few members to pass on, different ones each time.
+// Known returns members to pass on, all or different ones each time. Their
+// incarnations are left out: only a VM itself tells its own.
 func (r *Roster) Known() []VM {
 	present := r.Present()
 	count := min(len(present), r.settings.KnownPerReply)
+	if len(present) < r.settings.Small {
+		count = len(present)
+	}
 	list := make([]VM, 0, count)
 	for i := range count {
-		list = append(list, present[(r.next+i)%len(present)].vm)
+		vm := present[(r.next+i)%len(present)].vm
+		vm.Incarnation = ""
+		list = append(list, vm)
 	}
 	r.next += count
 	return list
--- a/internal/traffic/sycadmit/slot.go
+++ b/internal/traffic/sycadmit/slot.go
@@ -14,9 +14,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycslot"
 )
 
-// hasten is how soon VMs are asked again for reports that a slot waits for.
-const hasten = 100 * time.Millisecond
-
 // claimTimeout bounds the proposal of a holder record.
 const claimTimeout = 5 * time.Second
 
@@ -75,7 +72,7 @@
 		Removed:  roster.Removed(),
 	})
 	if c.slots.Waiting() {
-		roster.Hasten(now, hasten)
+		roster.Hasten(now)
 	}
 	c.perform(now, c.machine.SetFraction(now, c.slots.Fraction()))
 }
