--- a/internal/decide/syclimit/figures_test.go
+++ b/internal/decide/syclimit/figures_test.go
@@ -26,6 +26,8 @@
 		{"shift-80%", func(f *faults) { f.shift = true }},
 		{"shift-95%", func(f *faults) { f.load, f.shift = 190, true }},
 		{"shift-slow-80%", func(f *faults) { f.shift, f.delay = true, 40*time.Millisecond }},
+		{"slot-lost-80%", func(f *faults) { f.shares = lastLost }},
+		{"slot-lost-95%", func(f *faults) { f.load, f.shares = 190, lastLost }},
 		{"loss-5%", func(f *faults) { f.loss, f.skew = 0.05, true }},
 		{"one-way-cut", func(f *faults) { f.cut = true }},
 		{"herd", func(f *faults) { f.herd = true }},
@@ -55,6 +57,14 @@
 	}
 }
 
+// lastLost leaves the last VM without its slot.
+func lastLost(i, n int) float64 {
+	if i == n-1 {
+		return 0
+	}
+	return 1 / float64(n)
+}
+
 type mechanism struct {
 	name   string
 	faults faults
