Hand over the slots of leaving VMs

Cause: a VM that leaves kept its slots until the list had dropped it. Change: others claim its slots while it still answers; it says at once that it leaves and claims none itself. Reported loans per request and the term of a loan are bounded by the receiver's own settings.

--- a/internal/decide/syclimit/loan.go
+++ b/internal/decide/syclimit/loan.go
@@ -50,7 +50,7 @@
 	m.accrue(now, c)
 	c.bucket.expire(now)
 	l.answered(now, r, loan, c.bucket.limit, m.settings)
-	expires := r.sent + loan.Valid
+	expires := r.sent + min(loan.Valid, m.settings.LoanValid)
 	if loan.Amount > 0 && now < expires {
 		c.bucket.hold(heldLoan{lender: peer, id: id, amount: loan.Amount, taken: now, expires: expires})
 		m.attend(c)
--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -214,6 +214,19 @@
 	return found && r.gone(r.members[i])
 }
 
+// Leave notes that this VM is leaving; its introductions say so from then on.
+func (r *Roster) Leave() { r.self.Leaving = true }
+
+// Leaving reports whether the VM at an address, which may be this one, is
+// leaving by the list or by its own word.
+func (r *Roster) Leaving(address string) bool {
+	if address == r.self.Address {
+		return r.self.Leaving
+	}
+	i, found := r.search(address)
+	return found && r.members[i].vm.Leaving
+}
+
 // Present returns the members that are not gone, ordered by address.
 func (r *Roster) Present() []*Member {
 	return r.filter(func(m *Member) bool { return !r.gone(m) })
--- a/internal/decide/sycslot/claim.go
+++ b/internal/decide/sycslot/claim.go
@@ -22,8 +22,8 @@
 type claims map[string]time.Duration
 
 // Claim returns the record that this VM should propose now, if any. live lists
-// the other VMs of the failure domain that answer, and gone reports whether
-// the platform has removed a VM. Of the VMs that may claim a slot, those with
+// the other VMs of the failure domain that answer and stay, and gone reports
+// whether a VM is removed or leaving. Of the VMs that may claim a slot, those with
 // the fewest slots go first.
 func (m *Machine) Claim(now time.Duration, config, system *sycconfig.State, live []string, gone func(address string) bool) (Claim, bool) {
 	all := slots(config, system, m.failureDomain)
--- a/internal/peer/sycmesh/mesh.go
+++ b/internal/peer/sycmesh/mesh.go
@@ -127,9 +127,10 @@
 // Roster is what is known of the other VMs; it may be used on the control loop only.
 func (m *Mesh) Roster() *sycmember.Roster { return m.roster }
 
-// Leave tells the platform that this VM is leaving.
+// Leave tells the platform and the other VMs that this VM is leaving.
 func (m *Mesh) Leave(ctx context.Context) error {
 	close(m.leaving)
+	m.options.Loop.Do(func(time.Duration) { m.roster.Leave() })
 	return m.options.List.Put(ctx, m.entry())
 }
 
--- a/internal/traffic/sycadmit/loan.go
+++ b/internal/traffic/sycadmit/loan.go
@@ -92,10 +92,16 @@
 	return loan
 }
 
+// maxSettled bounds the reported loans that one request may carry; a borrower
+// sends fewer.
+const maxSettled = 256
+
 // settled pairs the loans that a request reports with what they return.
 func settled(in *sycpeerpb.BorrowRequest) []syclimit.Settled {
-	list := make([]syclimit.Settled, 0, len(in.GetSettled()))
-	for i, id := range in.GetSettled() {
+	ids := in.GetSettled()
+	ids = ids[:min(len(ids), maxSettled)]
+	list := make([]syclimit.Settled, 0, len(ids))
+	for i, id := range ids {
 		s := syclimit.Settled{ID: id}
 		if i < len(in.GetReturned()) {
 			s.Returned = syclimit.Micro(in.GetReturned()[i])
--- a/internal/traffic/sycadmit/slot.go
+++ b/internal/traffic/sycadmit/slot.go
@@ -174,14 +174,21 @@
 	log.Infof("claimed slot %s from %s, accepted: %t", claim.Slot, claim.Fields.Former, result.Accepted())
 }
 
+// claim returns the holder record to propose now. Slots of leaving VMs are
+// claimed while these still answer, so that little accrual is lost.
 func (c *control) claim(now time.Duration) (sycslot.Claim, bool) {
 	c.refresh(now)
 	o := c.limiter.options
+	if o.Roster.Leaving(o.Self.Address) {
+		return sycslot.Claim{}, false
+	}
 	var near []string
 	for _, m := range o.Roster.Live(now) {
 		if m.VM().FailureDomain == o.Self.FailureDomain && !m.VM().Leaving {
 			near = append(near, m.VM().Address)
 		}
 	}
-	return c.slots.Claim(now, c.config, c.system, near, o.Roster.Gone)
+	return c.slots.Claim(now, c.config, c.system, near, func(address string) bool {
+		return o.Roster.Gone(address) || o.Roster.Leaving(address)
+	})
 }
--- a/internal/traffic/sycadmit/slot_test.go
+++ b/internal/traffic/sycadmit/slot_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,15 +13,30 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
-// total is what the running VMs accrue together.
+// total is what the running VMs accrue together at one time: what they hold in
+// two readings that agree.
 func (r *rig) total() float64 {
-	sum := 0.0
+	for {
+		first, second := r.fractions(), r.fractions()
+		if !slices.Equal(first, second) {
+			continue
+		}
+		sum := 0.0
+		for _, f := range first {
+			sum += f
+		}
+		return sum
+	}
+}
+
+func (r *rig) fractions() []float64 {
+	var list []float64
 	for _, v := range r.vms {
 		if v.server != nil {
-			sum += v.limiter.Load().Shares().Fraction
+			list = append(list, v.limiter.Load().Shares().Fraction)
 		}
 	}
-	return sum
+	return list
 }
 
 // allButRounding is the least total when every slot accrues.
@@ -57,6 +73,20 @@
 	}
 }
 
+func TestLeavingVMsSlotIsClaimed(t *testing.T) {
+	r := newRig(t, 3, customers)
+	r.await(t)
+	leaving := r.vms[2]
+	start := time.Now()
+	must.NoError(t, leaving.mesh.Leave(t.Context()))
+	for leaving.limiter.Load().Shares().Fraction > 0 || r.total() < allButRounding {
+		must.LessEq(t, 1, r.total())
+		time.Sleep(50 * time.Millisecond)
+		r.refresh()
+	}
+	t.Logf("another VM accrues the slot %s after its VM said that it leaves", time.Since(start))
+}
+
 func TestRestartedVMsAccrueAgain(t *testing.T) {
 	r := newRig(t, 8, customers)
 	r.await(t)
