--- a/internal/traffic/sycadmit/slot.go
+++ b/internal/traffic/sycadmit/slot.go
@@ -14,9 +14,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycslot"
 )
 
-// hasten is how soon VMs are asked again for reports that a slot waits for.
-const hasten = 100 * time.Millisecond
-
 // claimTimeout bounds the proposal of a holder record.
 const claimTimeout = 5 * time.Second
 
@@ -75,7 +72,7 @@
 		Removed:  roster.Removed(),
 	})
 	if c.slots.Waiting() {
-		roster.Hasten(now, hasten)
+		roster.Hasten(now)
 	}
 	c.perform(now, c.machine.SetFraction(now, c.slots.Fraction()))
 }
@@ -177,14 +174,21 @@
 	log.Infof("claimed slot %s from %s, accepted: %t", claim.Slot, claim.Fields.Former, result.Accepted())
 }
 
+// claim returns the holder record to propose now. Slots of leaving VMs are
+// claimed while these still answer, so that little accrual is lost.
 func (c *control) claim(now time.Duration) (sycslot.Claim, bool) {
 	c.refresh(now)
 	o := c.limiter.options
+	if o.Roster.Leaving(o.Self.Address) {
+		return sycslot.Claim{}, false
+	}
 	var near []string
 	for _, m := range o.Roster.Live(now) {
 		if m.VM().FailureDomain == o.Self.FailureDomain && !m.VM().Leaving {
 			near = append(near, m.VM().Address)
 		}
 	}
-	return c.slots.Claim(now, c.config, c.system, near, o.Roster.Gone)
+	return c.slots.Claim(now, c.config, c.system, near, func(address string) bool {
+		return o.Roster.Gone(address) || o.Roster.Leaving(address)
+	})
 }
