--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -48,9 +48,10 @@
 	outputs outputs
 	drawn   map[string]float64
 	// field is reused between decisions.
-	field field
-	out   []Decision
-	keeps []Keep
+	field   field
+	matched matched
+	out     []Decision
+	keeps   []Keep
 	// urgent is set by the start of a long prefill.
 	urgent bool
 }
@@ -113,6 +114,7 @@
 		return
 	}
 	r.drawn = d.draw(r)
+	d.matched.valid = false
 	p := d.pool(r.pool())
 	d.enqueue(now, p, r)
 	d.dispatch(now, p)
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -128,6 +128,9 @@
 	if e.record.Leaving() {
 		return false
 	}
+	if e.health.State() == sychealth.Healthy {
+		return true
+	}
 	e.health.Observe(now, sychealth.Elapsed)
 	switch e.health.State() {
 	case sychealth.Out:
--- a/internal/decide/sycdispatch/field.go
+++ b/internal/decide/sycdispatch/field.go
@@ -7,7 +7,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
 	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
 	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
-	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycroute"
 )
 
@@ -26,7 +25,8 @@
 	endpoints  []*endpoint
 	matches    []sycprefix.Match
 	// source is where missing blocks can be imported from.
-	source *endpoint
+	source  *endpoint
+	sources []sycroute.Source
 	// shared is the number of leading blocks that any endpoint is expected to hold.
 	shared int
 }
@@ -39,17 +39,43 @@
 	f.shared = 0
 }
 
+// matched is what each endpoint holds of a request's prompt, in the order of
+// Dispatcher.order. It is valid until the event that it was made in ends.
+type matched struct {
+	valid   bool
+	request uint64
+	salt    string
+	list    []sycprefix.Match
+	deepest int
+}
+
+// match looks a prompt up in all caches and returns the greatest depth.
+func (d *Dispatcher[P]) match(now time.Duration, r *Request, o Option) int {
+	m := &d.matched
+	if m.valid && m.request == r.ID && m.salt == o.Salt {
+		return m.deepest
+	}
+	*m = matched{valid: true, request: r.ID, salt: o.Salt, list: m.list[:0]}
+	hint := 0
+	for _, e := range d.order {
+		match := e.cache.MatchNear(now, o.Chain, hint)
+		if match.Depth > 0 {
+			hint = match.Depth
+		}
+		m.deepest = max(m.deepest, match.Depth)
+		m.list = append(m.list, match)
+	}
+	return m.deepest
+}
+
 // gather fills the field with the endpoints that can run a request with an option.
 func (d *Dispatcher[P]) gather(now time.Duration, r *Request, o Option, part float64) {
 	f := &d.field
 	f.reset()
+	f.shared = d.match(now, r, o)
 	source := sycroute.Source{}
-	for _, e := range d.order {
-		if e.record.Type() == sycrecord.EndpointService && r.Model != "" {
-			continue
-		}
-		m := e.cache.Match(now, o.Chain)
-		f.shared = max(f.shared, m.Depth)
+	for i, e := range d.order {
+		m := d.matched.list[i]
 		if m.Confirmed > source.Held && e.health.State() != sychealth.Out {
 			source = sycroute.Source{Name: e.record.Name(), Held: m.Confirmed}
 			f.source = e
@@ -78,14 +104,15 @@
 
 // offer makes the source known to all candidates but itself.
 func (f *field) offer(source sycroute.Source) {
+	f.sources = slices.Grow(f.sources[:0], len(f.endpoints))
 	for i, e := range f.endpoints {
 		if e == f.source {
 			continue
 		}
-		s := source
-		s.PerBlock = e.importPerBlock
-		s.Overhead = importOverhead + f.source.network
-		f.candidates[i].Source = &s
+		source.PerBlock = e.importPerBlock
+		source.Overhead = importOverhead + f.source.network
+		f.sources = append(f.sources, source)
+		f.candidates[i].Source = &f.sources[len(f.sources)-1]
 	}
 }
 
@@ -104,7 +131,7 @@
 	if r.Service != "" {
 		return e.offers(r.Service)
 	}
-	return e.serves(r.Model, o.Version, d.initial[o.Version.Version])
+	return e.serves(r.Model, o.Version, !e.reported && d.initial[o.Version.Version])
 }
 
 func (d *Dispatcher[P]) candidate(now time.Duration, e *endpoint, r *Request, o Option, m sycprefix.Match, part float64) sycroute.Candidate {
--- a/internal/decide/sycdispatch/place.go
+++ b/internal/decide/sycdispatch/place.go
@@ -70,6 +70,7 @@
 		return
 	}
 	part := d.entitlement(p)
+	defer func() { d.matched.valid = false }()
 	for p.queue.Next(func(e *sycqueue.Entry[*Request]) bool { return d.place(now, p, e, part) }) {
 		if len(d.peers) > 0 {
 			part = d.entitlement(p)
--- a/internal/decide/sycdispatch/pool.go
+++ b/internal/decide/sycdispatch/pool.go
@@ -106,21 +106,13 @@
 	}
 	deepest := 0
 	for _, o := range r.Options {
-		deepest = max(deepest, d.deepest(now, o.Chain))
+		deepest = max(deepest, d.match(now, r, o))
 	}
 	output := min(d.outputs.expect(r.Customer, r.MaxTokens), r.MaxTokens)
 	prompt := max(r.PromptTokens-deepest*sycblock.TokensPerBlock, 1)
 	return float64(prompt) + outputWork*float64(output)
 }
 
-func (d *Dispatcher[P]) deepest(now time.Duration, chain []uint64) int {
-	deepest := 0
-	for _, e := range d.order {
-		deepest = max(deepest, e.cache.Match(now, chain).Depth)
-	}
-	return deepest
-}
-
 func (d *Dispatcher[P]) weight(customer string) float64 {
 	o, ok := d.config.Customer(customer)
 	if !ok || o.Value().Weight() <= 0 {
--- a/internal/decide/sycprefix/match.go
+++ b/internal/decide/sycprefix/match.go
@@ -15,15 +15,39 @@
 // that a block is held with all blocks before it and needs time in the
 // logarithm of the chain; Verify checks every block.
 func (c *Cache) Match(now time.Duration, chain []uint64) Match {
+	return c.MatchNear(now, chain, 0)
+}
+
+// MatchNear is Match for a prefix that is likely as long as the hint, which
+// saves most of the search where many caches hold the same prefix.
+func (c *Cache) MatchNear(now time.Duration, chain []uint64, hint int) Match {
 	stamp := stampAt(now)
-	depth := prefixLen(chain, func(b uint64) bool { return c.holds(b, stamp, true) })
+	held := func(b uint64) bool { return c.holds(b, stamp, true) }
+	depth, ok := hinted(chain, hint, held)
+	if !ok {
+		depth = prefixLen(chain, held)
+	}
 	if depth == 0 || !c.synced {
 		return Match{Depth: depth}
 	}
+	if c.holds(chain[depth-1], stamp, false) {
+		return Match{Depth: depth, Confirmed: depth}
+	}
 	confirmed := prefixLen(chain[:depth], func(b uint64) bool { return c.holds(b, stamp, false) })
 	return Match{Depth: depth, Confirmed: confirmed}
 }
 
+// hinted reports whether the held prefix is exactly as long as the hint.
+func hinted(chain []uint64, hint int, held func(uint64) bool) (int, bool) {
+	if hint <= 0 || hint > len(chain) || !held(chain[0]) {
+		return 0, false
+	}
+	if !held(chain[hint-1]) || (hint < len(chain) && held(chain[hint])) {
+		return 0, false
+	}
+	return hint, true
+}
+
 // Verify looks every block of a match up and returns what is left of it.
 func (c *Cache) Verify(now time.Duration, chain []uint64, m Match) Match {
 	stamp := stampAt(now)
