--- a/internal/decide/sycwork/work.go
+++ b/internal/decide/sycwork/work.go
@@ -64,6 +64,10 @@
 	Priority int
 	// Import is nil when nothing is worth fetching.
 	Import *Import
+	// Requests and Backlog estimate the endpoint's load without this attempt:
+	// its requests and their prompt tokens that are still to be computed.
+	Requests int
+	Backlog  int
 }
 
 // Outcome says how an attempt ended.
@@ -130,6 +134,8 @@
 	NoEndpoint  Reason = "no_endpoint"
 	NotReady    Reason = "not_ready"
 	UnknownName Reason = "model_not_found"
+	// NoSlots means that no VM in reach accrues the customer's requests.
+	NoSlots Reason = "no_slots"
 )
 
 // Refusal says why a request was not run and when it may be tried again.
