Dial from the VM's own address

Cause: the load of the machine rose to 80: to tell which router a connection came from, the test proxies read /proc/net/tcp, which held 27,000 entries, for each one. Ruled out: the routers themselves; each used under 10% of a core. Change: a VM opens its connections from the IP number that it listens on for peers, and the proxies go by it; the scan is gone.

--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -9,6 +9,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
 	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
@@ -56,7 +57,10 @@
 
 // startMesh gets in touch with the other VMs and serves their calls.
 func (v *VM) startMesh(security *tls.Config) error {
-	v.list = syclist.New(syclist.Options{Address: v.settings.ListURL()})
+	v.list = syclist.New(syclist.Options{
+		Address:   v.settings.ListURL(),
+		Transport: sycdial.Transport(v.dial, 1),
+	})
 	v.closers.add(v.list.Close)
 	mesh := sycmesh.New(sycmesh.Options{
 		Loop:    v.loop,
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/operate/sycoperator"
@@ -33,6 +34,13 @@
 // keeps records long enough.
 const claimLifetime = 10 * time.Minute
 
+const (
+	// platformConns and feedConns are the idle connections kept to the platform
+	// and to each endpoint.
+	platformConns = 8
+	feedConns     = 2
+)
+
 var log = syclogging.New("vm")
 
 // VM is a running VM of the system.
@@ -45,6 +53,7 @@
 	operatorsListener net.Listener
 	peersListener     net.Listener
 
+	dial     sycdial.Func
 	loop     *sycloop.Loop
 	log      *syclog.Client
 	store    *sycstate.Store
@@ -70,6 +79,7 @@
 		settings:    s,
 		incarnation: uuid.NewString(),
 		drain:       sycdrain.New(s.DrainSettle()),
+		dial:        sycdial.From(s.Peers().Addr(), sycdial.DefaultTimeout),
 	}
 	if err := v.listen(); err != nil {
 		v.closers.close()
@@ -127,7 +137,12 @@
 	if err != nil {
 		return err
 	}
-	v.calls = sycpeer.NewClient(sycpeer.ClientOptions{TLS: security})
+	v.calls = sycpeer.NewClient(sycpeer.ClientOptions{
+		TLS: security,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return v.dial(ctx, "tcp", address)
+		},
+	})
 	v.closers.add(v.calls.Close)
 	v.startState()
 	if err := v.startClaims(); err != nil {
@@ -143,7 +158,7 @@
 }
 
 func (v *VM) startState() {
-	v.log = syclog.New(syclog.Options{Address: v.settings.LogURL()})
+	v.log = syclog.New(syclog.Options{Address: v.settings.LogURL(), Transport: sycdial.Transport(v.dial, platformConns)})
 	v.closers.add(v.log.Close)
 	v.store = sycstate.New(sycstate.Options{
 		Loop:      v.loop,
@@ -177,6 +192,7 @@
 	v.versions = sycversion.New(sycversion.Options{
 		Loop:        v.loop,
 		Store:       v.store,
+		Dial:        v.dial,
 		Address:     v.address,
 		Incarnation: v.incarnation,
 	})
@@ -190,7 +206,11 @@
 		Seed:          seed(v.address),
 		Versions:      v.versions.Versions,
 	})
-	feed := sycfeed.New(sycfeed.Options{Sink: v.chooser, Config: v.store.Config})
+	feed := sycfeed.New(sycfeed.Options{
+		Sink:      v.chooser,
+		Config:    v.store.Config,
+		Transport: sycdial.Transport(v.dial, feedConns),
+	})
 	v.closers.add(feed.Close)
 	v.gateway = sycgateway.New(sycgateway.Options{
 		Config:  v.store.Config,
@@ -199,6 +219,7 @@
 		Limiter: v.limiter,
 		Claims:  v.claims,
 		VM:      v.address,
+		Dial:    v.dial,
 		Limits:  v.gatewayLimits(),
 	})
 	v.closers.add(v.gateway.Close)
--- a/internal/standin/sycdeploy/deploy.go
+++ b/internal/standin/sycdeploy/deploy.go
@@ -19,7 +19,6 @@
 	"sycamorecart.example/sycamorecart/internal/standin/syckvstore"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
-	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
 )
 
@@ -89,8 +88,6 @@
 	// published counts the records, for their ids.
 	published atomic.Int64
 	closers   []func() error
-	// owners tells the routers' connections apart.
-	owners *sycprocess.Owners
 
 	// mu guards routers, which the proxies' goroutines read.
 	mu      sync.Mutex
@@ -101,7 +98,6 @@
 // is ready.
 func New(ctx context.Context, o Options) (*Deployment, error) {
 	d := &Deployment{options: o, keys: map[string]string{}}
-	d.owners = sycprocess.NewOwners(d.pids)
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
--- a/internal/standin/sycdeploy/links.go
+++ b/internal/standin/sycdeploy/links.go
@@ -28,28 +28,21 @@
 	return sycfault.Fault{Latency: d.options.Workload.BetweenDomains()}
 }
 
-// sourceDomain is the failure domain of the router that opened a connection.
+// sourceDomain is the failure domain of the router that opened a connection. A
+// router dials from the IP number that it listens on for peers.
 func (d *Deployment) sourceDomain(client net.Conn) string {
-	pid := d.owners.Of(client)
+	from, _, err := net.SplitHostPort(client.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
 	for _, r := range d.Routers() {
-		if pid != 0 && r.pid() == pid {
+		if ip, _, err := net.SplitHostPort(r.peers); err == nil && ip == from {
 			return r.domain
 		}
 	}
 	return ""
 }
 
-// pids lists the processes of the routers.
-func (d *Deployment) pids() []int {
-	var pids []int
-	for _, r := range d.Routers() {
-		if pid := r.pid(); pid != 0 {
-			pids = append(pids, pid)
-		}
-	}
-	return pids
-}
-
 // CutDomains cuts two failure domains off from each other, or ends that: the
 // VMs of either reach neither the VMs nor the endpoints of the other.
 func (d *Deployment) CutDomains(one, other string, cut bool) {
--- a/internal/standin/sycprocess/process_test.go
+++ b/internal/standin/sycprocess/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"os"
 	"testing"
 	"time"
@@ -37,27 +36,3 @@
 	_, err := sycprocess.Start(&bytes.Buffer{}, "/no/such/program")
 	must.Error(t, err)
 }
-
-func TestOwnerOfConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer listener.Close()
-	client, err := net.Dial("tcp", listener.Addr().String())
-	must.NoError(t, err)
-	defer client.Close()
-	accepted, err := listener.Accept()
-	must.NoError(t, err)
-	defer accepted.Close()
-	tests := []struct {
-		name string
-		pids []int
-		want int
-	}{
-		{"this process", []int{1, os.Getpid()}, os.Getpid()},
-		{"others", []int{1}, 0},
-	}
-	for _, tt := range tests {
-		owners := sycprocess.NewOwners(func() []int { return tt.pids })
-		must.Eq(t, tt.want, owners.Of(accepted), must.Sprint(tt.name))
-	}
-}
--- a/internal/traffic/sycgateway/gateway.go
+++ b/internal/traffic/sycgateway/gateway.go
@@ -22,6 +22,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
@@ -45,7 +46,9 @@
 	// Claims may be nil; calls that need it are then refused.
 	Claims Claims
 	// VM is this VM's id, as it shows in traces.
-	VM     string
+	VM string
+	// Dial opens connections to endpoints; nil dials from any address.
+	Dial   sycdial.Func
 	Limits Limits
 }
 
@@ -79,6 +82,7 @@
 func New(o Options) *Gateway {
 	settings := sycproxy.Defaults()
 	settings.Connect = o.Limits.Connect
+	settings.Dial = o.Dial
 	client := sycproxy.NewClient(settings)
 	g := &Gateway{
 		options:   o,
--- a/internal/traffic/sycorder/client.go
+++ b/internal/traffic/sycorder/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 )
 
 // Timeout bounds each call to an engine.
@@ -65,9 +66,9 @@
 	http *http.Client
 }
 
-// NewClient returns a client on its own connections.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Timeout: Timeout, Transport: &http.Transport{}}}
+// NewClient returns a client on its own connections, which the function opens.
+func NewClient(dial sycdial.Func) *Client {
+	return &Client{http: &http.Client{Timeout: Timeout, Transport: sycdial.Transport(dial, 1)}}
 }
 
 // Close ends idle connections.
--- a/internal/traffic/sycproxy/client.go
+++ b/internal/traffic/sycproxy/client.go
@@ -12,10 +12,13 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 )
 
 // Settings bounds the connections to endpoints.
 type Settings struct {
+	// Dial opens connections; nil dials from any address.
+	Dial sycdial.Func
 	// Connect bounds the time to open a connection.
 	Connect time.Duration
 	// IdlePerEndpoint and Idle bound the idle connections kept.
@@ -76,11 +79,14 @@
 }
 
 func transport(s Settings, fresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: s.Connect}
+	dial := s.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: s.Connect}).DialContext
+	}
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, eris.Wrap(err, "connect")
 			}
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -15,6 +15,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
@@ -45,6 +46,8 @@
 	// Address and Incarnation identify this VM as a holder of the lease.
 	Address     string
 	Incarnation string
+	// Dial opens connections to engines; nil dials from any address.
+	Dial sycdial.Func
 	// Lease is how long the lease lasts.
 	Lease time.Duration
 	// Wall is the wall clock that deadlines are compared with.
@@ -92,7 +95,7 @@
 	o.Defaults()
 	m := &Manager{
 		options: o,
-		engines: sycorder.NewClient(),
+		engines: sycorder.NewClient(o.Dial),
 		ledger:  sycrollout.NewLedger(),
 		tracker: syclease.NewTracker(o.Address, o.Incarnation, o.Lease),
 		vetoes:  map[sycrollout.Subject]string{},
