--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -214,6 +214,19 @@
 	return found && r.gone(r.members[i])
 }
 
+// Leave notes that this VM is leaving; its introductions say so from then on.
+func (r *Roster) Leave() { r.self.Leaving = true }
+
+// Leaving reports whether the VM at an address, which may be this one, is
+// leaving by the list or by its own word.
+func (r *Roster) Leaving(address string) bool {
+	if address == r.self.Address {
+		return r.self.Leaving
+	}
+	i, found := r.search(address)
+	return found && r.members[i].vm.Leaving
+}
+
 // Present returns the members that are not gone, ordered by address.
 func (r *Roster) Present() []*Member {
 	return r.filter(func(m *Member) bool { return !r.gone(m) })
@@ -235,13 +248,19 @@
 	return list
 }
 
-// Known returns a few members to pass on, different ones each time.
+// Known returns members to pass on, all or different ones each time. Their
+// incarnations are left out: only a VM itself tells its own.
 func (r *Roster) Known() []VM {
 	present := r.Present()
 	count := min(len(present), r.settings.KnownPerReply)
+	if len(present) < r.settings.Small {
+		count = len(present)
+	}
 	list := make([]VM, 0, count)
 	for i := range count {
-		list = append(list, present[(r.next+i)%len(present)].vm)
+		vm := present[(r.next+i)%len(present)].vm
+		vm.Incarnation = ""
+		list = append(list, vm)
 	}
 	r.next += count
 	return list
--- a/internal/standin/sycdeploy/deploy.go
+++ b/internal/standin/sycdeploy/deploy.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -85,7 +86,7 @@
 	// keys has the secret of each customer's key.
 	keys map[string]string
 	// published counts the records, for their ids.
-	published int
+	published atomic.Int64
 	closers   []func() error
 
 	// mu guards routers, which the proxies' goroutines read.
@@ -187,7 +188,7 @@
 		if !r.Running() {
 			continue
 		}
-		if err := r.awaitReady(ctx); err != nil {
+		if err := r.AwaitReady(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/sycdeploy/links.go
+++ b/internal/standin/sycdeploy/links.go
@@ -4,7 +4,6 @@
 	"net"
 
 	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
-	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 )
 
 // newProxy returns a proxy to something in a failure domain; routers of other
@@ -29,17 +28,19 @@
 	return sycfault.Fault{Latency: d.options.Workload.BetweenDomains()}
 }
 
-// sourceDomain is the failure domain of the router that opened a connection.
+// sourceDomain is the failure domain of the router that opened a connection. A
+// router dials from the IP number that it listens on for peers.
 func (d *Deployment) sourceDomain(client net.Conn) string {
-	var pids []int
-	domains := map[int]string{}
+	from, _, err := net.SplitHostPort(client.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
 	for _, r := range d.Routers() {
-		if pid := r.pid(); pid != 0 {
-			pids = append(pids, pid)
-			domains[pid] = r.domain
+		if ip, _, err := net.SplitHostPort(r.peers); err == nil && ip == from {
+			return r.domain
 		}
 	}
-	return domains[sycprocess.Owner(client, pids)]
+	return ""
 }
 
 // CutDomains cuts two failure domains off from each other, or ends that: the
