Space the appends of claims; bound the time to connect again

Cause: 8 VMs with one caller each took 325 appends a second, most of what the log gives everyone. Appends of one VM are 40 ms apart now, and a claim after a pause waits for 5 ms in place of 20.

A caller that sends one call right after the other waits longer now; the log's rate is what is short.

A dialer that is passed in got no time-out of the gateway's; it has it.

--- a/internal/traffic/sycclaims/driver.go
+++ b/internal/traffic/sycclaims/driver.go
@@ -164,13 +164,15 @@
 // write appends what is waiting, one append at a time.
 func (d *Driver) write(ctx context.Context) {
 	gather := d.options.Flush
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.wake:
 		}
-		pause(ctx, gather)
+		pause(ctx, max(gather, d.options.Spacing-time.Since(last)))
+		last = time.Now()
 		if d.flush(ctx) {
 			gather = max(d.options.Flush, gather/2)
 			continue
--- a/internal/traffic/sycclaims/driver_test.go
+++ b/internal/traffic/sycclaims/driver_test.go
@@ -41,7 +41,7 @@
 
 func vm(i int) string { return fmt.Sprintf("127.0.0.%d:1", i) }
 
-func newFleet(t *testing.T, n int, change func(*sycclaims.Options)) *fleet {
+func newFleet(t testing.TB, n int, change func(*sycclaims.Options)) *fleet {
 	platform, err := sycplatform.New(sycplatform.Options{})
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, platform.Close()) })
@@ -52,7 +52,7 @@
 	return f
 }
 
-func (f *fleet) start(t *testing.T, i int, incarnation string, change func(*sycclaims.Options)) *sycclaims.Driver {
+func (f *fleet) start(t testing.TB, i int, incarnation string, change func(*sycclaims.Options)) *sycclaims.Driver {
 	loop := sycloop.New()
 	log := syclog.New(syclog.Options{Address: f.platform.URL(), Tries: 1})
 	options := sycclaims.Options{
--- a/internal/traffic/sycclaims/settings.go
+++ b/internal/traffic/sycclaims/settings.go
@@ -42,9 +42,11 @@
 	// Retention is the shortest time for which the log keeps records.
 	Retention time.Duration
 	// Flush is the time for which claims are gathered into one append, and
-	// FlushMax what it grows to while the log refuses.
+	// FlushMax what it grows to while the log refuses. Spacing is the shortest
+	// time between two appends, which bounds this VM's share of the log.
 	Flush    time.Duration
 	FlushMax time.Duration
+	Spacing  time.Duration
 	// Decide bounds the wait for the log's decision.
 	Decide time.Duration
 	// Start bounds the time from making a claim to sending the call.
@@ -67,7 +69,8 @@
 func (o *Options) Defaults() {
 	set(&o.Lifetime, 10*time.Minute)
 	set(&o.Retention, time.Hour)
-	set(&o.Flush, 20*time.Millisecond)
+	set(&o.Flush, 5*time.Millisecond)
+	set(&o.Spacing, 40*time.Millisecond)
 	set(&o.FlushMax, time.Second)
 	set(&o.Decide, 3*time.Second)
 	set(&o.Start, min(5*time.Second, o.Lifetime/4))
--- a/internal/traffic/sycgateway/bench_test.go
+++ b/internal/traffic/sycgateway/bench_test.go
@@ -50,8 +50,7 @@
 }
 
 func benchGateway(b *testing.B, address string) *sycgateway.Gateway {
-	t := &testing.T{}
-	state := newState(t)
+	state := newState(b)
 	g := sycgateway.New(sycgateway.Options{
 		Config:  func() *sycconfig.State { return state },
 		Chooser: &directory{targets: []sycwork.Target{engineTarget("e1", address)}},
--- a/internal/traffic/sycgateway/gateway_test.go
+++ b/internal/traffic/sycgateway/gateway_test.go
@@ -35,7 +35,7 @@
 	spec any
 }
 
-func fold(t *testing.T, s *sycconfig.State, ops ...operation) *sycconfig.State {
+func fold(t testing.TB, s *sycconfig.State, ops ...operation) *sycconfig.State {
 	t.Helper()
 	for _, op := range ops {
 		data, err := json.Marshal(map[string]any{
@@ -117,7 +117,7 @@
 const testKey = "key-of-the-first-customer"
 
 // newState returns a configuration with two customers, a model and services.
-func newState(t *testing.T) *sycconfig.State {
+func newState(t testing.TB) *sycconfig.State {
 	return fold(t, sycconfig.NewState(),
 		operation{"customer", "c1", map[string]any{"requests_per_second": 1000, "burst": 1000, "weight": 1}},
 		operation{"customer", "c2", map[string]any{"requests_per_second": 1000, "burst": 1000, "weight": 1}},
--- a/internal/traffic/sycproxy/client.go
+++ b/internal/traffic/sycproxy/client.go
@@ -80,11 +80,13 @@
 func transport(s Settings, fresh bool) *http.Transport {
 	dial := s.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: s.Connect}).DialContext
+		dial = (&net.Dialer{}).DialContext
 	}
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, s.Connect)
+			defer cancel()
 			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, eris.Wrap(err, "connect")
