Never go on with a resumed stream on other weights

A caller that resumed was counted as having seen nothing, so that a stream which broke off before the caller's place was started anew with a free choice of weights. Ruled out: the rejoin itself, which pins the weights of the stream. Change: a caller with a place in the answer counts as having received part of it.

--- a/internal/traffic/sycgateway/rejoin.go
+++ b/internal/traffic/sycgateway/rejoin.go
@@ -40,6 +40,11 @@
 	if gen.req.Streamed() {
 		gen.skip = skip
 		gen.adopt()
+		if skip > 0 {
+			// The caller has part of the answer, so that other weights must not
+			// give the rest.
+			gen.plan.Delivered()
+		}
 	}
 	endpoint, ok := x.config.Endpoint(id.Endpoint)
 	if !ok || endpoint.Value().Type() != sycrecord.EndpointEngine {
--- a/internal/traffic/sycgateway/stream_test.go
+++ b/internal/traffic/sycgateway/stream_test.go
@@ -22,9 +22,11 @@
 const tokens = 24
 
 // newEngine starts a fast engine stand-in.
-func newEngine(t *testing.T) *sycengine.Engine {
+func newEngine(t *testing.T) *sycengine.Engine { return newEngineWith(t, "w1") }
+
+func newEngineWith(t *testing.T, weights string) *sycengine.Engine {
 	e, err := sycengine.New(sycengine.Options{
-		Models:       map[string]string{"m": "w1"},
+		Models:       map[string]string{"m": weights},
 		DecodeStep:   time.Millisecond,
 		RestartDelay: 20 * time.Millisecond,
 		LoadLag:      time.Millisecond,
@@ -306,6 +308,38 @@
 	return strings.Join(sycengine.Answer("w1", "", prompt, last+1), ""), resp.Header.Get("Sycamorecart-Stream")
 }
 
+// TestResumedStreamKeepsItsWeights has callers resume a stream whose engine
+// breaks it off at the same place again, while all others have other weights.
+func TestResumedStreamKeepsItsWeights(t *testing.T) {
+	p := newPair(t)
+	p.first.SetFaults(sycengine.Faults{Failures: []sycengine.Failure{{Share: 1, Mode: sycengine.ModeCut}}})
+	p.dir.targets = p.dir.targets[:1]
+	newer := newEngineWith(t, "w2")
+	target := engineTarget("e2", newer.URL())
+	target.Weights = "w2"
+	other := newRig(t, nil, target)
+	other.state = p.state
+	const tries = 4
+	wrong := 0
+	for try := range tries {
+		prompt := fmt.Sprintf("weights %d", try)
+		resp := p.post(t, "/v1/completions", completionBody(prompt, true))
+		stream := resp.Header.Get("Sycamorecart-Stream")
+		first := follow(resp, 0, nil)
+		must.False(t, first.ended)
+		must.Positive(t, first.next)
+		resp = other.post(t, "/v1/completions", completionBody(prompt, true), "Sycamorecart-Stream", stream, "Last-Event-ID", strconv.Itoa(first.next-1))
+		second := follow(resp, first.next, nil)
+		if second.ended || second.text != "" {
+			t.Logf("try %d: ended %t, text %q after %q", try, second.ended, second.text, first.text)
+			wrong++
+		}
+	}
+	t.Logf("%d streams resumed where only other weights are left, %d wrong", tries, wrong)
+	must.Eq(t, 0, wrong)
+	must.Len(t, 0, newer.Requests())
+}
+
 func TestStreamBelongsToItsRequest(t *testing.T) {
 	p := newPair(t)
 	resp := p.post(t, "/v1/completions", completionBody("mine", true))
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -126,7 +126,7 @@
 			publish(t, site, 25*time.Second)
 			last, result := drive(t, site)
 			must.Eq(t, tt.state, last.State, must.Sprint(last.Reason))
-			must.Zero(t, result.Total.Wrong)
+			must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
 			bad, all := requests(site)
 			t.Logf("%s: %d of %d requests went to the version; %s", last.State, bad, all, last.Reason)
 			if tt.state == sycrollout.StateRolledBack {
