--- a/cmd/sycamorebench/load.go
+++ b/cmd/sycamorebench/load.go
@@ -42,6 +42,7 @@
 	settings pairs
 	keys     pairs
 	engine   sycengine.Options
+	warmUp   time.Duration
 	verbose  bool
 }
 
@@ -64,6 +65,7 @@
 	f.BoolVar(&c.self, "self", false, "start stand-ins and routers")
 	f.StringVar(&c.binary, "binary", "", "router `program` for -self; sycamorecart beside this one by default")
 	f.Var(c.settings, "set", "setting of the routers for -self as `section.key=value`; may be repeated")
+	f.DurationVar(&c.warmUp, "warm-up", 3*time.Second, "how long the routers of -self run before the first request")
 	f.BoolVar(&c.verbose, "verbose", false, "show the routers' logs with -self")
 	f.IntVar(&c.engine.CacheBlocks, "blocks", 600, "cache blocks of each engine for -self")
 	f.IntVar(&c.engine.PrefillTokensPerSecond, "prefill", sycengine.DefaultPrefillTokensPerSecond, "prompt tokens that each engine computes a second, for -self")
@@ -175,7 +177,7 @@
 	if c.verbose {
 		output = os.Stderr
 	}
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout+c.warmUp)
 	defer cancel()
 	return sycdeploy.New(ctx, sycdeploy.Options{
 		Workload: c.options.Workload,
@@ -183,6 +185,7 @@
 		Settings: c.settings,
 		Engine:   c.engine,
 		Seed:     c.options.Seed,
+		WarmUp:   c.warmUp,
 		Output:   output,
 	})
 }
--- a/internal/standin/sycdeploy/records.go
+++ b/internal/standin/sycdeploy/records.go
@@ -116,8 +116,13 @@
 	Records []logRecord `json:"records"`
 }
 
-// Publish appends operations to the platform's log in one call.
-func (d *Deployment) Publish(ctx context.Context, operations ...sycrecord.Operation) error {
+type appendAnswer struct {
+	FirstOffset uint64 `json:"first_offset"`
+}
+
+// Publish appends operations to the platform's log in one call and returns the
+// offset after them.
+func (d *Deployment) Publish(ctx context.Context, operations ...sycrecord.Operation) (next uint64, err error) {
 	var body appendBody
 	for _, op := range operations {
 		op.ID = fmt.Sprintf("deployment-%d-%d", d.options.Seed, d.published.Add(1))
@@ -125,20 +130,24 @@
 	}
 	data, err := json.Marshal(body)
 	if err != nil {
-		return eris.Wrap(err, "publish")
+		return 0, eris.Wrap(err, "publish")
 	}
 	address := d.platform.URL() + "/v1/log/config"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(data))
 	if err != nil {
-		return eris.Wrap(err, "publish")
+		return 0, eris.Wrap(err, "publish")
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return eris.Wrap(err, "publish")
+		return 0, eris.Wrap(err, "publish")
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("publish: %s", response.Status)
+		return 0, eris.Errorf("publish: %s", response.Status)
+	}
+	var answer appendAnswer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return 0, eris.Wrap(err, "publish")
 	}
-	return nil
+	return answer.FirstOffset + uint64(len(operations)), nil
 }
--- a/internal/standin/sycfault/proxy.go
+++ b/internal/standin/sycfault/proxy.go
@@ -216,6 +216,10 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
+	if !p.tomb.Alive() {
+		resetConn(client)
+		return
+	}
 	source := ""
 	if p.source != nil {
 		source = p.source(client)
--- a/internal/standin/sycoracle/ledger.go
+++ b/internal/standin/sycoracle/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"text/tabwriter"
 )
@@ -82,6 +83,13 @@
 	return l.broken[p]
 }
 
+// Notes describes the first breaches of a property.
+func (l *Ledger) Notes(p Property) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.notes[p])
+}
+
 // Sound reports whether no property was broken.
 func (l *Ledger) Sound() bool {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/standin/sycscenario/scenario_test.go
@@ -0,0 +1,43 @@
+package sycscenario_test
+
+import (
+	"context"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycscenario"
+)
+
+const duration = 4 * time.Second
+
+// TestPropertiesHoldThroughFaults runs eight real router processes in three
+// failure domains through each fault alone, then through two together.
+func TestPropertiesHoldThroughFaults(t *testing.T) {
+	binary, err := sycdeploy.BuildRouter(t.TempDir())
+	must.NoError(t, err)
+	workload, ok := sycload.FindWorkload("bottlers")
+	must.True(t, ok)
+	options := sycscenario.Options{Binary: binary, Workload: workload, Seed: 1, Duration: duration}
+	total := sycoracle.NewLedger()
+	for _, s := range slices.Concat(sycscenario.Scenarios(), sycscenario.Pairs()) {
+		t.Run(s.Name(), func(t *testing.T) {
+			ledger, result, err := sycscenario.Run(context.Background(), s, options)
+			must.NoError(t, err)
+			must.Positive(t, result.Total.Right)
+			total.Add(s.Name(), ledger)
+			for _, p := range sycoracle.Properties() {
+				must.Eq(t, 0, ledger.Broken(p), must.Sprint(p, ledger.Notes(p)))
+			}
+		})
+	}
+	must.NoError(t, total.Write(os.Stdout))
+	for _, p := range sycoracle.Properties() {
+		must.Positive(t, total.Tried(p), must.Sprint(p))
+	}
+}
