Show operators members, endpoints, rollouts and shares

Cause: status showed offsets only; operators need to see what a VM knows of the others, which endpoints it has left, and what a rollout waits for. Change: /v1/status and the status command list them.

--- a/cmd/sycamorecart/status.go
+++ b/cmd/sycamorecart/status.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/google/subcommands"
@@ -111,6 +113,13 @@
 		state += ", leads rollouts"
 	}
 	fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", vm.Address, vm.FailureDomain, applied(vm.Applied), state)
+	fmt.Fprintf(out, "  accrues %.3f of every rate\tslots %s\t\t\n", vm.Shares.Fraction, strings.Join(vm.Shares.Slots, ", "))
+	for _, r := range vm.Rollouts {
+		fmt.Fprintf(out, "  version %s\t%s\tshare %g\t%s\n", r.Version, r.State, r.Share, cmp.Or(r.Veto, r.Waiting, r.Reason))
+	}
+	for _, e := range vm.Endpoints {
+		fmt.Fprintf(out, "  endpoint %s\t%s\t%d in flight\t%s\n", e.Name, e.Health, e.InFlight, e.Reason)
+	}
 	for _, member := range vm.Members {
 		fmt.Fprintf(out, "  knows %s\t%s\t%s\t\n", member.Address, member.FailureDomain, applied(member.Applied))
 	}
--- a/internal/operate/sycpublish/status.go
+++ b/internal/operate/sycpublish/status.go
@@ -31,6 +31,38 @@
 	// Members are the VMs that this one knows, with what they reported last.
 	Members []MemberStatus `json:"members"`
 	Leads   bool           `json:"leads_rollouts"`
+	// Endpoints and Rollouts are the VM's view of them.
+	Endpoints []EndpointStatus `json:"endpoints"`
+	Rollouts  []RolloutStatus  `json:"rollouts"`
+	Shares    ShareStatus      `json:"shares"`
+}
+
+// EndpointStatus is a VM's view of an endpoint.
+type EndpointStatus struct {
+	Name     string `json:"name"`
+	Health   string `json:"health"`
+	Reason   string `json:"reason"`
+	InFlight int    `json:"in_flight"`
+	Load     int    `json:"load"`
+}
+
+// RolloutStatus is a rollout that is not yet done or rolled back.
+type RolloutStatus struct {
+	Model   string  `json:"model"`
+	Version string  `json:"version"`
+	State   string  `json:"state"`
+	Share   float64 `json:"share"`
+	Reason  string  `json:"reason"`
+	// Waiting is known on the VM that leads rollouts.
+	Waiting string `json:"waiting_for"`
+	Veto    string `json:"veto"`
+}
+
+// ShareStatus is the VM's part of every customer's rate.
+type ShareStatus struct {
+	Fraction float64  `json:"fraction"`
+	Slots    []string `json:"slots"`
+	Waiting  bool     `json:"slot_waits_for_reports"`
 }
 
 // MemberStatus is what a VM has heard of another.
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -265,35 +265,6 @@
 	return true, ""
 }
 
-// Status is what operators see of the VM.
-type Status struct {
-	Address       string              `json:"address"`
-	Incarnation   string              `json:"incarnation"`
-	FailureDomain string              `json:"failure_domain"`
-	Ready         bool                `json:"ready"`
-	Why           string              `json:"why,omitempty"`
-	Applied       map[string]uint64   `json:"applied"`
-	Leading       bool                `json:"leads_rollouts"`
-	Rollouts      []sycversion.Status `json:"rollouts"`
-}
-
-// Status returns the VM's present state.
-func (v *VM) Status() Status {
-	ready, why := v.Ready()
-	config, system := v.store.Applied()
-	rollouts, leading := v.versions.Rollouts()
-	return Status{
-		Address:       v.address,
-		Incarnation:   v.incarnation,
-		FailureDomain: v.settings.FailureDomain(),
-		Ready:         ready,
-		Why:           why,
-		Applied:       map[string]uint64{sycstate.ConfigStream: config, sycstate.SystemStream: system},
-		Leading:       leading,
-		Rollouts:      rollouts,
-	}
-}
-
 // Drain takes the VM out of service: it stays open until the balancer has
 // noticed, finishes every request and then stops.
 func (v *VM) Drain(ctx context.Context) error {
