Stop and kill real routers under streams and a booking

Eight router processes: 6 streams through one that is stopped and 6 through one that is killed, the callers going on at another; one booking whose router is killed after the claim, repeated at four others.

--- /dev/null
+++ b/internal/traffic/sycgateway/process_test.go
@@ -0,0 +1,165 @@
+package sycgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
+)
+
+const longTokens = 200
+
+// site is a deployment with real router processes.
+type site struct {
+	*sycdeploy.Deployment
+	key string
+}
+
+func newSite(t *testing.T) *site {
+	program := filepath.Join(t.TempDir(), "sycamorecart")
+	output, err := exec.Command("go", "build", "-o", program, "sycamorecart.example/sycamorecart/cmd/sycamorecart").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(output)))
+	workload, ok := sycload.FindWorkload("bottlers")
+	must.True(t, ok)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	d, err := sycdeploy.New(ctx, sycdeploy.Options{Workload: workload, Binary: program, Seed: 1})
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, d.Close()) })
+	return &site{Deployment: d, key: d.Keys()["rota"]}
+}
+
+// post sends a request until the customer's rate admits it.
+func (s *site) post(t *testing.T, r *sycdeploy.Router, path, body string, header ...string) (*http.Response, error) {
+	for {
+		req, err := http.NewRequest(http.MethodPost, r.URL()+path, strings.NewReader(body))
+		must.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+s.key)
+		for i := 0; i+1 < len(header); i += 2 {
+			req.Header.Set(header[i], header[i+1])
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil || resp.StatusCode != http.StatusTooManyRequests {
+			return resp, err
+		}
+		_ = read(t, resp)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// streams reads answers through the first router, which fails once all have
+// begun, and goes on through the second where they broke off. It returns the
+// number of answers that were not whole and exact.
+func (s *site) streams(t *testing.T, first, second *sycdeploy.Router, fail func()) int {
+	const n = 6
+	var begun, done sync.WaitGroup
+	begun.Add(n)
+	wrong := make([]bool, n)
+	for i := range n {
+		done.Go(func() {
+			start := sync.OnceFunc(begun.Done)
+			defer start()
+			prompt := fmt.Sprintf("%s %d", first.Name(), i)
+			body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, sycdeploy.Model, prompt, longTokens)
+			resp, err := s.post(t, first, "/v1/completions", body)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				wrong[i] = true
+				return
+			}
+			stream := resp.Header.Get("Sycamorecart-Stream")
+			got := follow(resp, 0, func(token int) {
+				if token == i {
+					start()
+				}
+			})
+			text := got.text
+			if !got.ended {
+				resp, err = s.post(t, second, "/v1/completions", body, "Sycamorecart-Stream", stream, "Last-Event-ID", strconv.Itoa(got.next-1))
+				if err != nil {
+					wrong[i] = true
+					return
+				}
+				got = follow(resp, got.next, nil)
+				text += got.text
+			}
+			want := strings.Join(sycengine.Answer(sycdeploy.Weights, "", prompt, longTokens), "")
+			wrong[i] = got.err != nil || !got.ended || text != want
+		})
+	}
+	begun.Wait()
+	fail()
+	done.Wait()
+	count := 0
+	for _, w := range wrong {
+		if w {
+			count++
+		}
+	}
+	t.Logf("%d streams tried, %d wrong", n, count)
+	return count
+}
+
+func TestProcesses(t *testing.T) {
+	s := newSite(t)
+	routers := s.Routers()
+	t.Run("stopped in mid-stream", func(t *testing.T) {
+		must.Eq(t, 0, s.streams(t, routers[0], routers[0], func() { must.NoError(t, routers[0].Stop()) }))
+	})
+	t.Run("killed in mid-stream", func(t *testing.T) {
+		must.Eq(t, 0, s.streams(t, routers[1], routers[2], routers[1].Kill))
+	})
+	t.Run("killed between claim and answer", func(t *testing.T) { s.killedHolder(t, routers[3], routers[4:]) })
+}
+
+// killedHolder kills the router that runs a booking and repeats the booking
+// at the others.
+func (s *site) killedHolder(t *testing.T, holder *sycdeploy.Router, others []*sycdeploy.Router) {
+	for _, w := range s.Workers() {
+		w.SetFaults(sycservice.Faults{Late: sycrecord.Duration(time.Minute)})
+	}
+	const key, body = "one-booking", `{"slot":"17:30"}`
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		if resp, err := s.post(t, holder, sycdeploy.BookPath, body, "Idempotency-Key", key); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	for len(s.Booked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	holder.Kill()
+	<-gone
+	for _, w := range s.Workers() {
+		w.SetFaults(sycservice.Faults{})
+	}
+	wrong := 0
+	for _, r := range others {
+		resp, err := s.post(t, r, sycdeploy.BookPath, body, "Idempotency-Key", key)
+		must.NoError(t, err)
+		text := read(t, resp)
+		told := strings.Contains(text, "outcome_unknown") && resp.Header.Get("Sycamorecart-Outcome") == "unknown"
+		if resp.StatusCode != http.StatusConflict || !told {
+			t.Logf("status %d: %s", resp.StatusCode, text)
+			wrong++
+		}
+	}
+	booked := slices.Clone(s.Booked())
+	t.Logf("%d repeats tried, %d wrong, %d bookings", len(others), wrong, len(booked))
+	must.Eq(t, 0, wrong)
+	must.Len(t, 1, booked)
+}
