--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// noHold refuses a request without a token at once.
+const noHold = time.Nanosecond
+
 // startLimits admits requests by the slots that this VM holds.
 func (v *VM) startLimits() {
 	v.roster = sycmember.New(v.self(), sycmember.Settings{ListLag: v.settings.ListLag()})
@@ -49,7 +52,7 @@
 			return v.store.Propose(ctx, sycstate.SystemStream, op)
 		},
 		Self:     v.self(),
-		Settings: sycadmit.Settings{Limit: syclimit.Settings{Hold: v.settings.Hold()}},
+		Settings: sycadmit.Settings{Limit: syclimit.Settings{Hold: max(v.settings.Hold(), noHold)}},
 	})
 	v.closers.add(v.limiter.Close)
 	v.store.OnChange(v.limiter.Refresh)
