Let one body of the largest size fit into the bound of all

Cause: a max_body_bytes above 128 MiB could never be held, so that each such request would have been refused. Found by the gateway's own Validate; 1 GiB now passes it.

--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -228,6 +228,7 @@
 func (v *VM) gatewayLimits() sycgateway.Limits {
 	limits := sycgateway.Defaults()
 	limits.Body = v.settings.MaxBody()
+	limits.Bodies = max(limits.Bodies, limits.Body)
 	limits.HeaderBytes = int(v.settings.MaxHeader())
 	return limits
 }
