Measure what control costs an idle VM

Cause: docs/CAPACITY.md needs slopes of whole processes, by a command. Change: 'sycamorebench footprint' runs router processes before engines and customers of growing number and fits lines through processor time, memory and peer bytes.

--- a/cmd/sycamorebench/main.go
+++ b/cmd/sycamorebench/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(&loadCommand{}, "load")
 	subcommands.Register(&faultsCommand{}, "load")
 	subcommands.Register(&reportCommand{}, "load")
+	subcommands.Register(&footprintCommand{}, "load")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -194,7 +194,8 @@
 	return nil
 }
 
-func (r *Router) pid() int {
+// PID is the router's process, 0 while it doesn't run.
+func (r *Router) PID() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.process == nil {
