--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -15,6 +15,8 @@
 	pageRecords = 512
 	maxPause    = 2 * time.Second
 	firstPause  = 50 * time.Millisecond
+	// startPolls is how many times as often peers are asked until the VM is ready.
+	startPolls = 4
 	// graceReads is the number of failed reads of the log after which a VM
 	// serves from a snapshot of the log without having read to its end.
 	graceReads = 2
@@ -255,9 +257,12 @@
 
 // followPeers asks peers until the VM is ready and whenever the log is silent.
 func (f *follower) followPeers() error {
-	poll := f.store.options.PeerPoll
 	for f.store.tomb.Alive() {
 		f.askPeers()
+		poll := f.store.options.PeerPoll
+		if !f.ready.Load() {
+			poll /= startPolls
+		}
 		f.store.sleep(poll/2 + syclog.Jitter(poll, poll, 1))
 	}
 	return nil
