--- a/cmd/sycamorecart/command_test.go
+++ b/cmd/sycamorecart/command_test.go
@@ -84,6 +84,7 @@
 	}{
 		{"in force", `{"applied":{"config":100}}`, 0},
 		{"not on a member", `{"applied":{"config":100},"members":[{"address":"x","applied":{"config":0}}]}`, exitUnknown},
+		{"a leaving member does not count", `{"applied":{"config":100},"members":[{"address":"x","leaving":true}]}`, 0},
 		{"not on the VM", `{"applied":{"config":0}}`, exitUnknown},
 	}
 	for _, c := range cases {
--- a/cmd/sycamorecart/status.go
+++ b/cmd/sycamorecart/status.go
@@ -10,9 +10,11 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
 )
 
 const statusUsage = `status [-json] [-token-file FILE] URL ...
@@ -114,6 +116,9 @@
 	}
 	fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", vm.Address, vm.FailureDomain, applied(vm.Applied), state)
 	fmt.Fprintf(out, "  accrues %.3f of every rate\tslots %s\t\t\n", vm.Shares.Fraction, strings.Join(vm.Shares.Slots, ", "))
+	for _, stream := range vm.Streams {
+		fmt.Fprintf(out, "  stream %s\t%s\t%d unreadable\t\n", stream.Stream, following(stream), len(stream.Unreadable))
+	}
 	for _, r := range vm.Rollouts {
 		fmt.Fprintf(out, "  version %s\t%s\tshare %g\t%s\n", r.Version, r.State, r.Share, cmp.Or(r.Veto, r.Waiting, r.Reason))
 	}
@@ -125,6 +130,19 @@
 	}
 }
 
+// following says how a VM stands to the log.
+func following(stream sycstate.StreamStatus) string {
+	switch {
+	case stream.LogDiffers:
+		return "log was replaced"
+	case stream.LogEndsBefore:
+		return "log ends before"
+	case !stream.Proven:
+		return "log's end not seen"
+	}
+	return "log's end seen " + time.Duration(stream.ProofAge).Round(time.Millisecond).String() + " ago"
+}
+
 func applied(offsets map[string]uint64) string {
 	return fmt.Sprintf("config %d, system %d", offsets["config"], offsets["system"])
 }
--- a/internal/operate/sycpublish/status.go
+++ b/internal/operate/sycpublish/status.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
 )
 
 // Bounds of questions to VMs.
@@ -31,6 +32,8 @@
 	// Members are the VMs that this one knows, with what they reported last.
 	Members []MemberStatus `json:"members"`
 	Leads   bool           `json:"leads_rollouts"`
+	// Streams tell how the VM follows the log.
+	Streams []sycstate.StreamStatus `json:"streams"`
 	// Endpoints and Rollouts are the VM's view of them.
 	Endpoints []EndpointStatus `json:"endpoints"`
 	Rollouts  []RolloutStatus  `json:"rollouts"`
@@ -69,6 +72,7 @@
 type MemberStatus struct {
 	Address       string            `json:"address"`
 	FailureDomain string            `json:"failure_domain"`
+	Leaving       bool              `json:"leaving"`
 	Applied       map[string]uint64 `json:"applied"`
 }
 
@@ -135,8 +139,8 @@
 	return status, nil
 }
 
-// Await waits until the VMs at the given URLs, and the members that they know,
-// have applied a stream up to an offset. When the context ends it returns what
+// Await waits until the VMs at the given URLs, and the members that they know and
+// that are not leaving, have applied a stream up to an offset. When the context ends it returns what
 // is lacking.
 func (o *Operator) Await(ctx context.Context, urls []string, stream string, next uint64) error {
 	ticker := time.NewTicker(statusPoll)
@@ -176,7 +180,7 @@
 			list = append(list, fmt.Sprintf("%s (applied %d of %d)", url, status.Applied[stream], next))
 		}
 		for _, member := range status.Members {
-			if member.Applied[stream] < next {
+			if !member.Leaving && member.Applied[stream] < next {
 				list = append(list, fmt.Sprintf("%s (applied %d of %d)", member.Address, member.Applied[stream], next))
 			}
 		}
