--- a/internal/decide/sycconfig/bench_test.go
+++ b/internal/decide/sycconfig/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -74,8 +75,22 @@
 func BenchmarkDecode(b *testing.B) {
 	data, err := large(b).Encode()
 	must.NoError(b, err)
+	var state *sycconfig.State
 	for b.Loop() {
-		_, err := sycconfig.Decode(data)
+		state, err = sycconfig.Decode(data)
 		must.NoError(b, err)
 	}
+	must.Len(b, customers, state.Customers())
+	held := heap()
+	runtime.KeepAlive(state)
+	state = nil
+	b.ReportMetric(float64(held-heap()), "state-bytes")
+}
+
+// heap returns the bytes of live objects.
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
 }
--- a/internal/decide/sycconfig/chunk.go
+++ b/internal/decide/sycconfig/chunk.go
@@ -9,8 +9,8 @@
 const (
 	// ChunkSize is the largest part of a snapshot in one record, in bytes.
 	ChunkSize = 128 << 10
-	maxChunks = 1 << 14
-	maxParts  = 8
+	maxChunks = 512
+	maxParts  = 4
 )
 
 // Chunk is a part of a snapshot, as written to the snapshots stream.
--- a/internal/decide/sycconfig/replica.go
+++ b/internal/decide/sycconfig/replica.go
@@ -2,9 +2,11 @@
 
 import "time"
 
-// Sizes of a replica's memory of recent records and results.
+// Sizes of a replica's memory of recent records and results; WindowBytes bounds
+// the data of the records.
 const (
 	WindowRecords = 4096
+	WindowBytes   = 8 << 20
 	WindowResults = 1024
 )
 
@@ -42,6 +44,8 @@
 	// window holds the newest applied records; contiguous, and the last is at
 	// state.Next - 1 unless it is empty.
 	window []Record
+	// bytes is the size of the data of the window's records.
+	bytes int
 	// results are of the newest records, in the order of their offsets.
 	results []Result
 	// proven is the start of the newest read that showed that the state
@@ -66,10 +70,9 @@
 		}
 		state, result := r.state.Apply(record.offset, record.data)
 		r.state = state
-		r.window = append(r.window, record)
+		r.remember(record)
 		results = append(results, result)
 	}
-	r.window = newest(r.window, WindowRecords)
 	r.results = newest(append(r.results, results...), WindowResults)
 	return results
 }
@@ -82,9 +85,22 @@
 	}
 	r.state = s
 	r.window = nil
+	r.bytes = 0
 	return true
 }
 
+// remember adds a record to the window and drops the oldest ones that are too
+// many or too large together.
+func (r *Replica) remember(record Record) {
+	r.window = append(r.window, record)
+	r.bytes += len(record.data)
+	for len(r.window) > WindowRecords || r.bytes > WindowBytes {
+		r.bytes -= len(r.window[0].data)
+		r.window[0] = Record{}
+		r.window = r.window[1:]
+	}
+}
+
 // Prove notes that a read that started at the given time showed that the
 // stream's end was at next. It counts only if the state has got there.
 func (r *Replica) Prove(start time.Duration, next uint64) {
--- a/internal/decide/sycconfig/snapshot.go
+++ b/internal/decide/sycconfig/snapshot.go
@@ -16,7 +16,7 @@
 const SnapshotFormat = 1
 
 // maxSnapshot bounds the uncompressed bytes of a snapshot.
-const maxSnapshot = 1 << 30
+const maxSnapshot = 128 << 20
 
 // snapshotMagic begins every snapshot; a SHA-256 of the rest follows.
 var snapshotMagic = []byte("sycsnap\n")
