--- /dev/null
+++ b/internal/standin/sycdeploy/knownred_test.go
@@ -0,0 +1,27 @@
+//go:build knownred
+
+package sycdeploy_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestKnownRedLoneVMServes stops every VM and starts one of them at its own
+// address again: it must serve at its own slot's rate.
+func TestKnownRedLoneVMServes(t *testing.T) {
+	d := deploy(t, "bottlers")
+	for _, r := range d.Routers() {
+		must.NoError(t, r.Stop())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	first := d.Routers()[0]
+	must.NoError(t, first.Start())
+	must.NoError(t, d.AwaitReady(ctx))
+	before := received(d)
+	after := loadUntilReceived(t, d, first)
+	must.Greater(t, before[first.FailureDomain()], after[first.FailureDomain()])
+}
