--- a/internal/decide/sycdispatch/bench_test.go
+++ b/internal/decide/sycdispatch/bench_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+	"sycamorecart.example/sycamorecart/internal/decide/sycqueue"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
@@ -82,3 +84,28 @@
 		})
 	}
 }
+
+// BenchmarkShareIn measures taking a digest of 20 loaded endpoints and 50
+// customers before 270 engines.
+func BenchmarkShareIn(b *testing.B) {
+	r := newRig(b, 1)
+	r.engines(270, 64)
+	digest := sycdispatch.Digest{}
+	for i := range 20 {
+		digest.Loads = append(digest.Loads, sycdispatch.EndpointLoad{
+			Endpoint: fmt.Sprint("e", i*13), Requests: i, Prefill: i * 100,
+		})
+	}
+	for i := range 50 {
+		digest.Services = append(digest.Services, sycdispatch.PoolService{
+			Pool:    "model/m",
+			Service: sycqueue.Service{Customer: fmt.Sprint("c", i), Served: float64(i)},
+		})
+	}
+	turn := 0
+	for b.Loop() {
+		turn++
+		r.now += time.Millisecond
+		r.ShareIn(r.now, fmt.Sprint("vm", turn%70), digest)
+	}
+}
--- a/internal/decide/sycdispatch/computing.go
+++ b/internal/decide/sycdispatch/computing.go
@@ -23,6 +23,7 @@
 
 // coming is a prefill at a peer's request, seen from a block that it computes.
 type coming struct {
+	from  string
 	until time.Duration
 }
 
@@ -64,11 +65,22 @@
 }
 
 // learnComputing takes over what a peer told at a time.
-func (e *endpoint) learnComputing(at time.Duration, list []Computing) {
+func (e *endpoint) learnComputing(from string, at time.Duration, list []Computing) {
 	for _, c := range list {
 		for _, block := range c.Marks {
 			if until := at + c.Left; until > e.coming[block].until {
-				e.coming[block] = coming{until: until}
+				e.coming[block] = coming{from: from, until: until}
+			}
+		}
+	}
+}
+
+// forgetComputing takes back what a peer told earlier.
+func (e *endpoint) forgetComputing(from string, list []Computing) {
+	for _, c := range list {
+		for _, block := range c.Marks {
+			if e.coming[block].from == from {
+				delete(e.coming, block)
 			}
 		}
 	}
--- a/internal/decide/sycdispatch/dispatch.go
+++ b/internal/decide/sycdispatch/dispatch.go
@@ -16,8 +16,8 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
-// sweepSlots is the number of cache entries per endpoint whose age is checked in a tick.
-const sweepSlots = 512
+// sweepSlots is the number of cache entries whose age is checked in a tick.
+const sweepSlots = 4096
 
 // Options configures a dispatcher.
 type Options struct {
@@ -47,6 +47,8 @@
 	hot     *sycroute.Hot
 	outputs outputs
 	drawn   map[string]float64
+	// swept is the place in order of the endpoint that was swept last.
+	swept int
 	// field is reused between decisions.
 	field   field
 	matched matched
@@ -165,8 +167,8 @@
 // Tick refuses requests whose deadline has passed and does what is due by time.
 func (d *Dispatcher[P]) Tick(now time.Duration) {
 	d.forgetPeers(now)
+	d.sweep(now)
 	for _, e := range d.order {
-		e.cache.Sweep(now, sweepSlots)
 		e.health.Observe(now, sychealth.Elapsed)
 	}
 	for _, name := range d.poolNames() {
@@ -180,6 +182,15 @@
 	}
 }
 
+// sweep removes expired entries of one endpoint after the other.
+func (d *Dispatcher[P]) sweep(now time.Duration) {
+	if len(d.order) == 0 {
+		return
+	}
+	d.swept = (d.swept + 1) % len(d.order)
+	d.order[d.swept].cache.Sweep(now, sweepSlots)
+}
+
 // Take returns the decisions made since the last call.
 func (d *Dispatcher[P]) Take() []Decision {
 	out := d.out
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -94,6 +94,7 @@
 		health:         sychealth.New(seed ^ hash),
 		cache:          sycprefix.NewCache(sycprefix.Life{}),
 		speed:          sycroute.NewSpeedLike(speed),
+		coming:         map[uint64]coming{},
 		trust:          firstTrust,
 		stay:           firstStay,
 		importPerBlock: firstImportPerBlock,
--- a/internal/decide/sycdispatch/share.go
+++ b/internal/decide/sycdispatch/share.go
@@ -71,11 +71,13 @@
 // ShareIn takes the digest of another VM, named by its process.
 func (d *Dispatcher[P]) ShareIn(now time.Duration, from string, in Digest) {
 	before := d.peers[from]
-	d.peers[from] = &peer{at: now, digest: in}
+	after := &peer{at: now, digest: in}
+	d.peers[from] = after
 	if before != nil {
 		d.charge(before.digest, in)
+		d.count(now, from, before, -1)
 	}
-	d.sumPeers(now)
+	d.count(now, from, after, 1)
 	d.dispatchAll(now)
 }
 
@@ -99,44 +101,30 @@
 
 // forgetPeers drops the digests of VMs that have fallen silent.
 func (d *Dispatcher[P]) forgetPeers(now time.Duration) {
-	dropped := false
 	for from, p := range d.peers {
 		if now-p.at > peerLife {
+			d.count(now, from, p, -1)
 			delete(d.peers, from)
-			dropped = true
 		}
 	}
-	if dropped {
-		d.sumPeers(now)
-	}
 }
 
-func (d *Dispatcher[P]) sumPeers(now time.Duration) {
-	sums := map[string]load{}
-	for _, p := range d.peers {
-		for _, l := range p.digest.Loads {
-			sums[l.Endpoint] = sums[l.Endpoint].plus(load{requests: l.Requests, prefill: l.Prefill})
-		}
-	}
-	d.sumComputing()
-	for _, e := range d.order {
-		if sum := sums[e.record.Name()]; sum != e.peers {
-			e.peers = sum
-			e.note(now)
+// count adds a digest to the endpoints' peer load, or takes it out again with
+// sign -1.
+func (d *Dispatcher[P]) count(now time.Duration, from string, p *peer, sign int) {
+	for _, l := range p.digest.Loads {
+		e := d.endpoints[l.Endpoint]
+		if e == nil {
+			continue
 		}
-	}
-}
-
-func (d *Dispatcher[P]) sumComputing() {
-	for _, e := range d.order {
-		e.coming = map[uint64]coming{}
-	}
-	for _, p := range d.peers {
-		for _, l := range p.digest.Loads {
-			if e := d.endpoints[l.Endpoint]; e != nil {
-				e.learnComputing(p.at, l.Computing)
-			}
+		e.peers.requests = max(e.peers.requests+sign*l.Requests, 0)
+		e.peers.prefill = max(e.peers.prefill+sign*l.Prefill, 0)
+		if sign > 0 {
+			e.learnComputing(from, p.at, l.Computing)
+		} else {
+			e.forgetComputing(from, l.Computing)
 		}
+		e.note(now)
 	}
 }
 
--- a/internal/traffic/sycchoose/policy_bench_test.go
+++ b/internal/traffic/sycchoose/policy_bench_test.go
@@ -161,7 +161,7 @@
 				for _, policy := range policies {
 					b.Run(fmt.Sprintf("%s/%s/seed%d/%s", d.name, w.name, seed, policy), func(b *testing.B) {
 						for b.Loop() {
-							s := newSite(b, d, policy, seed, sycengine.Options{CacheBlocks: 2048}, 24)
+							s := newSite(b, d, policy, seed, sycengine.Options{CacheBlocks: 2048}, 24, knowledge{})
 							drive(b, s, w, seed).report(b)
 						}
 					})
@@ -170,3 +170,28 @@
 		}
 	}
 }
+
+// BenchmarkKnowledge shows what each source of knowledge is worth to the
+// prefix policy. It is meant for -benchtime 1x.
+func BenchmarkKnowledge(b *testing.B) {
+	tests := []struct {
+		name string
+		knowledge
+	}{
+		{"all", knowledge{}},
+		{"digests_within_domain", knowledge{within: true}},
+		{"no_digests", knowledge{alone: true}},
+		{"no_events", knowledge{deaf: true}},
+		{"neither", knowledge{deaf: true, alone: true}},
+	}
+	for _, w := range []workload{morning, evening} {
+		for _, tt := range tests {
+			b.Run(w.name+"/"+tt.name, func(b *testing.B) {
+				for b.Loop() {
+					s := newSite(b, bottlers, sycroute.NamePrefix, 3, sycengine.Options{CacheBlocks: 2048}, 24, tt.knowledge)
+					drive(b, s, w, 3).report(b)
+				}
+			})
+		}
+	}
+}
--- a/internal/traffic/sycchoose/site_test.go
+++ b/internal/traffic/sycchoose/site_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
@@ -48,8 +49,30 @@
 	vms     []*vm
 	// domainOf gives the failure domain of each engine's host.
 	domainOf map[string]string
-	// everywhere makes VMs share with those of other failure domains too.
-	everywhere bool
+	knowledge
+}
+
+// knowledge is what a site's VMs learn.
+type knowledge struct {
+	// alone stops digests, within keeps them inside a failure domain.
+	alone, within bool
+	// deaf stops cache events and lists.
+	deaf bool
+}
+
+// deafSink takes load reports only.
+type deafSink struct {
+	*sycchoose.Chooser
+}
+
+// Events forgets the batch.
+func (s deafSink) Events(name string, _ sycdispatch.Batch) sycdispatch.Position {
+	return s.Position(name)
+}
+
+// Resync forgets the list.
+func (s deafSink) Resync(name, _ string, _ uint64, _ []uint64) sycdispatch.Position {
+	return s.Position(name)
 }
 
 type vm struct {
@@ -78,9 +101,9 @@
 func domainName(i, domains int) string { return fmt.Sprintf("d%d", i%domains) }
 
 // newSite starts engines and VMs. The customers have equal weights.
-func newSite(t testing.TB, d deployment, policy string, seed uint64, engine sycengine.Options, concurrent int) *site {
+func newSite(t testing.TB, d deployment, policy string, seed uint64, engine sycengine.Options, concurrent int, k knowledge) *site {
 	t.Helper()
-	s := &site{domainOf: map[string]string{}, everywhere: true}
+	s := &site{domainOf: map[string]string{}, knowledge: k}
 	records := [][3]string{{"version", "v1", `{"model":"m","weights":"w1","initial":true}`}}
 	for i := range d.engines {
 		o := engine
@@ -127,7 +150,11 @@
 		Policy:        policy,
 		Seed:          seed * 7919,
 	})
-	feed := sycfeed.New(sycfeed.Options{Sink: chooser, Config: config, Transport: transport})
+	var sink sycfeed.Sink = chooser
+	if s.deaf {
+		sink = deafSink{chooser}
+	}
+	feed := sycfeed.New(sycfeed.Options{Sink: sink, Config: config, Transport: transport})
 	t.Cleanup(func() {
 		must.NoError(t, feed.Close())
 		must.NoError(t, loop.Close())
@@ -166,7 +193,7 @@
 	var services []*sycpeerpb.CustomerService
 	from.loop.Do(func(now time.Duration) { loads, services = from.chooser.ShareOut(now) })
 	for j, to := range s.vms {
-		if i == j || (!s.everywhere && from.domain != to.domain) {
+		if i == j || s.alone || (s.within && from.domain != to.domain) {
 			continue
 		}
 		to.loop.Post(func(now time.Duration) {
