Name what is wrong with a command's arguments

Cause: publish, watch and status with an address without http:// waited for the whole time-out or printed the URL parser's message, publish printed its whole usage for -wait without -vm or for a flag after the file, a log that was out was shown as 'context deadline exceeded', and a missing operators' token as 'status 401'.

Change: URLs of the command line are checked first (exit code 2); the messages name the cause.

Run: go test -race ./cmd/sycamorecart ./internal/operate/sycpublish, passed; each command against the stand-ins on loopback.

--- a/cmd/sycamorecart/command_test.go
+++ b/cmd/sycamorecart/command_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
@@ -163,3 +164,41 @@
 	must.NoError(t, flags.Parse([]string{"extra"}))
 	must.EqOp(t, 2, newVersion().Execute(context.Background(), flags))
 }
+
+// TestWrongArgumentsAreNotTried checks that wrong arguments end a command with
+// the exit code for them instead of a time-out.
+func TestWrongArgumentsAreNotTried(t *testing.T) {
+	const log = "http://127.0.0.1:1"
+	cases := []struct {
+		name    string
+		command subcommands.Command
+		args    []string
+	}{
+		{"log without a scheme", newPublish(), []string{"-log", "127.0.0.1:9000", write(t, good)}},
+		{"watched log without a scheme", newWatch(), []string{"-log", "127.0.0.1:9000"}},
+		{"VM without a scheme", newStatus(), []string{"127.0.0.1:8081"}},
+		{"VM without a host", newStatus(), []string{"http://"}},
+		{"wait without VMs", newPublish(), []string{"-log", log, "-wait", write(t, good)}},
+		{"flag after the file", newPublish(), []string{"-log", log, write(t, good), "-wait"}},
+	}
+	for _, c := range cases {
+		must.EqOp(t, subcommands.ExitUsageError, run(t, c.command, c.args...), must.Sprint(c.name))
+	}
+	var list urlList
+	must.Error(t, list.Set("http://127.0.0.1:8081,127.0.0.1:8082"))
+}
+
+func TestErrorsNameTheCause(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		says string
+	}{
+		{"log out", unreadable("http://log", context.DeadlineExceeded), "http://log could not be read in time"},
+		{"token", &sycpublish.StatusError{URL: "http://vm", Status: http.StatusUnauthorized}, "token is missing or wrong"},
+		{"other status", &sycpublish.StatusError{URL: "http://vm", Status: http.StatusNotFound}, "http://vm: status 404"},
+	}
+	for _, c := range cases {
+		must.StrContains(t, c.err.Error(), c.says, must.Sprint(c.name))
+	}
+}
--- a/cmd/sycamorecart/operator.go
+++ b/cmd/sycamorecart/operator.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"net/url"
 	"os"
 	"strings"
 
@@ -28,7 +31,7 @@
 // find returns the log's base URL.
 func (l *logFlags) find() (string, error) {
 	if l.url != "" {
-		return strings.TrimRight(l.url, "/"), nil
+		return baseURL(l.url)
 	}
 	if l.settings == "" {
 		return "", &argumentError{message: "one of -log and -settings is required"}
@@ -40,6 +43,15 @@
 	return settings.LogURL(), nil
 }
 
+// baseURL checks a URL of the command line and strips the slashes at its end.
+func baseURL(text string) (string, error) {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return "", &argumentError{message: fmt.Sprintf("%q must be an http or https URL, such as http://127.0.0.1:8081", text)}
+	}
+	return strings.TrimRight(text, "/"), nil
+}
+
 // argumentError reports wrong arguments.
 type argumentError struct {
 	message string
@@ -56,8 +68,12 @@
 
 // Set implements flag.Value.
 func (l *urlList) Set(value string) error {
-	for _, url := range strings.Split(value, ",") {
-		*l = append(*l, strings.TrimRight(url, "/"))
+	for _, text := range strings.Split(value, ",") {
+		base, err := baseURL(text)
+		if err != nil {
+			return err
+		}
+		*l = append(*l, base)
 	}
 	return nil
 }
@@ -75,6 +91,20 @@
 // quiet keeps the log of the folded state out of a command's output.
 func quiet() error { return syclogging.Setup(os.Stderr, "error", "text") }
 
+// unreadable describes a log that could not be read to its end.
+func unreadable(logURL string, err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("the log at %s could not be read in time; it is out, slow or not at this URL", logURL)
+	}
+	return fmt.Errorf("the log at %s could not be read: %w", logURL, err)
+}
+
+// misused prints what is wrong with the arguments and where to read more.
+func misused(command, message string) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "%s; see sycamorecart help %s\n", message, command)
+	return subcommands.ExitUsageError
+}
+
 // fail prints an error and returns an exit code.
 func fail(err error, status subcommands.ExitStatus) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, err)
--- a/cmd/sycamorecart/publish.go
+++ b/cmd/sycamorecart/publish.go
@@ -67,9 +67,11 @@
 
 // Execute implements subcommands.Command.
 func (c *publish) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 1 || c.wait != (len(c.vms) > 0) {
-		fmt.Fprint(os.Stderr, publishUsage)
-		return subcommands.ExitUsageError
+	if f.NArg() > 1 {
+		return misused(c.Name(), "flags come before the file of records, and one file is published at a time")
+	}
+	if c.wait != (len(c.vms) > 0) {
+		return misused(c.Name(), "-wait and -vm go together")
 	}
 	url, err := c.log.find()
 	if err != nil {
@@ -104,7 +106,7 @@
 	session := sycpublish.Open(url)
 	defer session.Close()
 	if err := session.Ready(ctx); err != nil {
-		return fail(fmt.Errorf("the log at %s could not be read; nothing was published: %w", url, err), subcommands.ExitFailure)
+		return fail(fmt.Errorf("nothing was published: %w", unreadable(url, err)), subcommands.ExitFailure)
 	}
 	status := subcommands.ExitSuccess
 	next := uint64(0)
--- a/cmd/sycamorecart/status.go
+++ b/cmd/sycamorecart/status.go
@@ -56,6 +56,11 @@
 		fmt.Fprint(os.Stderr, statusUsage)
 		return subcommands.ExitUsageError
 	}
+	for _, url := range f.Args() {
+		if _, err := baseURL(url); err != nil {
+			return fail(err, subcommands.ExitUsageError)
+		}
+	}
 	secret, err := token(c.tokenFile)
 	if err != nil {
 		return fail(err, subcommands.ExitUsageError)
--- a/cmd/sycamorecart/watch.go
+++ b/cmd/sycamorecart/watch.go
@@ -85,7 +85,7 @@
 		}
 	})
 	if err := session.Ready(ctx); err != nil {
-		return fail(fmt.Errorf("the log at %s could not be read: %w", url, err), subcommands.ExitFailure)
+		return fail(unreadable(url, err), subcommands.ExitFailure)
 	}
 	w := &watcher{store: session.Store()}
 	if !c.all {
--- a/internal/operate/sycpublish/status.go
+++ b/internal/operate/sycpublish/status.go
@@ -79,7 +79,12 @@
 }
 
 // Error names the VM and the status.
-func (e *StatusError) Error() string { return fmt.Sprintf("%s: status %d", e.URL, e.Status) }
+func (e *StatusError) Error() string {
+	if e.Status == http.StatusUnauthorized {
+		return e.URL + ": the operators' token is missing or wrong"
+	}
+	return fmt.Sprintf("%s: status %d", e.URL, e.Status)
+}
 
 // Operator asks VMs' operators' listeners.
 type Operator struct {
@@ -112,7 +117,7 @@
 	}
 	response, err := o.http.Do(request)
 	if err != nil {
-		return nil, eris.Wrap(err, "sycpublish: status")
+		return nil, eris.Wrapf(err, "no answer from %s", url)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
