--- a/internal/traffic/sycdrain/drain.go
+++ b/internal/traffic/sycdrain/drain.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -106,10 +107,15 @@
 	Err      error
 }
 
-// Error describes the failure.
-func (e *CutError) Error() string { return "drain: requests were cut when the time was over" }
+// Error says how many requests were cut and why.
+func (e *CutError) Error() string {
+	if errors.Is(e.Err, context.DeadlineExceeded) {
+		return fmt.Sprintf("drain: cut %d requests when the drain's timeout was over", e.Requests)
+	}
+	return fmt.Sprintf("drain: cut %d requests at a second signal", e.Requests)
+}
 
-// Unwrap returns the reason for which the time was over.
+// Unwrap returns the reason for which the context ended.
 func (e *CutError) Unwrap() error { return e.Err }
 
 // sleep reports whether the whole time passed.
--- a/internal/traffic/sycdrain/drain_test.go
+++ b/internal/traffic/sycdrain/drain_test.go
@@ -127,3 +127,16 @@
 	must.Error(t, (<-cut).err)
 	close(end)
 }
+
+func TestCutErrorSaysWhy(t *testing.T) {
+	cases := []struct {
+		cause error
+		says  string
+	}{
+		{context.DeadlineExceeded, "drain: cut 3 requests when the drain's timeout was over"},
+		{context.Canceled, "drain: cut 3 requests at a second signal"},
+	}
+	for _, c := range cases {
+		must.EqError(t, &sycdrain.CutError{Requests: 3, Err: c.cause}, c.says)
+	}
+}
