Run in-process deployments and processes by the same code

Cause: sycsite and sycdeploy built the same deployment twice, one with VMs in the process and one with router processes.

--- a/cmd/sycamorebench/demo.go
+++ b/cmd/sycamorebench/demo.go
@@ -15,9 +15,9 @@
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycreport"
-	"sycamorecart.example/sycamorecart/internal/standin/sycsite"
 )
 
 const demoUsage = `demo [flags]
@@ -36,8 +36,8 @@
 
 const (
 	demoDuration = 8 * time.Second
-	// demoAccrual is the time in which every customer's burst accrues.
-	demoAccrual = 2500 * time.Millisecond
+	// demoWarmUp is the time in which every customer's burst accrues.
+	demoWarmUp = 2500 * time.Millisecond
 	// demoDeadline is how long the demonstration's rollout may take.
 	demoDeadline = 10 * time.Second
 	demoBake     = 800 * time.Millisecond
@@ -97,24 +97,22 @@
 	if err != nil {
 		return err
 	}
-	site, err := sycsite.New(ctx, sycsite.Options{Workload: workload, Seed: c.seed})
+	d, err := sycdeploy.New(ctx, sycdeploy.Options{Workload: workload, Seed: c.seed, WarmUp: demoWarmUp})
 	if err != nil {
 		return err
 	}
-	defer func() { err = errors.Join(err, site.Close()) }()
+	defer func() { err = errors.Join(err, d.Close()) }()
 	fmt.Printf("%d VMs in %d failure domains, %d engines and %d booking services are up\n",
-		len(site.VMs()), len(workload.Domains()), len(site.Engines()), len(site.Services()))
-	fmt.Printf("customers' tokens accrue for %s first\n", demoAccrual)
-	time.Sleep(demoAccrual)
-	if err := publishRollout(ctx, site); err != nil {
+		len(d.Routers()), len(workload.Domains()), len(d.Engines()), len(d.Workers()))
+	if err := publishRollout(ctx, d); err != nil {
 		return err
 	}
 	result, err := sycload.Run(ctx, sycload.Options{
 		Workload:   workload,
-		Routers:    site.Routers(),
-		Keys:       site.Keys(),
-		Model:      sycsite.Model,
-		BookPath:   sycsite.BookPath,
+		Routers:    d.URLs(),
+		Keys:       d.Keys(),
+		Model:      sycdeploy.Model,
+		BookPath:   sycdeploy.BookPath,
 		Documents:  documents,
 		Seed:       c.seed,
 		Duration:   demoDuration,
@@ -124,13 +122,13 @@
 	if err != nil {
 		return err
 	}
-	result.Audit(site.Booked())
+	result.Audit(d.Booked())
 	if err := sycreport.Table(os.Stdout, result); err != nil {
 		return err
 	}
-	printRollout(site)
+	printRollout(d)
 	if c.stay {
-		printCurl(site)
+		printCurl(d, workload)
 		<-ctx.Done()
 	}
 	return verdict(result)
@@ -143,39 +141,35 @@
 	return sycload.Prompts(c.prompts)
 }
 
-func publishRollout(ctx context.Context, site *sycsite.Site) error {
-	return site.Publish(ctx, sycsite.Record{
-		Kind: sycrecord.KindVersion,
-		Name: "second",
-		Fields: sycrecord.VersionFields{
-			Model:    sycsite.Model,
-			Weights:  "w2",
-			Deadline: time.Now().Add(demoDeadline),
-			Canary:   0.1,
-			Steps:    []float64{0.5, 1},
-			Bake:     sycrecord.Duration(demoBake),
-		},
-	})
+func publishRollout(ctx context.Context, d *sycdeploy.Deployment) error {
+	_, err := d.Publish(ctx, sycdeploy.Put(sycrecord.KindVersion, "second", sycrecord.VersionFields{
+		Model:    sycdeploy.Model,
+		Weights:  "w2",
+		Deadline: time.Now().Add(demoDeadline),
+		Canary:   0.1,
+		Steps:    []float64{0.5, 1},
+		Bake:     sycrecord.Duration(demoBake),
+	}))
+	return err
 }
 
 // printRollout shows what the VMs recorded of the rollout.
-func printRollout(site *sycsite.Site) {
-	for _, r := range site.Outcomes() {
+func printRollout(d *sycdeploy.Deployment) {
+	for _, r := range d.Outcomes() {
 		fmt.Printf("version %s: %s at a share of %g: %s\n", r.Version(), r.Fields().State, r.Fields().Share, r.Fields().Reason)
 	}
 }
 
-func printCurl(site *sycsite.Site) {
-	router := site.Routers()[0]
-	vm := site.VMs()[0]
-	customer := site.Customers()[0]
+func printCurl(d *sycdeploy.Deployment, workload sycload.Workload) {
+	router := d.Routers()[0]
+	key := d.Keys()[workload.Customers()[0].Name()]
 	fmt.Println(strings.Join([]string{
 		"",
 		"It keeps running until Ctrl-C. Try:",
-		fmt.Sprintf(`  curl -N -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}' %s/v1/chat/completions`, site.Keys()[customer], sycsite.Model, router),
-		fmt.Sprintf(`  curl -H 'Authorization: Bearer %s' -H 'Idempotency-Key: 1' -d '{"slot":"dock-1"}' %s%s`, site.Keys()[customer], router, sycsite.BookPath),
-		fmt.Sprintf(`  curl http://%s/v1/status`, vm.Operators()),
-		fmt.Sprintf(`  curl http://%s/metrics`, vm.Operators()),
+		fmt.Sprintf(`  curl -N -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}' %s/v1/chat/completions`, key, sycdeploy.Model, router.URL()),
+		fmt.Sprintf(`  curl -H 'Authorization: Bearer %s' -H 'Idempotency-Key: 1' -d '{"slot":"dock-1"}' %s%s`, key, router.URL(), sycdeploy.BookPath),
+		fmt.Sprintf(`  curl %s/v1/status`, router.Operators()),
+		fmt.Sprintf(`  curl %s/metrics`, router.Operators()),
 	}, "\n"))
 }
 
--- a/internal/standin/sycdeploy/deploy.go
+++ b/internal/standin/sycdeploy/deploy.go
@@ -1,6 +1,6 @@
 // Package sycdeploy runs a whole deployment on loopback for tests and
 // benchmarks: stand-ins in this process, and routers as processes of a given
-// binary, with proxies between them for delays and faults.
+// binary or in this process too, with proxies between them for delays and faults.
 package sycdeploy
 
 import (
@@ -33,7 +33,7 @@
 // Options says what to run.
 type Options struct {
 	Workload sycload.Workload
-	// Binary is the router program.
+	// Binary is the router program; without one the routers run in this process.
 	Binary string
 	// Settings replaces settings of the routers, by "section.key".
 	Settings map[string]string
--- a/internal/standin/sycdeploy/records.go
+++ b/internal/standin/sycdeploy/records.go
@@ -151,3 +151,19 @@
 	}
 	return answer.FirstOffset + uint64(len(operations)), nil
 }
+
+// Outcomes lists the records of rollouts in the system stream, oldest first.
+func (d *Deployment) Outcomes() []sycrecord.Rollout {
+	var list []sycrecord.Rollout
+	for _, r := range d.platform.Records(systemStream) {
+		var op sycrecord.Operation
+		var fields sycrecord.RolloutFields
+		if json.Unmarshal(r.Data, &op) != nil || op.Kind != sycrecord.KindRollout {
+			continue
+		}
+		if json.Unmarshal(op.Spec, &fields) == nil {
+			list = append(list, sycrecord.NewRollout(op.Name, fields))
+		}
+	}
+	return list
+}
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/ini.v1"
 	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
-	"sycamorecart.example/sycamorecart/internal/standin/sycprocess"
 )
 
 const (
@@ -25,7 +24,7 @@
 	firstHost = 10
 )
 
-// Router is a router process of a deployment.
+// Router is a router of a deployment.
 type Router struct {
 	deployment *Deployment
 	name       string
@@ -39,8 +38,8 @@
 	settings  string
 
 	mu sync.Mutex
-	// process is nil while the router doesn't run.
-	process *sycprocess.Process
+	// instance is nil while the router doesn't run.
+	instance instance
 }
 
 // Name is the name of the router's slot.
@@ -151,26 +150,25 @@
 	return eris.Wrap(file.SaveTo(r.settings), "router settings")
 }
 
-// Start runs the router's process.
+// Start runs the router.
 func (r *Router) Start() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	output := r.deployment.options.Output
-	process, err := sycprocess.Start(output, r.deployment.options.Binary, "serve", "-settings", r.settings)
+	i, err := r.deployment.startInstance(r.settings)
 	if err != nil {
 		return err
 	}
-	r.process = process
+	r.instance = i
 	return nil
 }
 
-// take returns the process and forgets it.
-func (r *Router) take() *sycprocess.Process {
+// take returns the running router and forgets it.
+func (r *Router) take() instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.process
-	r.process = nil
-	return p
+	i := r.instance
+	r.instance = nil
+	return i
 }
 
 // Kill ends the router at once.
@@ -198,21 +196,21 @@
 func (r *Router) PID() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.process == nil {
+	if r.instance == nil {
 		return 0
 	}
-	return r.process.PID()
+	return r.instance.PID()
 }
 
 // Running reports whether the router was started and has not ended.
 func (r *Router) Running() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.process == nil {
+	if r.instance == nil {
 		return false
 	}
 	select {
-	case <-r.process.Done():
+	case <-r.instance.Done():
 		return false
 	default:
 		return true
--- a/internal/standin/sycdeploy/status.go
+++ b/internal/standin/sycdeploy/status.go
@@ -14,6 +14,8 @@
 	pollPeriod = 50 * time.Millisecond
 	// configStream is the stream that operators publish to.
 	configStream = "config"
+	// systemStream is the stream that VMs write to.
+	systemStream = "system"
 )
 
 // Status is the part of a router's status that deployments look at.
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -8,10 +8,10 @@
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
-	"sycamorecart.example/sycamorecart/internal/standin/sycsite"
 )
 
 const (
@@ -24,42 +24,49 @@
 	mostBad = 0.1
 )
 
-func newSite(t *testing.T) *sycsite.Site {
+// site is a deployment whose VMs run in this process.
+type site struct {
+	*sycdeploy.Deployment
+	workload sycload.Workload
+}
+
+func newSite(t *testing.T) *site {
 	t.Helper()
 	workload, ok := sycload.FindWorkload("bottlers")
 	must.True(t, ok)
-	site, err := sycsite.New(t.Context(), sycsite.Options{Workload: workload, Speed: 8, Seed: 7})
+	d, err := sycdeploy.New(t.Context(), sycdeploy.Options{
+		Workload: workload,
+		Engine:   sycengine.Options{Speed: 8},
+		Seed:     7,
+	})
 	must.NoError(t, err)
-	t.Cleanup(func() { must.NoError(t, site.Close()) })
-	return site
+	t.Cleanup(func() { must.NoError(t, d.Close()) })
+	return &site{Deployment: d, workload: workload}
 }
 
-func publish(t *testing.T, site *sycsite.Site, deadline time.Duration) {
+func publish(t *testing.T, site *site, deadline time.Duration) {
 	t.Helper()
-	must.NoError(t, site.Publish(t.Context(), sycsite.Record{
-		Kind: sycrecord.KindVersion,
-		Name: "second",
-		Fields: sycrecord.VersionFields{
-			Model:    sycsite.Model,
-			Weights:  "w2",
-			Deadline: time.Now().Add(deadline),
-			Canary:   0.1,
-			Steps:    []float64{0.5, 1},
-			Bake:     sycrecord.Duration(2 * time.Second),
-		},
+	_, err := site.Publish(t.Context(), sycdeploy.Put(sycrecord.KindVersion, "second", sycrecord.VersionFields{
+		Model:    sycdeploy.Model,
+		Weights:  "w2",
+		Deadline: time.Now().Add(deadline),
+		Canary:   0.1,
+		Steps:    []float64{0.5, 1},
+		Bake:     sycrecord.Duration(2 * time.Second),
 	}))
+	must.NoError(t, err)
 }
 
 // drive sends traffic, waits until the rollout has ended and returns its last record.
-func drive(t *testing.T, site *sycsite.Site) (sycrecord.RolloutFields, sycload.Result) {
+func drive(t *testing.T, site *site) (sycrecord.RolloutFields, sycload.Result) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), outcomeTimeout)
 	defer cancel()
 	result, err := sycload.Run(ctx, sycload.Options{
-		Workload:    site.Workload(),
-		Routers:     site.Routers(),
+		Workload:    site.workload,
+		Routers:     site.URLs(),
 		Keys:        site.Keys(),
-		Model:       sycsite.Model,
+		Model:       sycdeploy.Model,
 		Seed:        7,
 		Duration:    outcomeTimeout,
 		RateFactor:  3,
@@ -69,7 +76,7 @@
 	return waitOutcome(ctx, site), result
 }
 
-func waitOutcome(ctx context.Context, site *sycsite.Site) sycrecord.RolloutFields {
+func waitOutcome(ctx context.Context, site *site) sycrecord.RolloutFields {
 	for {
 		for _, r := range site.Outcomes() {
 			state := r.Fields().State
@@ -85,7 +92,7 @@
 	}
 }
 
-func requests(site *sycsite.Site) (bad, all int) {
+func requests(site *site) (bad, all int) {
 	for _, e := range site.Engines() {
 		for _, r := range e.Requests() {
 			all++
@@ -98,8 +105,8 @@
 }
 
 func TestRolloutEnds(t *testing.T) {
-	failing := func(f sycengine.Failure) func(*sycsite.Site) {
-		return func(site *sycsite.Site) {
+	failing := func(f sycengine.Failure) func(*site) {
+		return func(site *site) {
 			for _, e := range site.Engines() {
 				e.SetFaults(sycengine.Faults{Failures: []sycengine.Failure{f}})
 			}
@@ -107,14 +114,14 @@
 	}
 	tests := []struct {
 		name  string
-		fault func(site *sycsite.Site)
+		fault func(site *site)
 		state string
 	}{
-		{"good", func(*sycsite.Site) {}, sycrollout.StateDone},
+		{"good", func(*site) {}, sycrollout.StateDone},
 		{"fails", failing(sycengine.Failure{Weights: "w2", Share: 1, Mode: sycengine.ModeError}), sycrollout.StateRolledBack},
 		{"breaks off", failing(sycengine.Failure{Weights: "w2", Share: 0.5, Mode: sycengine.ModeCut}), sycrollout.StateRolledBack},
 		{"slow", failing(sycengine.Failure{Weights: "w2", Share: 1, Mode: sycengine.ModeSlow, Factor: 8}), sycrollout.StateRolledBack},
-		{"weight store is out", func(site *sycsite.Site) {
+		{"weight store is out", func(site *site) {
 			site.Platform().SetFaults(sycplatform.Faults{Store: sycplatform.Fault{Out: true}})
 		}, sycrollout.StateRolledBack},
 	}
