--- a/internal/standin/sycengine/batch.go
+++ b/internal/standin/sycengine/batch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 // runBatch computes steps until the life ends.
@@ -20,7 +21,7 @@
 				return
 			}
 		}
-		if !wait(l.ctx, duration) {
+		if !sycpause.For(l.ctx, duration) {
 			return
 		}
 		e.endStep(l)
--- a/internal/standin/sycengine/completion.go
+++ b/internal/standin/sycengine/completion.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/uptrace/bunrouter"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 const defaultMaxTokens = 16
@@ -60,7 +61,7 @@
 func (e *Engine) Requests() []Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Clone(e.requests)
+	return append([]Request{}, e.requests...)
 }
 
 // PromptHash is the hash under which a prompt stands in the request log.
@@ -128,7 +129,7 @@
 		w.Header().Set("Sycamorecart-Attempt", q.Attempt)
 		return refuse(w, v.status, v.code, v.message)
 	}
-	if !wait(r.Context(), v.late) {
+	if !sycpause.For(r.Context(), v.late) {
 		return nil
 	}
 	return e.follow(r.Context(), w, l, v.sequence, v.echo, q.Start)
--- a/internal/standin/sycengine/engine.go
+++ b/internal/standin/sycengine/engine.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/standin/syccache"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
@@ -152,7 +153,7 @@
 	e.life = next
 	e.mu.Unlock()
 	e.tomb.Go(func() error {
-		if wait(next.ctx, e.options.RestartDelay) {
+		if sycpause.For(next.ctx, e.options.RestartDelay) {
 			e.server.Up()
 			e.start(next)
 		}
@@ -171,18 +172,6 @@
 	return err
 }
 
-// wait reports false when the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // scaled divides a duration of the model of time by the engine's speed.
 func (e *Engine) scaled(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / e.options.Speed)
--- a/internal/standin/sycengine/kv.go
+++ b/internal/standin/sycengine/kv.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uptrace/bunrouter"
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
@@ -95,7 +96,7 @@
 	fetched := slices.DeleteFunc(answer.Blocks, func(hash uint64) bool {
 		return !slices.Contains(chain, hash)
 	})
-	if !wait(ctx, e.scaled(time.Duration(len(fetched))*e.options.ImportPerBlock)) {
+	if !sycpause.For(ctx, e.scaled(time.Duration(len(fetched))*e.options.ImportPerBlock)) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/standin/sycengine/load.go
+++ b/internal/standin/sycengine/load.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 const (
@@ -65,7 +67,7 @@
 
 // reportLoad refreshes the report until the life ends.
 func (e *Engine) reportLoad(l *life) {
-	for wait(l.ctx, e.options.LoadLag) {
+	for sycpause.For(l.ctx, e.options.LoadLag) {
 		e.mu.Lock()
 		l.report = e.measure(l)
 		e.mu.Unlock()
--- a/internal/standin/sycengine/orders.go
+++ b/internal/standin/sycengine/orders.go
@@ -31,7 +31,7 @@
 func (e *Engine) Orders() []Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Clone(e.orders)
+	return append([]Order{}, e.orders...)
 }
 
 type fenceAnswer struct {
--- a/internal/standin/sycengine/routes.go
+++ b/internal/standin/sycengine/routes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/uptrace/bunrouter"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
@@ -79,7 +80,7 @@
 		if len(answer.Events) > 0 || !time.Now().Before(deadline) {
 			return sycserver.WriteJSON(w, http.StatusOK, answer)
 		}
-		if !wait(r.Context(), eventsPoll) {
+		if !sycpause.For(r.Context(), eventsPoll) {
 			return nil
 		}
 	}
--- a/internal/standin/sycload/resume.go
+++ b/internal/standin/sycload/resume.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 const (
@@ -24,7 +26,7 @@
 	}
 	stream := x.stream
 	for n := 1; n <= maxResumes && x.o.verdict == Failed; n++ {
-		if !wait(ctx, resumePause) {
+		if !sycpause.For(ctx, resumePause) {
 			return
 		}
 		next := *x.arrival
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 // Defaults of the options.
@@ -140,7 +141,7 @@
 	}()
 	for i := range plan {
 		a := &plan[i]
-		if !wait(ctx, time.Until(r.start.Add(a.at))) {
+		if !sycpause.For(ctx, time.Until(r.start.Add(a.at))) {
 			break
 		}
 		group.Go(func() error {
@@ -170,20 +171,9 @@
 	if r.options.Progress == nil {
 		return
 	}
-	for wait(ctx, progressPeriod) {
+	for sycpause.For(ctx, progressPeriod) {
 		p := r.tally.progress()
 		p.Planned = r.planned
 		r.options.Progress(p)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/standin/sycpause/pause_test.go
@@ -0,0 +1,31 @@
+package sycpause_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
+)
+
+func TestFor(t *testing.T) {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	tests := []struct {
+		name string
+		ctx  context.Context
+		wait time.Duration
+		want bool
+	}{
+		{"nothing", context.Background(), 0, true},
+		{"passes", context.Background(), time.Millisecond, true},
+		{"ended", ended, time.Hour, false},
+		{"ended before nothing", ended, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			must.Eq(t, tt.want, sycpause.For(tt.ctx, tt.wait))
+		})
+	}
+}
--- a/internal/standin/sycplatform/faults.go
+++ b/internal/standin/sycplatform/faults.go
@@ -1,13 +1,13 @@
 package sycplatform
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/uptrace/bunrouter"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
@@ -93,27 +93,13 @@
 		if fault.Out {
 			return refuse(w, http.StatusServiceUnavailable, "out of service")
 		}
-		if !sleep(r.Context(), time.Duration(fault.Slow)) {
+		if !sycpause.For(r.Context(), time.Duration(fault.Slow)) {
 			return nil
 		}
 		return next(w, r)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type refusal struct {
 	Error string `json:"error"`
 }
--- a/internal/standin/sycscenario/sample.go
+++ b/internal/standin/sycscenario/sample.go
@@ -6,6 +6,7 @@
 
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 // samplePeriod is how often the VMs' status is read.
@@ -14,7 +15,7 @@
 // sample reads the applied offsets of all VMs until the context ends.
 func (r *run) sample(ctx context.Context) []sycoracle.Applied {
 	var samples []sycoracle.Applied
-	for wait(ctx, samplePeriod) {
+	for sycpause.For(ctx, samplePeriod) {
 		for _, router := range r.Routers() {
 			if s, ok := readStatus(ctx, router); ok {
 				samples = append(samples, sycoracle.Applied{
--- a/internal/standin/sycscenario/scenario.go
+++ b/internal/standin/sycscenario/scenario.go
@@ -15,6 +15,7 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
@@ -183,7 +184,7 @@
 	for _, st := range s.steps {
 		group.Go(func() error {
 			at := time.Duration(float64(st.at) * float64(o.Duration) / float64(DefaultDuration))
-			if !wait(ctx, time.Until(start.Add(at))) {
+			if !sycpause.For(ctx, time.Until(start.Add(at))) {
 				return ctx.Err()
 			}
 			return eris.Wrapf(st.do(ctx, r), "scenario %s", s.name)
@@ -234,14 +235,3 @@
 	}
 	return evidence
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/sycservice/answer.go
+++ b/internal/standin/sycservice/answer.go
@@ -1,14 +1,13 @@
 package sycservice
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/uptrace/bunrouter"
-	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
@@ -40,7 +39,7 @@
 	if err != nil {
 		return nil
 	}
-	if !wait(r.Context(), s.Faults().Delay) {
+	if !sycpause.For(r.Context(), time.Duration(s.Faults().Delay)) {
 		return nil
 	}
 	e := s.run(newCall(r.Request, body))
@@ -55,7 +54,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if !wait(r.Context(), sycrecord.Duration(e.late)) {
+	if !sycpause.For(r.Context(), e.late) {
 		return nil
 	}
 	w.Header().Set(attemptHeader, e.answer.Attempt)
@@ -114,14 +113,3 @@
 	*n--
 	return true
 }
-
-func wait(ctx context.Context, d sycrecord.Duration) bool {
-	timer := time.NewTimer(time.Duration(d))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/sycservice/service.go
+++ b/internal/standin/sycservice/service.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -120,14 +119,14 @@
 func (s *Service) Calls() []Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.calls)
+	return append([]Call{}, s.calls...)
 }
 
 // Bookings returns all bookings, in order; a slot may be booked more than once.
 func (s *Service) Bookings() []Booking {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.bookings)
+	return append([]Booking{}, s.bookings...)
 }
 
 // SetFaults replaces the faults.
