--- a/internal/decide/sycslot/fleet_test.go
+++ b/internal/decide/sycslot/fleet_test.go
@@ -182,6 +182,9 @@
 		return
 	}
 	delay := time.Duration(f.rng.Int64N(int64(300 * time.Millisecond)))
+	if f.chance(0.2) {
+		delay *= 20
+	}
 	f.mail = append(f.mail, message{at: f.now + delay, sent: sent, to: to, report: from.report(), reply: reply, process: process})
 }
 
