List a slot that is not claimed while leases are renewed

Cause: with three VMs in a domain and the default list_lag of 5s, a VM that was killed and removed from the list kept its slot; after 40 s neither of the others had claimed it, and half of every rate was idle. Roster.gone waits for list_lag after the last changed report of a neighbour, and each renewal of a lease changes the reported offset of the system stream.

Not mended here: what may restart the wait decides whether two VMs can accrue one slot.

Run: go test -tags knownred -run KnownRed ./internal/decide/sycmember fails.

--- /dev/null
+++ b/internal/decide/sycmember/knownred_test.go
@@ -0,0 +1,28 @@
+//go:build knownred
+
+package sycmember_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
+)
+
+// TestKnownRedGoneWhileLeasesAreRenewed lets a neighbour report a new offset of
+// the system stream every three seconds, as lease renewals make it, while a
+// third VM has long been removed and silent.
+func TestKnownRedGoneWhileLeasesAreRenewed(t *testing.T) {
+	self, neighbour, removed := vm(0), vm(1), vm(2)
+	r := sycmember.New(self, sycmember.Settings{ListLag: lag})
+	r.Expect([]sycmember.VM{removed})
+	for second := range 60 {
+		now := time.Duration(second) * time.Second
+		r.Listed(now, []sycmember.VM{self, neighbour})
+		if second%3 == 0 {
+			r.Answered(now, now, sycmember.Report{VM: neighbour, SystemNext: uint64(second)})
+		}
+	}
+	must.True(t, r.Gone(removed.Address))
+}
