--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// cancel withdraws a request whose caller no longer waits; an endpoint that
+// cancel removes a request whose caller no longer waits; an endpoint that
 // was granted meanwhile is released.
 func (c *Chooser) cancel(id uint64) {
 	c.loop.Post(func(now time.Duration) {
