Give each deployment IP numbers of its own

Change: the numbers differ by process and by deployment. Measured: TestRolloutEnds, five deployments in parallel, and the fault tests pass.

--- a/internal/standin/sycdeploy/deploy.go
+++ b/internal/standin/sycdeploy/deploy.go
@@ -78,8 +78,10 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	options  Options
-	folder   string
+	options Options
+	folder  string
+	// network is the part that the routers' IP numbers share.
+	network  string
 	platform *sycplatform.Platform
 	// front is the proxy that routers reach the platform through.
 	front   *sycfault.Proxy
@@ -100,7 +102,7 @@
 // New starts a deployment, publishes its records and waits until every router
 // is ready.
 func New(ctx context.Context, o Options) (*Deployment, error) {
-	d := &Deployment{options: o, keys: map[string]string{}}
+	d := &Deployment{options: o, network: newNetwork(), keys: map[string]string{}}
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,12 +19,21 @@
 const (
 	// stopPatience is how long a router may take to stop.
 	stopPatience = time.Minute
-	// firstHost is the last part of the first router's IP number. Each router has
-	// one of its own in 127.0.0.0/24, whose ports no outgoing connection takes
-	// while the router is down.
+	// firstHost is the last part of the first router's IP number.
 	firstHost = 10
 )
 
+// networks counts the deployments of this process.
+var networks atomic.Uint32
+
+// newNetwork returns the first three parts of the IP numbers of a deployment's
+// routers. Routers dial from their own numbers, so that two deployments with the
+// same ones would take each other's ports.
+func newNetwork() string {
+	const lowest, count = 16, 200
+	return fmt.Sprintf("127.%d.%d", lowest+os.Getpid()%count, networks.Add(1)%256)
+}
+
 // Router is a router of a deployment.
 type Router struct {
 	deployment *Deployment
@@ -66,7 +76,7 @@
 	for _, domain := range d.options.Workload.Domains() {
 		for i := range domain.VMs() {
 			r := &Router{deployment: d, name: fmt.Sprintf("vm-%s-%d", domain.Name(), i+1), domain: domain.Name()}
-			ip := fmt.Sprintf("127.0.0.%d", firstHost+len(routers))
+			ip := fmt.Sprintf("%s.%d", d.network, firstHost+len(routers))
 			addresses, err := freeAddresses(ip, 3)
 			if err != nil {
 				return err
