Try up to eight endpoints when a failure domain is cut off

Cause: in the scenario 'domains cut' 6 or 7 of 96 requests failed in the first 300 ms after the cut: six of ten engines were out of reach, and a request gave up after four attempts, each broken connection costing two. Ruled out: counting endpoints instead of attempts alone (7 and 6 still failed); the budget for retries, which was not used up. Change: a request's tries count endpoints, eight of them; the wait between them is at most 200 ms. The budgets per customer and endpoint bound the load as before.

--- a/internal/decide/sycattempt/plan.go
+++ b/internal/decide/sycattempt/plan.go
@@ -71,7 +71,7 @@
 
 // Settings bounds the attempts of one request.
 type Settings struct {
-	// Tries bounds the attempts without progress between them.
+	// Tries bounds the endpoints tried without progress between them.
 	Tries int
 	// Total bounds all attempts.
 	Total int
@@ -86,7 +86,7 @@
 
 // Defaults returns the settings in use.
 func Defaults() Settings {
-	return Settings{Tries: 4, Total: 16, Resumes: 3, Base: 20 * time.Millisecond, Max: time.Second}
+	return Settings{Tries: 8, Total: 24, Resumes: 3, Base: 20 * time.Millisecond, Max: 200 * time.Millisecond}
 }
 
 // Plan follows one request. It is not safe for use by several goroutines.
@@ -95,7 +95,8 @@
 	settings Settings
 	deadline time.Duration
 	random   *rand.Rand
-	// tries counts failures since the last progress, total counts all.
+	// tries counts the endpoints that failed since the last progress, total counts
+	// all attempts.
 	tries int
 	total int
 	// reached is set once any attempt may have run; it is never cleared.
@@ -151,7 +152,9 @@
 // adds load, and gives up where spend refuses.
 func (p *Plan) On(now time.Duration, e Event, spend func() bool) Action {
 	p.Note(e)
-	p.tries++
+	if !p.resumed {
+		p.tries++
+	}
 	p.total++
 	step := p.step(e)
 	if step == GiveUp || p.exhausted() {
