Keep a slow machine from repeating the calls of a test

The routes of the test may be repeated and have 600 ms; under load a silent attempt was rightly tried again. Change: the test's routes have a minute. What is checked is the same.

--- a/internal/traffic/sycgateway/isolate_test.go
+++ b/internal/traffic/sycgateway/isolate_test.go
@@ -33,6 +33,11 @@
 func TestKeysNeverReachAnEndpoint(t *testing.T) {
 	s, e := newService(t), newEngine(t)
 	r := newRig(t, nil, serviceTarget("service1", s.URL()), engineTarget("e1", e.URL()))
+	// A slow machine must not have repeatable calls tried again.
+	r.state = fold(t, r.state,
+		operation{"route", "slots", map[string]any{"prefix": "/slots", "type": "service", "service": "slots", "repeatable": true, "timeout": "1m"}},
+		operation{"route", "open", map[string]any{"prefix": "/open", "type": "service", "service": "slots", "repeatable": true, "open": true, "timeout": "1m"}},
+	)
 	bearer := "Bearer " + testKey
 	other := testKey + "-2"
 	cases := []struct {
