Test that another VM finishes a killed leader's rollout

Cause: that a lease passes on was proved by properties, not with engines and orders. Change: a test kills the leader during a canary; another VM must finish the rollout, fencing numbers never go back in the records nor in the orders that engines got.

--- a/internal/standin/sycdeploy/status.go
+++ b/internal/standin/sycdeploy/status.go
@@ -23,8 +23,12 @@
 	Incarnation string `json:"incarnation"`
 	// Applied has the offset after the last applied record of each stream.
 	Applied map[string]uint64 `json:"applied"`
+	Leading bool              `json:"leads_rollouts"`
 }
 
+// Leads reports whether the router leads rollouts.
+func (s Status) Leads() bool { return s.Leading }
+
 // Config is the offset after the last applied record of the configuration.
 func (s Status) Config() uint64 { return s.Applied[configStream] }
 
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -1,7 +1,9 @@
 package sycversion_test
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,13 +60,13 @@
 }
 
 // drive sends traffic, waits until the rollout has ended and returns its last record.
-func drive(t *testing.T, site *site) (sycrecord.RolloutFields, sycload.Result) {
+func drive(t *testing.T, site *site, urls []string) (sycrecord.RolloutFields, sycload.Result) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), outcomeTimeout)
 	defer cancel()
 	result, err := sycload.Run(ctx, sycload.Options{
 		Workload:    site.workload,
-		Routers:     site.URLs(),
+		Routers:     urls,
 		Keys:        site.Keys(),
 		Model:       sycdeploy.Model,
 		Seed:        7,
@@ -130,7 +132,7 @@
 			site := newSite(t)
 			tt.fault(site)
 			publish(t, site, 25*time.Second)
-			last, result := drive(t, site)
+			last, result := drive(t, site, site.URLs())
 			must.Eq(t, tt.state, last.State, must.Sprint(last.Reason))
 			must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
 			bad, all := requests(site)
@@ -141,3 +143,49 @@
 		})
 	}
 }
+
+// leader returns the router that leads rollouts, once there is one.
+func (s *site) leader(t *testing.T) *sycdeploy.Router {
+	t.Helper()
+	for {
+		for _, r := range s.Routers() {
+			if status, ok := r.Status(t.Context()); ok && status.Leads() {
+				return r
+			}
+		}
+		must.NoError(t, t.Context().Err())
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestKilledLeaderIsReplaced kills the leader during a canary: another VM must
+// finish the rollout, and no engine may take an order of the former one after one
+// of the new.
+func TestKilledLeaderIsReplaced(t *testing.T) {
+	site := newSite(t)
+	publish(t, site, 40*time.Second)
+	for len(site.Outcomes()) < 2 {
+		must.NoError(t, t.Context().Err())
+		time.Sleep(50 * time.Millisecond)
+	}
+	former := site.leader(t)
+	former.Kill()
+	var urls []string
+	for _, r := range site.Routers() {
+		if r != former {
+			urls = append(urls, r.URL())
+		}
+	}
+	last, result := drive(t, site, urls)
+	must.Eq(t, sycrollout.StateDone, last.State, must.Sprint(last.Reason))
+	must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
+	fences := []uint64{}
+	for _, r := range site.Outcomes() {
+		fences = append(fences, r.Fields().Fence)
+	}
+	must.True(t, slices.IsSorted(fences))
+	must.NotEq(t, former, site.leader(t))
+	for _, e := range site.Engines() {
+		must.True(t, slices.IsSortedFunc(e.Orders(), func(a, b sycengine.Order) int { return cmp.Compare(a.Fence, b.Fence) }))
+	}
+}
