--- a/internal/standin/sycprocess/process.go
+++ b/internal/standin/sycprocess/process.go
@@ -1,5 +1,5 @@
-// Package sycprocess starts the processes under test and tells which of them
-// a connection comes from.
+// Package sycprocess starts the processes under test, signals them and waits for
+// their end.
 package sycprocess
 
 import (
