--- a/internal/traffic/sycadmit/rig_test.go
+++ b/internal/traffic/sycadmit/rig_test.go
@@ -208,9 +208,15 @@
 	v.start(v.listen(v.address))
 }
 
+// dial reaches the rig's own VMs only. A VM of another test, whose port one of
+// them has taken over, may have introduced itself.
 func (r *rig) dial(ctx context.Context, address string) (net.Conn, error) {
+	proxy, ok := r.proxies[address]
+	if !ok {
+		return nil, &net.AddrError{Err: "not a VM of this rig", Addr: address}
+	}
 	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", r.proxies[address].Address())
+	return dialer.DialContext(ctx, "tcp", proxy.Address())
 }
 
 type noDigests struct{}
