Count a truncated link's bytes before they leave

Cause: the proxy counted the bytes of the former echo after it had written them. The test read them and set the next fault, which starts the count anew, before the count was raised; so the new fault found 6 bytes already sent. Ruled out: the test's waits, since no deadline had passed.

Conclusion: bytes count from the moment that they are handed to the connection.

--- a/internal/standin/sycfault/link.go
+++ b/internal/standin/sycfault/link.go
@@ -132,10 +132,11 @@
 		truncated = left <= int64(len(data))
 		data = data[:min(int64(len(data)), max(left, 0))]
 	}
-	n, err := to.Write(data)
 	if !toTarget {
-		l.toClient.Add(int64(n))
+		// Counted before they leave: a client that has them may set the next fault.
+		l.toClient.Add(int64(len(data)))
 	}
+	_, err := to.Write(data)
 	return err == nil && !truncated
 }
 
