Try pauses, replacements, outages and races of operators in the fault scenarios

The scenarios had no process that was stopped and went on, no VM at a new address, no weight store that was out and no two operators. Six new properties: slots accrue on one VM, and again after their VM is gone; fencing numbers of orders never go back; rollouts end by their deadline with a reason; one operator of a race wins; requests are served through outages.

--- a/cmd/sycamorebench/faults.go
+++ b/cmd/sycamorebench/faults.go
@@ -111,6 +111,11 @@
 		t := result.Total
 		fmt.Printf("%s: sent %d, right %d, wrong %d, refused %d (%d within the rate), failed %d, resumes %d\n",
 			s.Name(), t.Sent, t.Right, t.Wrong, t.Refused, t.RefusedWithinRate, t.Failed, t.Resumes)
+		for _, r := range result.Customers {
+			if r.RefusedWithinRate > 0 {
+				fmt.Printf("  %s: refused %d of %d within the rate, sent %d\n", r.Customer, r.RefusedWithinRate, r.WithinRate, r.Sent)
+			}
+		}
 		for _, reason := range slices.Sorted(maps.Keys(t.Refusals)) {
 			fmt.Printf("  refused %d with %s\n", t.Refusals[reason], reason)
 		}
--- a/internal/standin/sycdeploy/instance.go
+++ b/internal/standin/sycdeploy/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
@@ -19,6 +20,8 @@
 	Done() <-chan struct{}
 	// Kill ends the router at once and waits for it.
 	Kill()
+	// Signal sends a signal to the process. A VM within this process gets none.
+	Signal(s syscall.Signal)
 	// Stop lets the router finish its requests and returns the error that it
 	// ended with. It kills the router when the time has passed.
 	Stop(patience time.Duration) error
@@ -61,6 +64,9 @@
 // Kill implements instance.
 func (i *inside) Kill() { _ = i.close() }
 
+// Signal implements instance.
+func (*inside) Signal(syscall.Signal) {}
+
 // Stop implements instance.
 func (i *inside) Stop(patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/internal/standin/sycload/result.go
+++ b/internal/standin/sycload/result.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -26,6 +28,40 @@
 	exchanges []Exchange
 }
 
+// With adds another run's counts, exchanges and faults. The percentiles stay those
+// of this run.
+func (r Result) With(other Result) Result {
+	r.Customers = slices.Concat(r.Customers, other.Customers)
+	r.Faults = slices.Concat(r.Faults, other.Faults)
+	r.exchanges = slices.Concat(r.exchanges, other.exchanges)
+	r.Total = r.Total.with(other.Total)
+	r.Bookings.Sent += other.Bookings.Sent
+	r.Bookings.Confirmed += other.Bookings.Confirmed
+	r.Bookings.Refused += other.Bookings.Refused
+	r.Bookings.Unknown += other.Bookings.Unknown
+	return r
+}
+
+func (r CustomerResult) with(other CustomerResult) CustomerResult {
+	r.Sent += other.Sent
+	r.Right += other.Right
+	r.Wrong += other.Wrong
+	r.Refused += other.Refused
+	r.Failed += other.Failed
+	r.Resumes += other.Resumes
+	r.WithinRate += other.WithinRate
+	r.RefusedWithinRate += other.RefusedWithinRate
+	refusals := maps.Clone(r.Refusals)
+	if refusals == nil {
+		refusals = map[string]int{}
+	}
+	for reason, n := range other.Refusals {
+		refusals[reason] += n
+	}
+	r.Refusals = refusals
+	return r
+}
+
 // RefusedSlots lists the slots whose booking was answered as not run.
 func (r Result) RefusedSlots() []string {
 	var slots []string
--- a/internal/standin/sycload/workload.go
+++ b/internal/standin/sycload/workload.go
@@ -85,6 +85,33 @@
 // Customers lists the customers.
 func (w Workload) Customers() []Customer { return slices.Clone(w.customers) }
 
+// Without returns the workload without some of its customers.
+func (w Workload) Without(customers ...string) Workload {
+	w.customers = slices.DeleteFunc(slices.Clone(w.customers), func(c Customer) bool {
+		return slices.Contains(customers, c.name)
+	})
+	return w
+}
+
+// Only returns the workload with just one of its customers.
+func (w Workload) Only(customer string) Workload {
+	w.customers = slices.DeleteFunc(slices.Clone(w.customers), func(c Customer) bool {
+		return c.name != customer
+	})
+	return w
+}
+
+// Limited returns the workload with another rate and burst for a customer.
+func (w Workload) Limited(customer string, rate, burst float64) Workload {
+	w.customers = slices.Clone(w.customers)
+	for i := range w.customers {
+		if w.customers[i].name == customer {
+			w.customers[i].rate, w.customers[i].burst = rate, burst
+		}
+	}
+	return w
+}
+
 // Services is the number of application workers.
 func (w Workload) Services() int { return w.services }
 
--- a/internal/standin/sycoracle/ledger.go
+++ b/internal/standin/sycoracle/ledger.go
@@ -28,6 +28,12 @@
 	AtMostOnce     Property = "a call that may not be repeated runs at most once"
 	LeavingIdle    Property = "a leaving endpoint gets no new work"
 	DrainWhole     Property = "a graceful shutdown cuts no request"
+	SlotHeldOnce   Property = "no two VMs accrue the same slot"
+	SlotsReturn    Property = "the slots of VMs that are gone accrue again"
+	OrdersFenced   Property = "no order comes under an older fencing number than one before"
+	DeadlineHeld   Property = "a version is done or rolled back by its deadline, with a reason"
+	OneWinner      Property = "of operators that race one wins, and no record is applied twice"
+	ServesThrough  Property = "requests are answered or refused while the platform is out or cut off"
 	ConfigHolds    Property = "accepted configuration holds everywhere and never reverts"
 )
 
@@ -35,7 +41,8 @@
 func Properties() []Property {
 	return []Property{
 		CacheSeparate, StreamsWhole, RestartServes, OwnCustomer, KeysHidden, KeysRevoked, RateHeld,
-		BadVersionHeld, OwnAnswer, NotRunTrue, AtMostOnce, LeavingIdle, DrainWhole, ConfigHolds,
+		BadVersionHeld, OwnAnswer, NotRunTrue, AtMostOnce, LeavingIdle, DrainWhole,
+		SlotHeldOnce, SlotsReturn, OrdersFenced, DeadlineHeld, OneWinner, ServesThrough, ConfigHolds,
 	}
 }
 
--- a/internal/standin/sycscenario/scenario.go
+++ b/internal/standin/sycscenario/scenario.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,10 @@
 type Scenario struct {
 	name  string
 	steps []step
+	// adapt changes the workload before the deployment starts; nil keeps it.
+	adapt func(sycload.Workload) sycload.Workload
+	// reserved lists the customers whose requests only the steps send.
+	reserved []string
 	// checks look at what is special to the scenario, after the load.
 	checks []func(r *run)
 }
@@ -77,13 +82,20 @@
 	mu sync.Mutex
 	// marks holds when something happened, by name.
 	marks map[string]time.Time
+	// loads holds the results of the loads that the steps sent.
+	loads []sycload.Result
+	// probes are the exchanges that the steps made one by one.
+	probes []sycload.Exchange
 }
 
 // mark notes that something happens now.
-func (r *run) mark(name string) {
+func (r *run) mark(name string) { r.markAt(name, time.Now()) }
+
+// markAt notes the time of something.
+func (r *run) markAt(name string, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.marks[name] = time.Now()
+	r.marks[name] = at
 }
 
 func (r *run) marked(name string) time.Time {
@@ -120,15 +132,31 @@
 		joined.name += s.name
 		joined.steps = append(joined.steps, s.steps...)
 		joined.checks = append(joined.checks, s.checks...)
+		joined.reserved = append(joined.reserved, s.reserved...)
+	}
+	joined.adapt = func(w sycload.Workload) sycload.Workload {
+		for _, s := range list {
+			w = s.workload(w)
+		}
+		return w
 	}
 	return joined
 }
 
+// workload is the scenario's form of a workload.
+func (s Scenario) workload(w sycload.Workload) sycload.Workload {
+	if s.adapt == nil {
+		return w
+	}
+	return s.adapt(w)
+}
+
 // Run runs a scenario and returns the ledger of its checks.
 func Run(ctx context.Context, s Scenario, o Options) (ledger *sycoracle.Ledger, result sycload.Result, err error) {
 	if o.Duration == 0 {
 		o.Duration = DefaultDuration
 	}
+	o.Workload = s.workload(o.Workload)
 	deployment, err := deploy(ctx, o)
 	if err != nil {
 		return nil, result, err
@@ -144,6 +172,9 @@
 	if err := r.drive(ctx, s, o); err != nil {
 		return nil, result, err
 	}
+	for _, load := range r.loads {
+		r.result = r.result.With(load)
+	}
 	r.evidence(o).CheckAll(r.ledger)
 	for _, check := range s.checks {
 		check(r)
@@ -194,7 +225,7 @@
 	defer balancer.Close()
 	group.Go(func() (err error) {
 		r.result, err = sycload.Run(ctx, sycload.Options{
-			Workload:  o.Workload,
+			Workload:  o.Workload.Without(s.reserved...),
 			Routers:   r.URLs(),
 			Available: balancer.Available,
 			Keys:      r.Keys(),
@@ -224,7 +255,7 @@
 }
 
 func (r *run) evidence(o Options) sycoracle.Evidence {
-	evidence := sycoracle.Evidence{Customers: o.Workload.Customers(), Exchanges: r.result.Exchanges()}
+	evidence := sycoracle.Evidence{Customers: o.Workload.Customers(), Exchanges: slices.Concat(r.result.Exchanges(), r.probes)}
 	for _, e := range r.Engines() {
 		evidence.Requests = append(evidence.Requests, e.Requests()...)
 		evidence.Sightings += e.Sightings()
