--- a/internal/standin/sycscenario/faults.go
+++ b/internal/standin/sycscenario/faults.go
@@ -279,13 +279,16 @@
 	return list
 }
 
-// systemOperations lists the operations of a kind that VMs appended, with the
-// log's times.
+// systemOperations lists the operations of a kind that VMs appended and that took
+// effect, with the log's times.
 func (r *run) systemOperations(kind sycrecord.Kind) iter.Seq2[sycrecord.Operation, time.Time] {
 	return func(yield func(sycrecord.Operation, time.Time) bool) {
+		state := sycconfig.NewState()
 		for _, record := range r.Platform().Records(sycconfig.SystemStream) {
+			var result sycconfig.Result
+			state, result = state.Apply(record.Offset, record.Data)
 			var op sycrecord.Operation
-			if json.Unmarshal(record.Data, &op) != nil || op.Kind != kind {
+			if !result.Accepted() || json.Unmarshal(record.Data, &op) != nil || op.Kind != kind {
 				continue
 			}
 			if !yield(op, record.Time) {
--- a/internal/standin/sycscenario/outage.go
+++ b/internal/standin/sycscenario/outage.go
@@ -53,15 +53,15 @@
 // customerFloods sends several times a customer's rate to one VM of a failure
 // domain that is cut off from the others.
 func customerFloods() Scenario {
-	const customer = "tatra"
+	const customer = 1
 	return Scenario{
 		name:     "customer floods one VM of a cut domain",
-		reserved: []string{customer},
+		reserved: []int{customer},
 		steps: []step{{500 * time.Millisecond, func(ctx context.Context, r *run) error {
 			r.cut(true)
 			defer r.cut(false)
 			_, err := r.load(ctx, sycload.Options{
-				Workload:   r.workload.Only(customer),
+				Workload:   r.workload.Only(r.CustomerNames()[customer]),
 				Routers:    r.urlsOf(r.Domains()[0])[:1],
 				Seed:       1,
 				Duration:   3 * time.Second,
@@ -263,12 +263,20 @@
 			return nil
 		}
 	}
-	return Scenario{name: "cache events lost, engines empty", steps: []step{
-		{0, func(_ context.Context, r *run) error {
+	const customer = 0
+	return Scenario{name: "cache events lost, engines empty", reserved: []int{customer}, steps: []step{
+		{0, func(ctx context.Context, r *run) error {
 			for _, e := range r.Engines() {
-				e.SetFaults(sycengine.Faults{EventLoss: 0.3})
+				e.SetFaults(sycengine.Faults{EventLoss: 0.3, Slow: 4})
 			}
-			return nil
+			_, err := r.load(ctx, sycload.Options{
+				Workload:   r.workload.Only(r.CustomerNames()[customer]),
+				Routers:    r.URLs(),
+				Seed:       1,
+				Duration:   5 * time.Second,
+				RateFactor: 2,
+			})
+			return err
 		}},
 		{time.Second, crash(0)},
 		{2 * time.Second, crash(1)},
--- a/internal/standin/sycscenario/pause.go
+++ b/internal/standin/sycscenario/pause.go
@@ -29,15 +29,20 @@
 	// under way.
 	slowLog      = 400 * time.Millisecond
 	pausedClaims = 6
+	// claimSpacing is the time between the bookings.
+	claimSpacing = 30 * time.Millisecond
 	// brackets is how often fractions are read after a VM goes on.
 	brackets = 5
 	// bracketPause is the time between two of them.
 	bracketPause = 100 * time.Millisecond
-	floodLength  = 500 * time.Millisecond
-	floodMost    = 400
+	// quietRate and quietBurst let a burst accrue during the pause.
+	quietRate   = 20
+	quietBurst  = 200
+	floodLength = 500 * time.Millisecond
+	floodMost   = 400
 	// leaderCustomer sends for leaderLoad while the leader is paused, which is
 	// longer than its lease.
-	leaderCustomer = "rota"
+	leaderCustomer = 0
 	leaderLoad     = 14 * time.Second
 	// afterPause is how long the former leader is watched.
 	afterPause = 1500 * time.Millisecond
@@ -48,11 +53,11 @@
 // has been revoked. Then it goes on.
 func holderPaused() Scenario {
 	const (
-		index    = 1
-		revoked  = "pieniny"
-		quiet    = "beskid"
-		booker   = "gorce"
-		markPast = "holder: knows the revocation"
+		index = 1
+		// booker books before the pause, quiet saves its burst up until it is
+		// over, and the key of revoked is revoked meanwhile.
+		booker, quiet, revoked = 2, 3, 4
+		markPast               = "holder: knows the revocation"
 	)
 	var slots []string
 	for i := range pausedClaims {
@@ -60,7 +65,7 @@
 	}
 	pause := func(ctx context.Context, r *run) error {
 		router := r.Routers()[index]
-		bookings, err := r.pauseInClaims(ctx, router, booker, slots)
+		bookings, err := r.pauseInClaims(ctx, router, r.CustomerNames()[booker], slots)
 		if err != nil {
 			return err
 		}
@@ -69,7 +74,7 @@
 		if !await(ctx, func(ctx context.Context) bool { return r.claimed(ctx, router) }) {
 			return eris.New("no VM has taken over the paused one's slot")
 		}
-		if err := r.revoke(ctx, "revoked during the pause", revoked); err != nil {
+		if err := r.revoke(ctx, "revoked during the pause", r.CustomerNames()[revoked]); err != nil {
 			return err
 		}
 		if !sycpause.For(ctx, time.Until(began.Add(claimStart+claimMargin))) {
@@ -77,52 +82,81 @@
 		}
 		r.mark("holder goes on")
 		r.readBrackets(ctx, router, router.Continue)
-		if err := r.floodVM(ctx, router, quiet); err != nil {
+		if err := r.floodVM(ctx, router, r.CustomerNames()[quiet]); err != nil {
 			return err
 		}
 		if err := bookings.Wait(); err != nil {
 			return err
 		}
-		return r.refusesRevoked(ctx, router, revoked, markPast)
+		return r.refusesRevoked(ctx, router, r.CustomerNames()[revoked], markPast)
 	}
 	return Scenario{
 		name:     "slot holder paused",
-		reserved: []string{revoked, quiet, booker},
-		adapt:    func(w sycload.Workload) sycload.Workload { return w.Limited(quiet, 20, 200) },
-		steps:    []step{{500 * time.Millisecond, pause}},
+		reserved: []int{revoked, quiet, booker},
+		adapt: func(w sycload.Workload) sycload.Workload {
+			return w.Limited(w.Customers()[quiet].Name(), quietRate, quietBurst)
+		},
+		steps: []step{{500 * time.Millisecond, pause}},
 		checks: []func(*run){func(r *run) {
 			var calls []sycservice.Call
 			for _, w := range r.Workers() {
 				calls = append(calls, w.Calls()...)
 			}
 			sycoracle.CheckNotLate(r.ledger, calls, slots, r.marked("holder goes on"))
-			sycoracle.CheckRevoked(r.ledger, r.probes, revoked, r.marked(markPast), 0)
+			sycoracle.CheckRevoked(r.ledger, r.probes, r.CustomerNames()[revoked], r.marked(markPast), 0)
 		}},
 	}
 }
 
 // pauseInClaims sends bookings to a VM and pauses it while their claims are on
-// the way to the log. The group waits for the bookings' answers.
+// the way to the log, the first one's in an append of its own. All but that are
+// booked again elsewhere. The group waits for the bookings' answers.
 func (r *run) pauseInClaims(ctx context.Context, router *sycdeploy.Router, customer string, slots []string) (*errgroup.Group, error) {
 	r.Platform().SetFaults(sycplatform.Faults{Log: sycplatform.Fault{Slow: sycrecord.Duration(slowLog)}})
 	defer r.Platform().SetFaults(sycplatform.Faults{})
 	var group errgroup.Group
-	for _, slot := range slots {
+	paused := make(chan struct{})
+	defer close(paused)
+	for i, slot := range slots {
 		group.Go(func() error {
-			r.probed(r.book(ctx, router, customer, slot))
+			if i == 0 {
+				r.probed(r.book(ctx, router, customer, slot))
+				return nil
+			}
+			r.bookTwice(ctx, router, customer, slot, paused)
 			return nil
 		})
+		sycpause.For(ctx, claimSpacing)
 	}
 	if !sycpause.For(ctx, slowLog/2) {
-		return nil, ctx.Err()
+		return &group, ctx.Err()
 	}
 	router.Pause()
 	if !sycpause.For(ctx, 2*slowLog) {
-		return nil, ctx.Err()
+		return &group, ctx.Err()
 	}
 	return &group, nil
 }
 
+// bookTwice books a slot through a VM and, once that is paused, again through
+// another. What the caller learnt counts as refused only if both were.
+func (r *run) bookTwice(ctx context.Context, router *sycdeploy.Router, customer, slot string, paused <-chan struct{}) {
+	var group errgroup.Group
+	var first, repeat sycload.ExchangeFields
+	group.Go(func() error {
+		first = r.book(ctx, router, customer, slot)
+		return nil
+	})
+	<-paused
+	repeat = r.book(ctx, r.Routers()[0], customer, slot)
+	_ = group.Wait()
+	if first.Verdict == sycload.Refused {
+		first.Verdict = repeat.Verdict
+	}
+	first.Reason += ", repeat: " + repeat.Reason
+	r.probed(first)
+}
+
 // claimed reports whether the other VMs of a VM's failure domain accrue all of
 // the domain's share.
 func (r *run) claimed(ctx context.Context, paused *sycdeploy.Router) bool {
@@ -218,7 +252,7 @@
 		var group errgroup.Group
 		group.Go(func() error {
 			_, err := r.load(ctx, sycload.Options{
-				Workload:   r.workload.Only(leaderCustomer),
+				Workload:   r.workload.Only(r.CustomerNames()[leaderCustomer]),
 				Routers:    r.URLs(),
 				Seed:       1,
 				Duration:   leaderLoad,
@@ -228,7 +262,7 @@
 		})
 		return errors.Join(r.pauseLeader(ctx), group.Wait())
 	}})
-	s.reserved = []string{leaderCustomer}
+	s.reserved = []int{leaderCustomer}
 	s.checks = append(s.checks, func(r *run) {
 		sycoracle.CheckOrders(r.ledger, r.orders())
 		sycoracle.CheckDeadline(r.ledger, r.outcome(badName), sycrollout.StateRolledBack, r.marked(badName).Add(badDeadline))
@@ -256,7 +290,7 @@
 	return r.AwaitApplied(ctx, r.ConfigEnd())
 }
 
-// leader is the VM that the newest lease in the log names.
+// leader is the VM that the lease in force names.
 func (r *run) leader() *sycdeploy.Router {
 	address := ""
 	for op := range r.systemOperations(sycrecord.KindLease) {
--- a/internal/standin/sycscenario/scenario.go
+++ b/internal/standin/sycscenario/scenario.go
@@ -63,8 +63,8 @@
 	steps []step
 	// adapt changes the workload before the deployment starts; nil keeps it.
 	adapt func(sycload.Workload) sycload.Workload
-	// reserved lists the customers whose requests only the steps send.
-	reserved []string
+	// reserved lists the customers, by index, whose requests only the steps send.
+	reserved []int
 	// checks look at what is special to the scenario, after the load.
 	checks []func(r *run)
 }
@@ -113,6 +113,16 @@
 	return names
 }
 
+// customers names the customers at the indexes.
+func (r *run) customers(indexes ...int) []string {
+	all := r.CustomerNames()
+	var names []string
+	for _, i := range indexes {
+		names = append(names, all[i])
+	}
+	return names
+}
+
 // CustomerNames lists the customers.
 func (r *run) CustomerNames() []string {
 	var names []string
@@ -225,7 +235,7 @@
 	defer balancer.Close()
 	group.Go(func() (err error) {
 		r.result, err = sycload.Run(ctx, sycload.Options{
-			Workload:  o.Workload.Without(s.reserved...),
+			Workload:  o.Workload.Without(r.customers(s.reserved...)...),
 			Routers:   r.URLs(),
 			Available: balancer.Available,
 			Keys:      r.Keys(),
