Wait in one package and split the gateway's long files

Cause: the wait that ends with a context stood five times (gateway, claims, drain, log client, stand-ins), and service.go, exchange.go and generate.go had grown to 383, 349 and 344 lines with several jobs each.

No logic changes.

Ruled out: the store's own wait in sycstate, which ends with its tomb and not with a context.

--- a/internal/platform/syclog/client.go
+++ b/internal/platform/syclog/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 )
 
 // MaxRecord is the largest record that the log takes, in bytes.
@@ -234,7 +235,7 @@
 			return err
 		}
 		pause := Jitter(c.options.Backoff, c.options.MaxBackoff, try)
-		if !sleep(ctx, pause+unavailable.RetryAfter) {
+		if !sycpause.For(ctx, pause+unavailable.RetryAfter) {
 			return err
 		}
 	}
@@ -246,15 +247,3 @@
 	bound := min(limit, base<<min(tries-1, 16))
 	return rand.N(bound + 1)
 }
-
-// sleep reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/sycengine/batch.go
+++ b/internal/standin/sycengine/batch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 )
 
 // runBatch computes steps until the life ends.
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 // Defaults of the options.
--- a/internal/standin/sycscenario/sample.go
+++ b/internal/standin/sycscenario/sample.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 // samplePeriod is how often the VMs' status is read.
--- a/internal/traffic/sycclaims/driver.go
+++ b/internal/traffic/sycclaims/driver.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 )
 
@@ -91,7 +92,7 @@
 		page, err := d.options.Log.Read(ctx, Stream, next, readLimit, readWait)
 		if err != nil {
 			failures++
-			pause(ctx, syclog.Jitter(readRetry, readRetryMax, failures))
+			sycpause.For(ctx, syclog.Jitter(readRetry, readRetryMax, failures))
 			continue
 		}
 		failures = 0
@@ -171,7 +172,7 @@
 			return
 		case <-d.wake:
 		}
-		pause(ctx, max(gather, d.options.Spacing-time.Since(last)))
+		sycpause.For(ctx, max(gather, d.options.Spacing-time.Since(last)))
 		last = time.Now()
 		if d.flush(ctx) {
 			gather = max(d.options.Flush, gather/2)
@@ -258,14 +259,3 @@
 	clear(d.pending[len(kept):])
 	d.pending = kept
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/traffic/sycclaims/outcome.go
+++ b/internal/traffic/sycclaims/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 )
 
@@ -140,7 +141,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < d.options.Ask+answerMargin {
 		return false
 	}
-	return pause(ctx, d.options.Ask)
+	return sycpause.For(ctx, d.options.Ask)
 }
 
 func (d *Driver) lookup(name string) (sycclaim.Entry, bool) {
--- a/internal/traffic/sycdrain/drain.go
+++ b/internal/traffic/sycdrain/drain.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 )
 
 // Drain follows the requests under way and closes the servers once there are none.
@@ -71,7 +72,7 @@
 // returns early, cutting what is left, only when the context ends.
 func (d *Drain) Shutdown(ctx context.Context, servers ...*http.Server) error {
 	d.Begin()
-	if !sleep(ctx, d.settle) {
+	if !sycpause.For(ctx, d.settle) {
 		return d.cut(ctx, servers)
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -117,15 +118,3 @@
 
 // Unwrap returns the reason for which the context ended.
 func (e *CutError) Unwrap() error { return e.Err }
-
-// sleep reports whether the whole time passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/traffic/sycgateway/body.go
@@ -0,0 +1,91 @@
+package sycgateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+)
+
+// readBody reads the body within the bounds of one request and of all.
+func (x *exchange) readBody() error {
+	limit := x.g.limits.Body
+	if x.r.ContentLength > limit {
+		return x.tooLarge()
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(time.Now().Add(x.g.limits.BodyRead))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	body, err := x.readBounded(limit)
+	if err != nil {
+		return err
+	}
+	x.body = body
+	return nil
+}
+
+const readStep = 32 << 10
+
+func (x *exchange) readBounded(limit int64) ([]byte, error) {
+	size := x.r.ContentLength
+	if size == 0 {
+		return nil, nil
+	}
+	step := size
+	if step < 0 {
+		step = min(readStep, limit+1)
+	}
+	var body []byte
+	for {
+		if int64(len(body)) > limit {
+			return nil, x.tooLarge()
+		}
+		if !x.g.bodies.TryAcquire(step) {
+			return nil, &sycapi.Failure{
+				Status:     http.StatusServiceUnavailable,
+				Code:       string(sycwork.Overloaded),
+				Message:    "too many request bodies are held at the moment",
+				Outcome:    sycapi.NotRun,
+				RetryAfter: time.Second,
+			}
+		}
+		x.held += step
+		part := make([]byte, step)
+		n, err := io.ReadFull(x.r.Body, part)
+		if body == nil {
+			body = part[:n]
+		} else {
+			body = append(body, part[:n]...)
+		}
+		if size >= 0 && err == nil {
+			return body, nil
+		}
+		if errors.Is(err, io.EOF) || (size < 0 && errors.Is(err, io.ErrUnexpectedEOF) && x.bodyEnded()) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, sycapi.Invalid(http.StatusBadRequest, "incomplete_body", "the body broke off")
+		}
+	}
+}
+
+// bodyEnded tells the end of a body in chunks from a connection that broke off.
+func (x *exchange) bodyEnded() bool {
+	_, err := x.r.Body.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+func (x *exchange) tooLarge() *sycapi.Failure {
+	x.w.Header().Set("Connection", "close")
+	return sycapi.Invalid(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than %d bytes", x.g.limits.Body)
+}
+
+// release gives back what the exchange holds.
+func (x *exchange) release() {
+	if x.held > 0 {
+		x.g.bodies.Release(x.held)
+	}
+}
--- /dev/null
+++ b/internal/traffic/sycgateway/budget.go
@@ -0,0 +1,34 @@
+package sycgateway
+
+// countRequest counts the request in the budgets for retries.
+func (x *exchange) countRequest(endpoint string) {
+	if x.counted {
+		return
+	}
+	x.counted = true
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.customers.Get(now, x.customer()).Request(now)
+	g.endpoints.Get(now, endpoint).Request(now)
+}
+
+// spend takes a retry from the budgets of the customer and of the endpoint
+// that failed.
+func (x *exchange) spend(endpoint string) bool {
+	g := x.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	customer := g.customers.Get(now, x.customer())
+	target := g.endpoints.Get(now, endpoint)
+	if !customer.Allows(now) || !target.Allows(now) {
+		deniedRetriesTotal.Inc()
+		return false
+	}
+	customer.Spend(now)
+	target.Spend(now)
+	retriesTotal.Inc()
+	return true
+}
--- a/internal/traffic/sycgateway/cancel.go
+++ b/internal/traffic/sycgateway/cancel.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
 )
 
@@ -37,7 +38,7 @@
 		if known || err != nil {
 			return
 		}
-		if !pause(ctx, cancelPause) {
+		if !sycpause.For(ctx, cancelPause) {
 			return
 		}
 	}
--- a/internal/traffic/sycgateway/generate.go
+++ b/internal/traffic/sycgateway/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
@@ -13,6 +12,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
 )
@@ -91,7 +91,7 @@
 		if step != sycattempt.ResumeSame {
 			gen.abandon(err)
 		}
-		if !pause(ctx, action.Wait) {
+		if !sycpause.For(ctx, action.Wait) {
 			return gen.stop(ctx)
 		}
 	}
@@ -327,18 +327,3 @@
 func (gen *generation) digest() string {
 	return sycstream.Digest(gen.x.route.Name(), gen.req.Model(), gen.req.Prompt(), gen.req.MaxTokens())
 }
-
-// pause waits and reports whether the context is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/traffic/sycgateway/relay.go
@@ -0,0 +1,94 @@
+package sycgateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
+)
+
+// checkAnswer makes sure that the answer is this attempt's and that a cut
+// would show.
+func checkAnswer(a *sycproxy.Answer, attempt string) error {
+	if a.Header.Get(sycapi.HeaderAttempt) != attempt {
+		crossedTotal.Inc()
+		return errCrossed
+	}
+	if a.Header.Get(sycapi.HeaderNotRun) == "true" && a.StatusCode >= http.StatusBadRequest {
+		return errRefused
+	}
+	if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead {
+		return errLength
+	}
+	return nil
+}
+
+// relay holds the answer back until it is whole, or, where it is long, passes
+// it on as it comes.
+func (c *serviceCall) relay(a *sycproxy.Answer) error {
+	limit := c.x.g.limits.Answer
+	body, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) <= limit {
+		return c.deliver(a, body)
+	}
+	return c.stream(a, body)
+}
+
+// deliver passes a whole answer on.
+func (c *serviceCall) deliver(a *sycproxy.Answer, body []byte) error {
+	x := c.x
+	contentType := a.Header.Get("Content-Type")
+	c.done(sycclaim.Answer{Status: a.StatusCode, ContentType: contentType, Body: body})
+	x.copyHeader(a.Header)
+	if a.StatusCode >= http.StatusInternalServerError {
+		x.w.Header().Set(sycapi.HeaderOutcome, string(sycapi.Unknown))
+	}
+	if x.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified {
+		x.begun = true
+		x.w.WriteHeader(a.StatusCode)
+		return nil
+	}
+	return x.writeWhole(a.StatusCode, contentType, body)
+}
+
+const copyBuffer = 32 << 10
+
+// stream passes a long answer on as it comes. A cut breaks the caller's
+// connection, too.
+func (c *serviceCall) stream(a *sycproxy.Answer, head []byte) error {
+	x := c.x
+	x.copyHeader(a.Header)
+	x.begun = true
+	c.watch.Stop()
+	c.plan.Delivered()
+	x.w.WriteHeader(a.StatusCode)
+	buffer := make([]byte, copyBuffer)
+	for part := head; ; {
+		x.allowWrite()
+		if _, err := x.w.Write(part); err != nil {
+			return errCallerGone
+		}
+		n, err := a.Body.Read(buffer)
+		part = buffer[:n]
+		if errors.Is(err, io.EOF) && n == 0 {
+			c.done(sycclaim.Answer{Status: a.StatusCode})
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+}
+
+func (x *exchange) copyHeader(from http.Header) {
+	h := x.w.Header()
+	for name, values := range sycproxy.Returned(from) {
+		h[name] = values
+	}
+}
--- a/internal/traffic/sycgateway/service.go
+++ b/internal/traffic/sycgateway/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycauth"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
@@ -111,7 +111,7 @@
 		}
 		action := c.plan.On(c.x.g.now(), c.event(ctx, err), c.spend)
 		c.abandon(err)
-		if action.Step == sycattempt.GiveUp || !pause(ctx, action.Wait) {
+		if action.Step == sycattempt.GiveUp || !sycpause.For(ctx, action.Wait) {
 			return c.givenUp(ctx, err)
 		}
 	}
@@ -220,89 +220,6 @@
 	return c.ticket.Start
 }
 
-// checkAnswer makes sure that the answer is this attempt's and that a cut
-// would show.
-func checkAnswer(a *sycproxy.Answer, attempt string) error {
-	if a.Header.Get(sycapi.HeaderAttempt) != attempt {
-		crossedTotal.Inc()
-		return errCrossed
-	}
-	if a.Header.Get(sycapi.HeaderNotRun) == "true" && a.StatusCode >= http.StatusBadRequest {
-		return errRefused
-	}
-	if a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Request.Method != http.MethodHead {
-		return errLength
-	}
-	return nil
-}
-
-// relay holds the answer back until it is whole, or, where it is long, passes
-// it on as it comes.
-func (c *serviceCall) relay(a *sycproxy.Answer) error {
-	limit := c.x.g.limits.Answer
-	body, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
-	if err != nil {
-		return err
-	}
-	if len(body) <= limit {
-		return c.deliver(a, body)
-	}
-	return c.stream(a, body)
-}
-
-// deliver passes a whole answer on.
-func (c *serviceCall) deliver(a *sycproxy.Answer, body []byte) error {
-	x := c.x
-	contentType := a.Header.Get("Content-Type")
-	c.done(sycclaim.Answer{Status: a.StatusCode, ContentType: contentType, Body: body})
-	x.copyHeader(a.Header)
-	if a.StatusCode >= http.StatusInternalServerError {
-		x.w.Header().Set(sycapi.HeaderOutcome, string(sycapi.Unknown))
-	}
-	if x.r.Method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified {
-		x.begun = true
-		x.w.WriteHeader(a.StatusCode)
-		return nil
-	}
-	return x.writeWhole(a.StatusCode, contentType, body)
-}
-
-const copyBuffer = 32 << 10
-
-// stream passes a long answer on as it comes. A cut breaks the caller's
-// connection, too.
-func (c *serviceCall) stream(a *sycproxy.Answer, head []byte) error {
-	x := c.x
-	x.copyHeader(a.Header)
-	x.begun = true
-	c.watch.Stop()
-	c.plan.Delivered()
-	x.w.WriteHeader(a.StatusCode)
-	buffer := make([]byte, copyBuffer)
-	for part := head; ; {
-		x.allowWrite()
-		if _, err := x.w.Write(part); err != nil {
-			return errCallerGone
-		}
-		n, err := a.Body.Read(buffer)
-		part = buffer[:n]
-		if errors.Is(err, io.EOF) && n == 0 {
-			c.done(sycclaim.Answer{Status: a.StatusCode})
-			return nil
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return err
-		}
-	}
-}
-
-func (x *exchange) copyHeader(from http.Header) {
-	h := x.w.Header()
-	for name, values := range sycproxy.Returned(from) {
-		h[name] = values
-	}
-}
-
 // leave reports the end of the present grant.
 func (c *serviceCall) leave(r sycwork.Result) {
 	if c.grant == nil {
@@ -323,61 +240,3 @@
 	}
 	c.leave(sycwork.Result{Outcome: outcome})
 }
-
-// event translates a failed attempt for the plan.
-func (c *serviceCall) event(ctx context.Context, err error) sycattempt.Event {
-	var missing *noTarget
-	if errors.As(err, &missing) {
-		return sycattempt.NoTarget
-	}
-	var denied *sycapi.Failure
-	if errors.As(err, &denied) {
-		return sycattempt.Cancelled
-	}
-	if errors.Is(err, errRefused) {
-		return sycattempt.Refused
-	}
-	var send *sycproxy.SendError
-	if errors.As(err, &send) && !send.Sent {
-		if ctx.Err() != nil {
-			return sycattempt.Expired
-		}
-		return sycattempt.Unsent
-	}
-	return sycattempt.Lost
-}
-
-// givenUp is the final answer after the last attempt failed.
-func (c *serviceCall) givenUp(ctx context.Context, err error) error {
-	outcome := sycapi.Unknown
-	if c.plan.NotRun() {
-		outcome = sycapi.NotRun
-	}
-	var denied *sycapi.Failure
-	if errors.As(err, &denied) {
-		denied.Outcome = outcome
-		return denied
-	}
-	var missing *noTarget
-	if errors.As(err, &missing) {
-		return c.x.refusal(ctx, missing.cause, c.plan.NotRun())
-	}
-	if ctx.Err() != nil {
-		return c.x.ended(ctx, outcome)
-	}
-	if outcome == sycapi.NotRun {
-		return &sycapi.Failure{
-			Status:     http.StatusServiceUnavailable,
-			Code:       string(sycwork.NoEndpoint),
-			Message:    "no endpoint took the request",
-			Outcome:    outcome,
-			RetryAfter: time.Second,
-		}
-	}
-	return &sycapi.Failure{
-		Status:  http.StatusBadGateway,
-		Code:    codeUnknown,
-		Message: "the service may have run the request, but its answer did not arrive whole",
-		Outcome: outcome,
-	}
-}
