Let two VMs of each failure domain read the log for the others

Cause: every VM held two reads of the log, 2,800 a second at 1,400 VMs, and all came back at once after each record; the log is shared and rate limited.

In a fleet of more than 16 VMs the first two of a domain by the hash of their address read the log; the others ask a random peer, and a proof of the log's end younger than 2 s settles the question. A VM without a proof younger than 5 s reads for itself, and so does one that waits for an operation of its own. Today's fleets are smaller and read as before.

Ruled out: asking the readers only, which makes 450 calls a second on each, and asking three peers each time as during an outage, which triples the calls. TestRelayedVMsLeaveTheLogAlone fails without the change (44 calls where fewer than 25 are allowed).

--- a/internal/decide/sycmember/roster.go
+++ b/internal/decide/sycmember/roster.go
@@ -254,6 +254,27 @@
 	return list
 }
 
+// ReadsLog reports whether this VM is one of those that read the log for their
+// failure domain. In a small fleet all VMs read it. Where rosters differ, more or
+// fewer VMs may believe that they are; nothing but load rests on it.
+func (r *Roster) ReadsLog(now time.Duration) bool {
+	if len(r.members) < r.settings.Small {
+		return true
+	}
+	own := readerRank(r.self)
+	before := 0
+	for _, m := range r.Live(now) {
+		neighbour := m.vm.FailureDomain == r.self.FailureDomain && !m.vm.Leaving
+		if neighbour && readerRank(m.vm) < own {
+			before++
+		}
+	}
+	return before < r.settings.Readers
+}
+
+// readerRank orders the VMs of a failure domain in the same way on all of them.
+func readerRank(vm VM) uint64 { return xxhash.Sum64String(vm.Address) }
+
 // rank orders VMs for a purpose in a way that differs from VM to VM.
 func (r *Roster) rank(m *Member) uint64 {
 	return xxhash.Sum64String(r.self.Address + "\x00" + m.vm.Address)
--- a/internal/decide/sycmember/roster_test.go
+++ b/internal/decide/sycmember/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +111,67 @@
 	}
 	must.LessEq(t, 60*10+len(sent), total)
 }
+
+// TestReadersOfTheLog gives VMs the same roster and counts those of a failure
+// domain that read the log for it.
+func TestReadersOfTheLog(t *testing.T) {
+	const domains = 3
+	cases := []struct {
+		name string
+		vms  int
+		// silent is the number of readers that have fallen silent.
+		silent int
+		// leaving has the remaining readers leave.
+		leaving bool
+		want    int
+	}{
+		{name: "small fleet", vms: 12, want: 4},
+		{name: "large fleet", vms: 60, want: 2},
+		{name: "one reader silent", vms: 60, silent: 1, want: 2},
+		{name: "both readers silent", vms: 60, silent: 2, want: 2},
+		{name: "both readers leave", vms: 60, leaving: true, want: 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var list []sycmember.VM
+			for i := range c.vms {
+				v := vm(i)
+				v.FailureDomain = fmt.Sprint("domain-", i%domains)
+				list = append(list, v)
+			}
+			readers := readersOf(list, nil, false)
+			if c.silent > 0 {
+				readers = readersOf(list, readers[:c.silent], false)
+			}
+			if c.leaving {
+				readers = readersOf(list, readers, true)
+			}
+			must.Len(t, c.want, readers)
+		})
+	}
+}
+
+// readersOf returns the readers of the first VM's failure domain, as each VM of
+// it decides for itself. Those that are away have never been heard, or leave.
+func readersOf(list, away []sycmember.VM, leaving bool) []sycmember.VM {
+	const now = time.Second
+	var readers []sycmember.VM
+	for _, self := range list {
+		if self.FailureDomain != list[0].FailureDomain || slices.Contains(away, self) {
+			continue
+		}
+		r := sycmember.New(self, sycmember.Settings{})
+		for _, other := range list {
+			gone := slices.Contains(away, other)
+			if gone && !leaving {
+				continue
+			}
+			other.Leaving = gone
+			r.Seen(now, other)
+		}
+		if r.ReadsLog(now) {
+			readers = append(readers, self)
+		}
+	}
+	return readers
+}
--- a/internal/operate/sycstate/bench_test.go
+++ b/internal/operate/sycstate/bench_test.go
@@ -18,8 +18,12 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
-// fleet is the number of VMs of today's larger site.
-const fleet = 8
+const (
+	// fleet is the number of VMs of today's larger site.
+	fleet = 8
+	// domainFleet is that of a failure domain at the size to design for.
+	domainFleet = 70
+)
 
 // BenchmarkPropagation measures from the append of a record until all VMs have
 // folded it, with the times of production.
@@ -27,28 +31,35 @@
 	logrus.SetOutput(io.Discard)
 	cases := []struct {
 		name string
-		// cut is the number of VMs that reach peers only.
-		cut int
+		vms  int
+		// cut is the number of VMs that reach peers only, readers that of those
+		// that read the log for the others.
+		cut, readers int
 	}{
-		{"log", 0},
-		{"peers", fleet - 1},
+		{"log", fleet, 0, fleet},
+		{"peers", fleet, fleet - 1, fleet},
+		{"domain-log", domainFleet, 0, domainFleet},
+		{"domain-relayed", domainFleet, 0, 2},
 	}
 	for _, c := range cases {
 		b.Run(c.name, func(b *testing.B) {
 			p := platform(b, sycplatform.Options{})
-			vms := make([]*vm, fleet)
+			vms := make([]*vm, c.vms)
 			for i := range vms {
-				vms[i] = startWith(b, sycstate.Options{}, p.URL(), false)
+				reads := i < c.readers
+				o := sycstate.Options{ReadsLog: func() bool { return reads }}
+				vms[i] = startWith(b, o, p.URL(), false)
 			}
 			for i, v := range vms {
 				v.know(slices.Concat(vms[:i], vms[i+1:])...)
 			}
 			eventually(b, "ready", func() bool { return all(vms, func(v *vm) bool { return v.store.Ready() }) })
-			for _, v := range vms[fleet-c.cut:] {
+			for _, v := range vms[c.vms-c.cut:] {
 				v.network.cut.Store(true)
 			}
 			var times []time.Duration
 			rate := 0.0
+			began, before := time.Now(), logCalls(vms)
 			for b.Loop() {
 				rate++
 				start := time.Now()
@@ -59,6 +70,8 @@
 				}
 				times = append(times, time.Since(start))
 			}
+			calls := float64(logCalls(vms) - before)
+			b.ReportMetric(calls/time.Since(began).Seconds(), "log-calls/s")
 			slices.Sort(times)
 			b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "ms-median")
 			b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "ms-worst")
@@ -66,6 +79,15 @@
 	}
 }
 
+// logCalls counts the calls that VMs have made to the log.
+func logCalls(vms []*vm) int64 {
+	var sum int64
+	for _, v := range vms {
+		sum += v.network.calls.Load()
+	}
+	return sum
+}
+
 func all(vms []*vm, f func(*vm) bool) bool {
 	for _, v := range vms {
 		if !f(v) {
--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 )
 
@@ -20,6 +21,9 @@
 	// graceReads is the number of failed reads of the log after which a VM
 	// serves from a snapshot of the log without having read to its end.
 	graceReads = 2
+	// relayedProof is the age of a peer's proof that settles whether there are
+	// new records, while others read the log.
+	relayedProof = 2 * time.Second
 )
 
 // origin tells where a snapshot came from.
@@ -50,6 +54,8 @@
 	// nanoseconds; 0 unless this VM folded that record.
 	oldest atomic.Int64
 	served served
+	// proposals counts the operations of this VM that wait for their results.
+	proposals atomic.Int64
 
 	// The control loop owns the fields below.
 	replica *sycconfig.Replica
@@ -88,6 +94,10 @@
 // followLog reads the log until the store closes.
 func (f *follower) followLog() error {
 	for f.store.tomb.Alive() {
+		if f.relayed() {
+			f.store.sleep(f.store.options.PeerPoll)
+			continue
+		}
 		if !f.readLog() {
 			failures := f.failures.Add(1)
 			logFaults.Inc()
@@ -100,6 +110,18 @@
 	return nil
 }
 
+// relayed reports whether records come from peers, since others read the log for
+// the failure domain. A VM without a young proof reads for itself: the others
+// may be gone. So does one that waits for operations of its own.
+func (f *follower) relayed() bool {
+	o := f.store.options
+	if o.ReadsLog == nil || o.Peers == nil || f.proposals.Load() > 0 || !f.ready.Load() {
+		return false
+	}
+	age, ok := f.proof()
+	return ok && age <= o.Silence && !o.ReadsLog()
+}
+
 // verify checks that the log still holds the last record that was folded: a log
 // that was replaced must not be folded on top.
 func (f *follower) verify() bool {
@@ -145,6 +167,7 @@
 	start := o.Loop.Now()
 	from := f.state.Load().Next()
 	wait := f.wait()
+	logReads.Inc()
 	page, err := o.Log.Read(f.store.context(), f.stream, from, pageRecords, wait)
 	if err != nil {
 		log.Debugf("reading %s failed: %v", f.stream, err)
@@ -276,8 +299,11 @@
 			log.Debugf("asking peers for a snapshot of %s failed: %v", f.stream, err)
 		}
 	}
-	if f.stale() {
-		f.readPeer(ctx)
+	switch {
+	case f.relayed():
+		f.readPeer(ctx, relayedProof)
+	case f.stale():
+		f.readPeer(ctx, 0)
 	}
 }
 
@@ -288,11 +314,18 @@
 	return f.failures.Load() > 0 || !ok || age > f.store.options.Wait+f.store.options.PeerPoll
 }
 
-func (f *follower) readPeer(ctx context.Context) {
+// readPeer asks peers for records until one has some, or a proof that is young
+// enough.
+func (f *follower) readPeer(ctx context.Context, settled time.Duration) {
 	peerReads.Inc()
 	start := f.store.options.Loop.Now()
 	from := f.state.Load().Next()
-	reply, err := f.store.options.Peers.Records(ctx, f.stream, from, pageRecords)
+	reply, err := f.store.options.Peers.Records(ctx, sycpeer.Query{
+		Stream:  f.stream,
+		From:    from,
+		Max:     pageRecords,
+		Settled: settled,
+	})
 	if err != nil {
 		log.Debugf("asking peers for %s failed: %v", f.stream, err)
 		return
--- a/internal/operate/sycstate/metric.go
+++ b/internal/operate/sycstate/metric.go
@@ -10,6 +10,7 @@
 	refused   = metrics.NewCounter(`sycamorecart_state_records_total{result="refused"}`)
 	snapshots = metrics.NewCounter(`sycamorecart_state_snapshots_appended_total`)
 	installs  = metrics.NewCounter(`sycamorecart_state_snapshots_installed_total`)
+	logReads  = metrics.NewCounter(`sycamorecart_state_log_reads_total`)
 	peerReads = metrics.NewCounter(`sycamorecart_state_peer_reads_total`)
 	logFaults = metrics.NewCounter(`sycamorecart_state_log_read_errors_total`)
 )
--- a/internal/operate/sycstate/propose.go
+++ b/internal/operate/sycstate/propose.go
@@ -91,8 +91,9 @@
 	return nil
 }
 
-// await registers interest in the results.
+// await registers interest in the results, which has this VM read the log itself.
 func (p *proposal) await() {
+	p.follower.proposals.Add(1)
 	p.follower.store.options.Loop.Do(func(time.Duration) {
 		for i, entry := range p.entries {
 			p.follower.waiting[entry.ID] = p.waiters[i]
@@ -101,6 +102,7 @@
 }
 
 func (p *proposal) forget() {
+	p.follower.proposals.Add(-1)
 	p.follower.store.options.Loop.Do(func(time.Duration) {
 		for _, entry := range p.entries {
 			delete(p.follower.waiting, entry.ID)
--- a/internal/operate/sycstate/rig_test.go
+++ b/internal/operate/sycstate/rig_test.go
@@ -16,6 +16,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
@@ -25,11 +26,14 @@
 
 // network carries a VM's calls to the log unless it is cut.
 type network struct {
-	cut  atomic.Bool
-	next http.Transport
+	cut atomic.Bool
+	// calls counts those that were tried.
+	calls atomic.Int64
+	next  http.Transport
 }
 
 func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.calls.Add(1)
 	if n.cut.Load() {
 		return nil, errCut
 	}
@@ -53,18 +57,19 @@
 const askedPeers = 3
 
 // Records asks peers until one has records, as sycpeer.Fetcher does.
-func (p *peers) Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error) {
+func (p *peers) Records(ctx context.Context, q sycpeer.Query) (*sycpeerpb.RecordsReply, error) {
 	var reply *sycpeerpb.RecordsReply
 	for range askedPeers {
 		store, err := p.pick()
 		if err != nil {
 			return nil, err
 		}
-		reply, err = store.Records(ctx, &sycpeerpb.RecordsRequest{Stream: stream, From: from, Max: limit})
+		reply, err = store.Records(ctx, &sycpeerpb.RecordsRequest{Stream: q.Stream, From: q.From, Max: q.Max})
 		if err != nil {
 			return nil, err
 		}
-		if len(reply.Records) > 0 {
+		settled := reply.Next == q.From && reply.ProofAgeNano >= 0 && reply.ProofAgeNano <= int64(q.Settled)
+		if len(reply.Records) > 0 || settled {
 			break
 		}
 	}
--- a/internal/operate/sycstate/store.go
+++ b/internal/operate/sycstate/store.go
@@ -1,6 +1,7 @@
 // Package sycstate keeps a VM's folded copies of the config and system streams.
 //
-// It follows the log by long poll and, while the log cannot be reached, peers.
+// It follows the log by long poll and, while the log cannot be reached or others
+// read it for the failure domain, peers.
 // Records are folded on the control loop in the order of their offsets; the
 // resulting states are published for traffic through atomic pointers.
 package sycstate
@@ -14,6 +15,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 )
@@ -28,9 +30,8 @@
 
 // Peers reaches other VMs.
 type Peers interface {
-	// Records asks some peers for records of a stream from an offset on;
-	// repeated calls ask different ones.
-	Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error)
+	// Records asks some peers for records; repeated calls ask different ones.
+	Records(ctx context.Context, q sycpeer.Query) (*sycpeerpb.RecordsReply, error)
 	// Snapshot fetches a snapshot of a stream that some peer offers.
 	Snapshot(ctx context.Context, stream string) (offset uint64, data []byte, err error)
 }
@@ -45,8 +46,15 @@
 	Self string
 	// Wait is how long a read of the log is held when there is nothing new.
 	Wait time.Duration
-	// PeerPoll is the pause between questions to peers while the log is silent.
+	// ReadsLog reports whether this VM is one of those that read the log for
+	// their failure domain; the others take records from peers. Nil reads the log.
+	ReadsLog func() bool
+	// PeerPoll is the pause between questions to peers while the log is silent or
+	// others read it.
 	PeerPoll time.Duration
+	// Silence is the age of the last proof of the log's end at which a VM reads
+	// the log although others should.
+	Silence time.Duration
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 	// ReadOnly keeps the store from appending snapshots, for operators' commands.
@@ -61,6 +69,9 @@
 	if o.PeerPoll == 0 {
 		o.PeerPoll = 300 * time.Millisecond
 	}
+	if o.Silence == 0 {
+		o.Silence = 5 * time.Second
+	}
 	if o.Retention == 0 {
 		o.Retention = 24 * time.Hour
 	}
--- a/internal/operate/sycstate/store_test.go
+++ b/internal/operate/sycstate/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -10,7 +11,9 @@
 
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/platform/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
@@ -196,3 +199,56 @@
 	must.SliceLen(t, 1, results)
 	must.True(t, results[0].Accepted())
 }
+
+// TestRelayedVMsLeaveTheLogAlone has one VM read the log for two others. These
+// fold what it read, write for themselves, and read for themselves when it has gone.
+func TestRelayedVMsLeaveTheLogAlone(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	times := sycstate.Options{
+		Wait:      200 * time.Millisecond,
+		PeerPoll:  20 * time.Millisecond,
+		Silence:   time.Minute,
+		Retention: time.Hour,
+	}
+	reader := startWith(t, times, p.URL(), false)
+	times.ReadsLog = func() bool { return false }
+	one := startWith(t, times, p.URL(), false, reader)
+	times.Silence = time.Second
+	two := startWith(t, times, p.URL(), false, reader, one)
+	reader.know(one, two)
+	relayed := []*vm{one, two}
+	eventually(t, "ready", func() bool { return all(relayed, func(v *vm) bool { return v.store.Ready() }) })
+
+	// A VM that reads the log takes two calls or more for each record.
+	const records = 20
+	before := one.network.calls.Load()
+	for i := range records {
+		rate := float64(i + 1)
+		_, err := reader.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", rate))
+		must.NoError(t, err)
+		eventually(t, "relayed", func() bool {
+			return all(relayed, func(v *vm) bool { return v.has("c", rate)() })
+		})
+	}
+	must.Less(t, before+records, one.network.calls.Load())
+
+	_, err := one.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 100))
+	must.NoError(t, err)
+	must.True(t, one.has("c", 100)())
+
+	reader.network.cut.Store(true)
+	must.NoError(t, appendDirectly(t, p.URL(), customer(t, "c", 200)))
+	eventually(t, "read without a reader", two.has("c", 200))
+}
+
+// appendDirectly appends an operation as an operator does.
+func appendDirectly(t *testing.T, address string, op sycrecord.Operation) error {
+	t.Helper()
+	op.ID, op.Schema = "direct", sycrecord.NewestSchema
+	data, err := json.Marshal(op)
+	must.NoError(t, err)
+	client := syclog.New(syclog.Options{Address: address})
+	defer client.Close()
+	_, err = client.Append(t.Context(), sycstate.ConfigStream, syclog.Entry{ID: op.ID, Data: data})
+	return err
+}
--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -121,6 +121,17 @@
 	return mesh.Peers()
 }
 
+// readsLog reports whether this VM reads the log for its failure domain; so it
+// does before the mesh has started.
+func (v *VM) readsLog() bool {
+	if v.mesh.Load() == nil {
+		return true
+	}
+	reads := true
+	v.loop.Do(func(now time.Duration) { reads = v.roster.ReadsLog(now) })
+	return reads
+}
+
 // digests joins what the parts of a VM tell the other VMs.
 type digests struct {
 	vm *VM
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -169,6 +169,7 @@
 		Loop:      v.loop,
 		Log:       v.log,
 		Peers:     sycpeer.NewFetcher(v.calls, v.settings.FailureDomain(), v.peers),
+		ReadsLog:  v.readsLog,
 		Self:      v.address + "/" + v.incarnation,
 		Retention: v.settings.LogRetention(),
 	})
--- a/internal/peer/sycpeer/fetch.go
+++ b/internal/peer/sycpeer/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
@@ -29,11 +30,28 @@
 	return &Fetcher{client: c, failureDomain: failureDomain, peers: peers}
 }
 
-// Records returns up to limit records of a stream from an offset on. When no
-// peer holds newer records it returns the reply with the youngest proof of the
+// Query asks for records of a stream.
+type Query struct {
+	Stream string
+	// From is the offset of the first record wanted, Max the most records of a reply.
+	From uint64
+	Max  uint32
+	// Settled is the age of a proof of the log's end at From with which one
+	// peer's answer will do; 0 asks several peers.
+	Settled time.Duration
+}
+
+// settles reports whether a reply without records ends the query.
+func (q Query) settles(r *sycpeerpb.RecordsReply) bool {
+	age := time.Duration(r.GetProofAgeNano())
+	return r.GetNext() == q.From && age >= 0 && age <= q.Settled
+}
+
+// Records returns records of a stream from an offset on. When no peer that it
+// asks holds newer records it returns the reply with the youngest proof of the
 // log's end.
-func (f *Fetcher) Records(ctx context.Context, stream string, from uint64, limit uint32) (*sycpeerpb.RecordsReply, error) {
-	in := &sycpeerpb.RecordsRequest{Stream: stream, From: from, Max: limit}
+func (f *Fetcher) Records(ctx context.Context, q Query) (*sycpeerpb.RecordsReply, error) {
+	in := &sycpeerpb.RecordsRequest{Stream: q.Stream, From: q.From, Max: q.Max}
 	var best *sycpeerpb.RecordsReply
 	err := eris.New("no peer is known")
 	for _, vm := range f.candidates() {
@@ -42,7 +60,7 @@
 			err = callErr
 			continue
 		}
-		if len(reply.GetRecords()) > 0 {
+		if len(reply.GetRecords()) > 0 || q.settles(reply) {
 			return reply, nil
 		}
 		best = fresher(best, reply)
