Trace attempts in one place and move the engine's attempt out of the loop

traced opens the span for both; attempt.go has the call to one engine. Checked: tests of the package (spans included), linter, formatter.

--- a/internal/traffic/sycgateway/service.go
+++ b/internal/traffic/sycgateway/service.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/trace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
@@ -129,18 +126,9 @@
 	if err := c.choose(ctx); err != nil {
 		return err
 	}
-	ctx, span := c.x.g.tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient))
-	defer span.End()
 	attempt := uuid.NewString()
-	span.SetAttributes(
-		attribute.String("endpoint", c.grant.Target().Endpoint),
-		attribute.String("attempt", attempt),
-	)
-	err := c.send(ctx, attempt)
-	if err != nil {
-		span.SetStatus(codes.Error, err.Error())
-	}
-	return err
+	return c.x.traced(ctx, c.grant.Target().Endpoint, attempt,
+		func(ctx context.Context) error { return c.send(ctx, attempt) })
 }
 
 func (c *serviceCall) choose(ctx context.Context) error {
