Fuzz the audits of tokens and slots

FuzzNoWindowIsOverspent and FuzzNoSlotAccruesTwice run the bodies of the two audits, unchanged, on the fuzzer's bytes by rapid.MakeFuzz.

--- a/internal/decide/syclimit/fleet_property_test.go
+++ b/internal/decide/syclimit/fleet_property_test.go
@@ -1,6 +1,8 @@
 package syclimit_test
 
 import (
+	"encoding/binary"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -32,18 +34,37 @@
 	}
 }
 
-func TestNoWindowIsOverspent(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		f := anyFaults(t)
-		figures := newFleet(f, rapid.Uint64().Draw(t, "seed")).run()
-		if over := overspend(figures.spends, f.rate, f.burst); over > 1e-6 {
-			t.Fatalf("a window is overspent by %f requests", over)
-		}
-		burst := syclimit.NewLimit(f.rate, f.burst, 0).Burst()
-		if figures.most > burst {
-			t.Fatalf("%d micro-tokens are held, more than the burst of %d", figures.most, burst)
-		}
-	})
+func TestNoWindowIsOverspent(t *testing.T) { rapid.Check(t, noWindowIsOverspent) }
+
+// FuzzNoWindowIsOverspent lets the fuzzer pick the faults and their seed.
+func FuzzNoWindowIsOverspent(f *testing.F) {
+	for seed := range uint64(32) {
+		f.Add(randomBytes(seed))
+	}
+	f.Fuzz(rapid.MakeFuzz(noWindowIsOverspent))
+}
+
+func noWindowIsOverspent(t *rapid.T) {
+	f := anyFaults(t)
+	figures := newFleet(f, rapid.Uint64().Draw(t, "seed")).run()
+	if over := overspend(figures.spends, f.rate, f.burst); over > 1e-6 {
+		t.Fatalf("a window is overspent by %f requests", over)
+	}
+	burst := syclimit.NewLimit(f.rate, f.burst, 0).Burst()
+	if figures.most > burst {
+		t.Fatalf("%d micro-tokens are held, more than the burst of %d", figures.most, burst)
+	}
+}
+
+// randomBytes returns the bytes from which a run draws its choices.
+func randomBytes(seed uint64) []byte {
+	const draws = 1024
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var data []byte
+	for range draws {
+		data = binary.LittleEndian.AppendUint64(data, rng.Uint64())
+	}
+	return data
 }
 
 // The audit must see lenders that create tokens or hide them from it.
--- a/internal/decide/sycslot/slot_property_test.go
+++ b/internal/decide/sycslot/slot_property_test.go
@@ -1,6 +1,8 @@
 package sycslot_test
 
 import (
+	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -12,16 +14,35 @@
 // steps is the length of a run.
 const steps = 1500
 
-func TestNoSlotAccruesTwice(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		vms := rapid.IntRange(1, 5).Draw(t, "vms")
-		f := newFleet(rapid.Uint64().Draw(t, "seed"), vms)
-		for range steps {
-			if sum := f.advance(); sum > syclimit.Whole {
-				t.Fatalf("at %s all VMs accrue %d parts in %d", f.now, sum, syclimit.Whole)
-			}
+func TestNoSlotAccruesTwice(t *testing.T) { rapid.Check(t, noSlotAccruesTwice) }
+
+// FuzzNoSlotAccruesTwice lets the fuzzer pick the fleet and the seed of its faults.
+func FuzzNoSlotAccruesTwice(f *testing.F) {
+	for seed := range uint64(8) {
+		f.Add(randomBytes(seed))
+	}
+	f.Fuzz(rapid.MakeFuzz(noSlotAccruesTwice))
+}
+
+func noSlotAccruesTwice(t *rapid.T) {
+	vms := rapid.IntRange(1, 5).Draw(t, "vms")
+	f := newFleet(rapid.Uint64().Draw(t, "seed"), vms)
+	for range steps {
+		if sum := f.advance(); sum > syclimit.Whole {
+			t.Fatalf("at %s all VMs accrue %d parts in %d", f.now, sum, syclimit.Whole)
 		}
-	})
+	}
+}
+
+// randomBytes returns the bytes from which a run draws its choices.
+func randomBytes(seed uint64) []byte {
+	const draws = 64
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var data []byte
+	for range draws {
+		data = binary.LittleEndian.AppendUint64(data, rng.Uint64())
+	}
+	return data
 }
 
 // The audit must see VMs that start without asking others.
