--- a/cmd/sycamorebench/footprint.go
+++ b/cmd/sycamorebench/footprint.go
@@ -32,6 +32,7 @@
 	engines   string
 	customers string
 	span      time.Duration
+	profile   string
 }
 
 // Name is the command's name.
@@ -50,6 +51,7 @@
 	f.StringVar(&c.engines, "engines", "10,40,80", "`numbers` of engines, with the first number of VMs and customers")
 	f.StringVar(&c.customers, "customers", "10,2000,8000", "`numbers` of customers, with the first number of VMs and engines")
 	f.DurationVar(&c.span, "span", 8*time.Second, "how long each size is measured")
+	f.StringVar(&c.profile, "profile", "", "`file` for a processor profile of a router; the last size overwrites the others")
 }
 
 // Execute measures and prints.
@@ -108,6 +110,10 @@
 	return nil
 }
 
+func (c *footprintCommand) options() sycfootprint.Options {
+	return sycfootprint.Options{Binary: c.binary, Span: c.span, Profile: c.profile}
+}
+
 func parseNumbers(list string) ([]int, error) {
 	var numbers []int
 	for _, text := range strings.Split(list, ",") {
@@ -134,7 +140,7 @@
 			other.set(&size, other.numbers[0])
 		}
 		a.set(&size, n)
-		cost, err := sycfootprint.Measure(ctx, c.binary, size, c.span)
+		cost, err := sycfootprint.Measure(ctx, c.options(), size)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/sycfootprint/footprint.go
+++ b/internal/standin/sycfootprint/footprint.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -50,11 +51,23 @@
 	PeerBytes float64
 }
 
+// Options tells how to measure.
+type Options struct {
+	// Binary is the router program.
+	Binary string
+	// Span is how long each size is measured, at least a second.
+	Span time.Duration
+	// Profile names the file that gets a processor profile of one router over
+	// the span; empty takes none, and a profile adds to the cost.
+	Profile string
+}
+
 // Measure runs a deployment of the given size and reads its cost over the span.
-func Measure(ctx context.Context, binary string, size Size, span time.Duration) (cost Cost, err error) {
+func Measure(ctx context.Context, o Options, size Size) (cost Cost, err error) {
 	d, err := sycdeploy.New(ctx, sycdeploy.Options{
 		Workload: sycload.Idle(size.VMs, size.Engines),
-		Binary:   binary,
+		Binary:   o.Binary,
+		Settings: o.settings(),
 		Seed:     1,
 	})
 	if err != nil {
@@ -75,7 +88,7 @@
 	if err != nil {
 		return Cost{}, err
 	}
-	if err := wait(ctx, span); err != nil {
+	if err := o.watch(ctx, d); err != nil {
 		return Cost{}, err
 	}
 	after, err := read(ctx, d)
@@ -85,12 +98,39 @@
 	n := float64(size.VMs)
 	return Cost{
 		Size:      size,
-		Core:      (after.seconds - before.seconds) / span.Seconds() / n,
+		Core:      (after.seconds - before.seconds) / o.Span.Seconds() / n,
 		Memory:    after.memory / n,
-		PeerBytes: (after.bytes - before.bytes) / span.Seconds() / n,
+		PeerBytes: (after.bytes - before.bytes) / o.Span.Seconds() / n,
 	}, nil
 }
 
+func (o Options) settings() map[string]string {
+	if o.Profile == "" {
+		return nil
+	}
+	return map[string]string{"operators.pprof": "true"}
+}
+
+// watch lets the span pass and takes the profile.
+func (o Options) watch(ctx context.Context, d *sycdeploy.Deployment) error {
+	if o.Profile == "" {
+		return wait(ctx, o.Span)
+	}
+	url := fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", d.Routers()[0].Operators(), int(o.Span.Seconds()))
+	body, err := fetch(ctx, url)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	file, err := os.Create(o.Profile)
+	if err != nil {
+		return eris.Wrap(err, "footprint")
+	}
+	defer file.Close()
+	_, err = io.Copy(file, body)
+	return eris.Wrap(err, "footprint: profile")
+}
+
 func publishCustomers(ctx context.Context, d *sycdeploy.Deployment, n int) error {
 	var list []sycrecord.Operation
 	var next uint64
@@ -166,19 +206,32 @@
 	return (user + system) / ticksPerSecond, resident * float64(os.Getpagesize()), nil
 }
 
-// metric sums the series of a metric.
-func metric(ctx context.Context, url, name string) (float64, error) {
+// fetch returns the body of an operators' page.
+func fetch(ctx context.Context, url string) (io.ReadCloser, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return 0, eris.Wrap(err, "footprint")
+		return nil, eris.Wrap(err, "footprint")
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, eris.Wrap(err, "footprint")
+		return nil, eris.Wrap(err, "footprint")
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, eris.Errorf("footprint: %s answered %s", url, response.Status)
+	}
+	return response.Body, nil
+}
+
+// metric sums the series of a metric.
+func metric(ctx context.Context, url, name string) (float64, error) {
+	body, err := fetch(ctx, url)
+	if err != nil {
+		return 0, err
 	}
-	defer response.Body.Close()
+	defer body.Close()
 	sum := 0.0
-	lines := bufio.NewScanner(response.Body)
+	lines := bufio.NewScanner(body)
 	for lines.Scan() {
 		series, value, _ := strings.Cut(lines.Text(), " ")
 		if series != name && !strings.HasPrefix(series, name+"{") {
