--- a/internal/operate/sycloop/loop.go
+++ b/internal/operate/sycloop/loop.go
@@ -15,11 +15,23 @@
 // its posters and drops nothing.
 const Depth = 4096
 
+// longestWait is the time between looks at a loop without tasks.
+const longestWait = time.Hour
+
 // Loop executes posted functions one at a time, in order.
 type Loop struct {
 	tomb  tomb.Tomb
 	start time.Time
 	work  chan func(now time.Duration)
+	// tasks belongs to the loop's goroutine.
+	tasks []*task
+}
+
+// task is a function that runs at a period.
+type task struct {
+	period time.Duration
+	due    time.Duration
+	run    func(now time.Duration)
 }
 
 // New starts a loop.
@@ -29,18 +41,41 @@
 		work:  make(chan func(now time.Duration), Depth),
 	}
 	l.tomb.Go(func() error {
+		timer := time.NewTimer(longestWait)
+		defer timer.Stop()
 		for {
 			select {
 			case <-l.tomb.Dying():
 				return nil
 			case f := <-l.work:
+				known := len(l.tasks)
 				f(l.Now())
+				if len(l.tasks) > known {
+					timer.Reset(0)
+				}
+			case <-timer.C:
+				timer.Reset(l.runTasks())
 			}
 		}
 	})
 	return l
 }
 
+// runTasks runs the tasks that are due and returns the time to the next.
+func (l *Loop) runTasks() time.Duration {
+	for _, t := range l.tasks {
+		if now := l.Now(); now >= t.due {
+			t.run(now)
+			t.due = max(t.due+t.period, now)
+		}
+	}
+	wait := longestWait
+	for _, t := range l.tasks {
+		wait = min(wait, t.due-l.Now())
+	}
+	return max(wait, 0)
+}
+
 // Now is the monotonic time since the loop started.
 func (l *Loop) Now() time.Duration {
 	return time.Since(l.start)
@@ -76,19 +111,12 @@
 	}
 }
 
-// Every posts f at the given period until the loop is closed.
+// Every runs f on the loop at the given period until the loop is closed; a time
+// that comes while the loop is busy is made up for once. Like Post it must not
+// be called from inside a posted function.
 func (l *Loop) Every(period time.Duration, f func(now time.Duration)) {
-	l.tomb.Go(func() error {
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-l.tomb.Dying():
-				return nil
-			case <-ticker.C:
-				l.Post(f)
-			}
-		}
+	l.Post(func(now time.Duration) {
+		l.tasks = append(l.tasks, &task{period: period, due: now + period, run: f})
 	})
 }
 
