Share the load polls of a failure domain among its VMs

Cause: every VM polled every engine, 50 polls a second from 10 engines on; a profile of an idle VM (sycamorebench footprint -vms 4,4,4 -engines 10,10,10 -span 15s -profile) gave a quarter of its time to polls and another quarter to the scheduler that wakes for them.

An engine without work is polled once a second. A broken read of events and another VM's failed poll have an engine polled at once.

--- a/cmd/sycamorebench/footprint.go
+++ b/cmd/sycamorebench/footprint.go
@@ -132,7 +132,7 @@
 // measure grows a deployment along one axis and prints its costs and slopes.
 func (c *footprintCommand) measure(ctx context.Context, a axis, all []axis) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "VMs\tengines\tcustomers\tcore\tmemory MiB\tpeer bytes/s")
+	fmt.Fprintln(table, "VMs\tengines\tcustomers\tcore\tmemory MiB\tpeer bytes/s\tload polls/s")
 	var costs []sycfootprint.Cost
 	for _, n := range a.numbers {
 		var size sycfootprint.Size
@@ -145,7 +145,7 @@
 			return err
 		}
 		costs = append(costs, cost)
-		fmt.Fprintf(table, "%d\t%d\t%d\t%.4f\t%.1f\t%.0f\n", size.VMs, size.Engines, size.Customers, cost.Core, cost.Memory/(1<<20), cost.PeerBytes)
+		fmt.Fprintf(table, "%d\t%d\t%d\t%.4f\t%.1f\t%.0f\t%.1f\n", size.VMs, size.Engines, size.Customers, cost.Core, cost.Memory/(1<<20), cost.PeerBytes, cost.Polls)
 	}
 	core, _ := sycfootprint.Slope(costs, a.get, func(c sycfootprint.Cost) float64 { return c.Core })
 	memory, _ := sycfootprint.Slope(costs, a.get, func(c sycfootprint.Cost) float64 { return c.Memory })
--- a/internal/decide/sycdispatch/feed.go
+++ b/internal/decide/sycdispatch/feed.go
@@ -36,6 +36,18 @@
 	d.dispatchAll(now)
 }
 
+// Relayed takes a report that another VM got. It is left out, with false, while
+// the endpoint is out of service here, which only its answer to this VM ends.
+func (d *Dispatcher[P]) Relayed(now, at time.Duration, name string, r Report) bool {
+	e := d.endpoints[name]
+	if e == nil || e.health.State() == sychealth.Out {
+		return false
+	}
+	e.take(at, r)
+	d.dispatchAll(now)
+	return true
+}
+
 // RoundTrip takes the time that a poll of the endpoint took.
 func (d *Dispatcher[P]) RoundTrip(name string, took time.Duration) {
 	e := d.endpoints[name]
--- /dev/null
+++ b/internal/decide/sycpoll/setting.go
@@ -0,0 +1,73 @@
+// Package sycpoll decides which VM of a failure domain polls which engine's load.
+//
+// The VMs share the polls: the first by rendezvous rank polls an engine and
+// passes its reports on, the others poll it only when they have heard no newer
+// report for some time, which grows with the rank. A VM that can reach an
+// engine so has a report of it that is never older than Settings.Bound, also
+// when digests are lost, a VM is paused or rosters disagree.
+//
+// The package is pure: it takes the time and events and holds no clock.
+package sycpoll
+
+import "time"
+
+// Settings tunes a Plan.
+type Settings struct {
+	// Period is the time between polls of an engine of the own failure domain
+	// that has work, FarPeriod of one of another domain.
+	Period    time.Duration
+	FarPeriod time.Duration
+	// IdlePeriod is the time between polls of an engine without work.
+	IdlePeriod time.Duration
+	// Reports bounds the polls a second of all engines by all VMs together, by
+	// longer periods where there are many engines.
+	Reports float64
+	// Patience is how much older than its period a report may get before the
+	// second VM polls the engine itself, and Stagger what each further rank adds.
+	Patience time.Duration
+	Stagger  time.Duration
+	// Ranks is the rank from which on patience grows no more.
+	Ranks int
+	// Contact is the longest time between own polls of an engine, by which a VM
+	// knows that it can reach it and how long the way is.
+	Contact time.Duration
+	// Rate bounds the polls a second, Burst those at once.
+	Rate  float64
+	Burst float64
+}
+
+// Defaults returns the settings with unset fields filled in.
+func (s Settings) Defaults() Settings {
+	setDefault(&s.Period, 200*time.Millisecond)
+	setDefault(&s.FarPeriod, 400*time.Millisecond)
+	setDefault(&s.IdlePeriod, time.Second)
+	setDefault(&s.Reports, 200)
+	setDefault(&s.Patience, 750*time.Millisecond)
+	setDefault(&s.Stagger, 250*time.Millisecond)
+	setDefault(&s.Ranks, 4)
+	setDefault(&s.Contact, time.Minute)
+	setDefault(&s.Rate, 50)
+	setDefault(&s.Burst, 10)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Bound is the oldest that a report gets at a VM that can reach all of a number
+// of engines and whose polls end within the given time.
+func (s Settings) Bound(engines int, poll time.Duration) time.Duration {
+	longest := max(s.Period, s.FarPeriod, s.IdlePeriod, s.round(engines))
+	wait := time.Duration((1+jitter/2)*float64(longest)) + s.Patience + time.Duration(s.Ranks)*s.Stagger
+	alone := time.Duration(float64(engines) / s.Rate * float64(time.Second))
+	return wait + alone + 2*poll
+}
+
+// round is the shortest time in which the VMs together poll a number of engines.
+func (s Settings) round(engines int) time.Duration {
+	return time.Duration(float64(engines) / s.Reports * float64(time.Second))
+}
--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -121,6 +121,18 @@
 	return mesh.Peers()
 }
 
+// neighbours returns the addresses of the VMs of the own failure domain that are
+// in touch. It must be called on the control loop.
+func (v *VM) neighbours(now time.Duration) []string {
+	var list []string
+	for _, member := range v.roster.Live(now) {
+		if vm := member.VM(); vm.FailureDomain == v.settings.FailureDomain() {
+			list = append(list, vm.Address)
+		}
+	}
+	return list
+}
+
 // digests joins what the parts of a VM tell the other VMs.
 type digests struct {
 	vm *VM
@@ -135,6 +147,7 @@
 	}
 	d.vm.loop.Do(func(now time.Duration) {
 		out.Loads, out.Service = d.vm.chooser.ShareOut(now)
+		out.Reports, out.Unreached = d.vm.feed.ShareOut(now)
 	})
 }
 
@@ -148,6 +161,7 @@
 	source := from.GetAddress() + "/" + from.GetIncarnation()
 	d.vm.loop.Do(func(now time.Duration) {
 		d.vm.chooser.ShareIn(now, source, in.GetLoads(), in.GetService())
+		d.vm.feed.ShareIn(now, in.GetReports(), in.GetUnreached())
 	})
 }
 
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -70,6 +70,7 @@
 	limiter  *sycadmit.Limiter
 	claims   *sycclaims.Driver
 	chooser  *sycchoose.Chooser
+	feed     *sycfeed.Feed
 	drain    *sycdrain.Drain
 	// drained is set when the VM has ended its service to callers.
 	drained atomic.Bool
@@ -211,12 +212,17 @@
 		Seed:          seed(v.address),
 		Versions:      v.versions.Versions,
 	})
-	feed := sycfeed.New(sycfeed.Options{
-		Sink:      v.chooser,
-		Config:    v.store.Config,
-		Transport: sycdial.Transport(v.dial, feedConns),
+	v.feed = sycfeed.New(sycfeed.Options{
+		Loop:          v.loop,
+		Sink:          v.chooser,
+		Config:        v.store.Config,
+		Transport:     sycdial.Transport(v.dial, feedConns),
+		Self:          v.address,
+		FailureDomain: v.settings.FailureDomain(),
+		Members:       v.neighbours,
+		Urgent:        v.chooser.Hurry,
 	})
-	v.closers.add(feed.Close)
+	v.closers.add(v.feed.Close)
 	v.gateway = sycgateway.New(sycgateway.Options{
 		Config:  v.store.Config,
 		Ready:   v.store.Ready,
--- a/internal/peer/sycmesh/share.go
+++ b/internal/peer/sycmesh/share.go
@@ -53,11 +53,12 @@
 }
 
 // news reports whether a digest should go out: when it says something, and once
-// more when it has nothing more to say.
+// more when it has nothing more to say of load, service and evidence.
 func (*Mesh) news(d *sycpeerpb.ShareRequest, told *bool) bool {
 	before := *told
 	*told = len(d.GetLoads())+len(d.GetService())+len(d.GetEvidence()) > 0
-	return *told || before
+	reports := len(d.GetReports()) + len(d.GetUnreached())
+	return *told || before || reports > 0
 }
 
 func (m *Mesh) digest(same bool) *sycpeerpb.ShareRequest {
@@ -69,5 +70,5 @@
 // Share takes a digest in.
 func (m *Mesh) Share(_ context.Context, in *sycpeerpb.ShareRequest) (*sycpeerpb.ShareReply, error) {
 	m.options.Digests.ShareIn(in)
-	return &sycpeerpb.ShareReply{Vm: encode(m.options.Self)}, nil
+	return &sycpeerpb.ShareReply{}, nil
 }
--- a/internal/standin/sycfootprint/footprint.go
+++ b/internal/standin/sycfootprint/footprint.go
@@ -49,6 +49,8 @@
 	Memory float64
 	// PeerBytes is the traffic with other VMs, both ways, in bytes a second.
 	PeerBytes float64
+	// Polls is the number of load polls a second.
+	Polls float64
 }
 
 // Options tells how to measure.
@@ -101,6 +103,7 @@
 		Core:      (after.seconds - before.seconds) / o.Span.Seconds() / n,
 		Memory:    after.memory / n,
 		PeerBytes: (after.bytes - before.bytes) / o.Span.Seconds() / n,
+		Polls:     (after.polls - before.polls) / o.Span.Seconds() / n,
 	}, nil
 }
 
@@ -162,6 +165,7 @@
 	seconds float64
 	memory  float64
 	bytes   float64
+	polls   float64
 }
 
 func read(ctx context.Context, d *sycdeploy.Deployment) (reading, error) {
@@ -175,9 +179,14 @@
 		if err != nil {
 			return sum, err
 		}
+		polls, err := metric(ctx, r.Operators()+"/metrics", "sycamorecart_feed_polls_total")
+		if err != nil {
+			return sum, err
+		}
 		sum.seconds += seconds
 		sum.memory += memory
 		sum.bytes += bytes
+		sum.polls += polls
 	}
 	return sum, nil
 }
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -155,10 +155,7 @@
 		}
 	}
 	if c.dispatcher.Urgent() {
-		select {
-		case c.urgent <- struct{}{}:
-		default:
-		}
+		c.Hurry()
 	}
 	for _, k := range c.dispatcher.TakeKeeps() {
 		select {
--- a/internal/traffic/sycchoose/feed.go
+++ b/internal/traffic/sycchoose/feed.go
@@ -6,33 +6,35 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 )
 
-// The methods in this file implement sycfeed.Sink. They are called from the
-// goroutines that follow endpoints and wait for the loop.
+// The methods in this file implement sycfeed.Sink. Those up to Silent must be
+// called on the loop; the others are called from the goroutines that follow
+// endpoints and wait for the loop.
 
 // Report takes a load report that was age old when it arrived.
-func (c *Chooser) Report(name string, age time.Duration, r sycdispatch.Report) {
-	c.loop.Do(func(now time.Duration) {
-		c.act(now, func(d machine) { d.Report(now, now-age, name, r) })
-	})
+func (c *Chooser) Report(now time.Duration, name string, age time.Duration, r sycdispatch.Report) {
+	c.act(now, func(d machine) { d.Report(now, now-age, name, r) })
+}
+
+// Relayed takes a report that another VM got; false leaves it out, because the
+// endpoint is out of service here.
+func (c *Chooser) Relayed(now time.Duration, name string, age time.Duration, r sycdispatch.Report) (taken bool) {
+	c.act(now, func(d machine) { taken = d.Relayed(now, now-age, name, r) })
+	return taken
 }
 
 // RoundTrip takes the time that a poll of an endpoint took.
 func (c *Chooser) RoundTrip(name string, took time.Duration) {
-	c.loop.Do(func(time.Duration) { c.dispatcher.RoundTrip(name, took) })
+	c.dispatcher.RoundTrip(name, took)
 }
 
 // Unreachable tells that no connection to an endpoint could be made.
-func (c *Chooser) Unreachable(name string) {
-	c.loop.Do(func(now time.Duration) {
-		c.act(now, func(d machine) { d.Unreachable(now, name) })
-	})
+func (c *Chooser) Unreachable(now time.Duration, name string) {
+	c.act(now, func(d machine) { d.Unreachable(now, name) })
 }
 
 // Silent tells that an endpoint takes connections but doesn't answer.
-func (c *Chooser) Silent(name string) {
-	c.loop.Do(func(now time.Duration) {
-		c.act(now, func(d machine) { d.Silent(now, name) })
-	})
+func (c *Chooser) Silent(now time.Duration, name string) {
+	c.act(now, func(d machine) { d.Silent(now, name) })
 }
 
 // Keeps yields what stores of kept KV cache should fetch.
--- a/internal/traffic/sycchoose/machine.go
+++ b/internal/traffic/sycchoose/machine.go
@@ -19,6 +19,7 @@
 	Tick(now time.Duration)
 	Take() []sycdispatch.Decision
 	Report(now, at time.Duration, name string, r sycdispatch.Report)
+	Relayed(now, at time.Duration, name string, r sycdispatch.Report) bool
 	RoundTrip(name string, took time.Duration)
 	Unreachable(now time.Duration, name string)
 	Silent(now time.Duration, name string)
--- a/internal/traffic/sycchoose/share.go
+++ b/internal/traffic/sycchoose/share.go
@@ -36,6 +36,14 @@
 // Urgent yields when the others should be told before the next regular time.
 func (c *Chooser) Urgent() <-chan struct{} { return c.urgent }
 
+// Hurry asks for a digest before the next regular time.
+func (c *Chooser) Hurry() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // ShareIn takes what another VM of the failure domain told. from names that
 // VM's process and changes when it restarts. It must be called on the loop.
 func (c *Chooser) ShareIn(now time.Duration, from string, loads []*sycpeerpb.EndpointLoad, services []*sycpeerpb.CustomerService) {
--- a/internal/traffic/sycchoose/site_test.go
+++ b/internal/traffic/sycchoose/site_test.go
@@ -154,7 +154,9 @@
 	if s.deaf {
 		sink = deafSink{chooser}
 	}
-	feed := sycfeed.New(sycfeed.Options{Sink: sink, Config: config, Transport: transport})
+	feed := sycfeed.New(sycfeed.Options{
+		Loop: loop, Sink: sink, Config: config, Transport: transport, FailureDomain: domain,
+	})
 	t.Cleanup(func() {
 		must.NoError(t, feed.Close())
 		must.NoError(t, loop.Close())
--- a/internal/traffic/sycfeed/client.go
+++ b/internal/traffic/sycfeed/client.go
@@ -74,8 +74,8 @@
 	"clear": sycprefix.Clear,
 }
 
-// report turns an answer into a report and its age.
-func (a *loadAnswer) report(now time.Time) (sycdispatch.Report, time.Duration) {
+// report turns an answer into a report.
+func (a *loadAnswer) report() sycdispatch.Report {
 	r := sycdispatch.Report{
 		Incarnation:   a.Incarnation,
 		Running:       a.Running,
@@ -89,7 +89,12 @@
 			r.Ready = append(r.Ready, sycdispatch.Loaded{Model: w.Model, Weights: w.Weights})
 		}
 	}
-	return r, min(max(now.Sub(a.AsOf), 0), oldestReport)
+	return r
+}
+
+// ageOf is the age of a report by its engine's clock.
+func ageOf(asOf, now time.Time) time.Duration {
+	return min(max(now.Sub(asOf), 0), oldestReport)
 }
 
 // batch turns an answer into a batch of events; unknown operations are left out
--- a/internal/traffic/sycfeed/feed_test.go
+++ b/internal/traffic/sycfeed/feed_test.go
@@ -46,7 +46,7 @@
 	chooser := sycchoose.New(sycchoose.Options{
 		Loop: loop, Config: func() *sycconfig.State { return state }, FailureDomain: "x",
 	})
-	feed := sycfeed.New(sycfeed.Options{Sink: chooser, Config: func() *sycconfig.State { return state }})
+	feed := sycfeed.New(sycfeed.Options{Loop: loop, Sink: chooser, Config: func() *sycconfig.State { return state }})
 	t.Cleanup(func() { must.NoError(t, feed.Close()) })
 	status := func() sycdispatch.EndpointStatus { return chooser.Endpoints()[0] }
 
--- a/internal/traffic/sycfeed/follower.go
+++ b/internal/traffic/sycfeed/follower.go
@@ -17,80 +17,45 @@
 	storePeriod = 2 * time.Second
 	// retryPause is the pause after a failed call.
 	retryPause = 250 * time.Millisecond
-	// silentPolls is the number of unanswered polls in a row that count as silence.
-	silentPolls = 2
 )
 
-// follower polls one endpoint until it is closed.
+// follower reads the events and lists of one endpoint until it is closed.
 type follower struct {
 	tomb    tomb.Tomb
+	feed    *Feed
 	client  *http.Client
 	sink    Sink
 	name    string
 	address string
 }
 
-// newFollower starts the polls that the endpoint's type answers.
-func newFollower(client *http.Client, sink Sink, record sycrecord.Endpoint, period func() time.Duration) *follower {
-	f := &follower{client: client, sink: sink, name: record.Name(), address: record.Address()}
+// newFollower starts the calls that the endpoint's type answers.
+func newFollower(feed *Feed, record sycrecord.Endpoint) *follower {
+	f := &follower{
+		feed:    feed,
+		client:  feed.client,
+		sink:    feed.options.Sink,
+		name:    record.Name(),
+		address: record.Address(),
+	}
 	ctx := f.tomb.Context(context.Background())
 	f.tomb.Go(func() error {
 		if record.Type() == sycrecord.EndpointKVStore {
 			f.followStore(ctx)
 			return nil
 		}
-		f.tomb.Go(func() error {
-			f.followLoad(ctx, period)
-			return nil
-		})
 		f.followEvents(ctx)
 		return nil
 	})
 	return f
 }
 
-// close stops the polls and waits for them.
+// close stops the calls and waits for them.
 func (f *follower) close() {
 	f.tomb.Kill(nil)
 	_ = f.tomb.Wait()
 }
 
-func (f *follower) followLoad(ctx context.Context, period func() time.Duration) {
-	failed := 0
-	for ctx.Err() == nil {
-		if f.pollLoad(ctx) {
-			failed = 0
-		} else {
-			failed++
-		}
-		if failed >= silentPolls && ctx.Err() == nil {
-			f.sink.Silent(f.name)
-		}
-		pause(ctx, period())
-	}
-}
-
-// pollLoad reports false when the endpoint didn't answer.
-func (f *follower) pollLoad(ctx context.Context) bool {
-	start := time.Now()
-	answer, err := get[loadAnswer](ctx, f.client, f.address+"/v1/load", pollTimeout)
-	switch {
-	case ctx.Err() != nil:
-		return true
-	case unreachable(err):
-		pollErrors.Inc()
-		f.sink.Unreachable(f.name)
-		return true
-	case err != nil:
-		pollErrors.Inc()
-		return false
-	}
-	f.sink.RoundTrip(f.name, time.Since(start))
-	report, age := answer.report(time.Now())
-	f.sink.Report(f.name, age, report)
-	return true
-}
-
 func (f *follower) followEvents(ctx context.Context) {
 	position := f.sink.Position(f.name)
 	for ctx.Err() == nil {
@@ -102,6 +67,7 @@
 			position, err = f.events(ctx, position)
 		}
 		if err != nil {
+			f.doubt(ctx)
 			pause(ctx, retryPause)
 			position = f.sink.Position(f.name)
 		}
@@ -126,10 +92,19 @@
 	return f.sink.Events(f.name, answer.batch()), nil
 }
 
+// doubt has the load polled at once: an engine that crashes ends the call that
+// it holds for events.
+func (f *follower) doubt(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.feed.options.Loop.Do(func(time.Duration) { f.feed.doubt(f.name) })
+}
+
 func (f *follower) followStore(ctx context.Context) {
 	for ctx.Err() == nil {
 		if _, err := f.resync(ctx); unreachable(err) {
-			f.sink.Unreachable(f.name)
+			f.feed.options.Loop.Do(func(now time.Duration) { f.sink.Unreachable(now, f.name) })
 		}
 		pause(ctx, storePeriod)
 	}
