Keep a done version on probation

A version that turned bad after it was done was judged by nobody, and its predecessor had been dropped. At the full share a slowdown was not found even before, since the predecessor got no more requests to compare with.

done now carries the length of a probation, in which the predecessor stays loaded, VMs go on judging against its counts of the whole rollout, and the version can still be rolled back; a second done without it is final. The next version waits for it unless its deadline is near. done is recorded as early as before.

A stage that has seen no request although its share came to some goes no further: the version may hang.

Of the ways weighed, a share left with the predecessor after done means that the version has not taken over by its deadline.

--- a/internal/decide/sycrecord/config.go
+++ b/internal/decide/sycrecord/config.go
@@ -181,6 +181,8 @@
 	Canary   float64   `json:"canary_share,omitempty"`
 	Steps    []float64 `json:"steps,omitempty"`
 	Bake     Duration  `json:"bake,omitempty"`
+	// Probation is 0 for the default.
+	Probation Duration `json:"probation,omitempty"`
 }
 
 // Version is a set of weights that serves a model, now or after its rollout.
@@ -219,6 +221,15 @@
 // Bake is the shortest time that each stage lasts.
 func (v Version) Bake() time.Duration { return time.Duration(v.fields.Bake) }
 
+// Probation is the shortest time that the predecessor stays loaded after the
+// rollout is done.
+func (v Version) Probation() time.Duration {
+	if v.fields.Probation > 0 {
+		return time.Duration(v.fields.Probation)
+	}
+	return probationBakes * v.Bake()
+}
+
 // SlotFields is the wire form of a slot.
 type SlotFields struct {
 	Name     string  `json:"name"`
--- a/internal/decide/sycrecord/system.go
+++ b/internal/decide/sycrecord/system.go
@@ -74,6 +74,9 @@
 	State string `json:"state"`
 	// Share is the version's share of its model's traffic, 0 to 1.
 	Share float64 `json:"share"`
+	// Probation is how long the predecessor stays loaded after the state "done", so
+	// that the version can still be rolled back; 0 once that is over.
+	Probation Duration `json:"probation,omitempty"`
 	// Reason says in a sentence why the state was entered.
 	Reason string `json:"reason"`
 	// Evidence holds the counts that the decision rests on.
--- a/internal/decide/sycrecord/validate.go
+++ b/internal/decide/sycrecord/validate.go
@@ -31,6 +31,8 @@
 	DefaultConcurrent     = 32
 	DefaultCanary         = 0.05
 	DefaultBake           = Duration(30 * time.Second)
+	// probationBakes is the default length of the probation in bake times.
+	probationBakes = 20
 )
 
 // Defaults fills the weight.
@@ -123,6 +125,7 @@
 	f.require(!v.Deadline.IsZero(), "spec.deadline", "is required unless the version is initial")
 	f.require(v.Canary > 0 && v.Canary <= maxCanary, "spec.canary_share", "must be above 0 and at most 0.5")
 	f.require(v.Bake > 0 && v.Bake <= maxTimeout, "spec.bake", "must be above 0 and at most 24h")
+	f.require(v.Probation >= 0 && v.Probation <= maxTimeout, "spec.probation", "must be above 0 and at most 24h")
 	former := v.Canary
 	for i, step := range v.Steps {
 		path := "spec.steps[" + strconv.Itoa(i) + "]"
@@ -176,6 +179,7 @@
 func (r *RolloutFields) validate(f *faults) {
 	f.require(r.State != "", "spec.state", "is required")
 	f.require(r.Share >= 0 && r.Share <= 1, "spec.share", "must be from 0 to 1")
+	f.require(r.Probation >= 0, "spec.probation", "must not be below 0")
 }
 
 func validateNames(names []string, path string, f *faults) {
--- a/internal/decide/sycrollout/leader.go
+++ b/internal/decide/sycrollout/leader.go
@@ -21,6 +21,8 @@
 	StateStepping   = "stepping"
 	StateDone       = "done"
 	StateRolledBack = "rolled_back"
+	// StateProbation is recorded as StateDone with the length of the probation.
+	StateProbation = "probation"
 )
 
 const (
@@ -32,6 +34,12 @@
 	// waits for requests: a fixed part, and a part of what later stages need.
 	spareTime    = time.Second
 	spareDivisor = 4
+	// minMissed is the number of requests that must have been a version's share for
+	// a stage without any to count as a fault.
+	minMissed = 5
+	// nextSlack is how many times its own length a next version must have left
+	// for a probation to go on.
+	nextSlack = 2
 	// loadParallel is the number of engines that load weights together.
 	loadParallel = 2
 )
@@ -65,6 +73,7 @@
 	"loaded":     func(v View) bool { return v.readyFor(v.nextShare()) },
 	"bad":        func(v View) bool { return v.fault() != "" },
 	"proven":     func(v View) bool { return v.proven() && v.readyFor(v.nextShare()) },
+	"settled":    View.settled,
 	"finished":   func(v View) bool { return v.Lineup.Progress.Share >= 1 && v.proven() && v.readyFor(1) },
 })
 
@@ -83,9 +92,14 @@
 	switch state {
 	case StateRolledBack:
 		next.Reason = v.reason()
+	case StateProbation:
+		next.State = StateDone
+		next.Share = 1
+		next.Reason = v.passed()
+		next.Probation = v.probation()
 	case StateDone:
 		next.Share = 1
-		next.Reason = "every step passed"
+		next.Reason = v.settledReason()
 	case StatePreparing:
 		next.Reason = "weights are being loaded"
 	default:
@@ -99,12 +113,16 @@
 func Waiting(v View) string {
 	next := v.nextShare()
 	switch {
+	case v.Lineup.Progress.State == StateProbation:
+		return v.waitingToSettle()
 	case v.Engines == 0:
 		return "no engine of the model is live"
 	case !v.readyFor(next):
 		return fmt.Sprintf("%d of %d engines needed for a share of %g have the weights", v.Ready, v.needed(next), next)
 	case v.InState < v.bake():
 		return fmt.Sprintf("the stage lasts %s longer", (v.bake() - v.InState).Round(time.Millisecond))
+	case v.unseen():
+		return fmt.Sprintf("its share came to about %d requests, and none has ended", v.missed())
 	case !v.enough():
 		return fmt.Sprintf("%d of %d requests were seen in this stage", v.Stage.Requests, minRequests)
 	}
@@ -137,7 +155,8 @@
 	if v.expired() {
 		return fmt.Sprintf("the deadline %s came first: %s", v.Lineup.Candidate.Value().Deadline().Format(time.RFC3339), Waiting(v))
 	}
-	return fmt.Sprintf("the deadline cannot be met: %s are left and %s are needed", v.left().Round(time.Millisecond), v.timeNeeded().Round(time.Millisecond))
+	return fmt.Sprintf("the deadline cannot be met: %s are left and %s are needed; %s",
+		v.left().Round(time.Millisecond), v.timeNeeded().Round(time.Millisecond), Waiting(v))
 }
 
 // shares lists the shares that are still to come, the present one first.
@@ -197,11 +216,15 @@
 func (v View) infeasible() bool { return v.timeNeeded() > v.left() }
 
 // enough reports whether the stage has seen enough requests. A stage waits for
-// them as long as the stages after it can still bake before the deadline.
+// them as long as the stages after it can still bake before the deadline, and
+// to the end if it has seen none although there were requests.
 func (v View) enough() bool {
 	if v.Stage.Requests >= minRequests {
 		return true
 	}
+	if v.unseen() {
+		return false
+	}
 	after := time.Duration(len(v.shares())-1) * v.bake()
 	return v.left() <= after+after/spareDivisor+spareTime
 }
--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -119,8 +119,10 @@
 }
 
 const (
-	// Window is the span of the recent evidence.
+	// Window is the longest span of recent evidence.
 	Window = 10 * time.Second
+	// ShortWindow is the span in which a fault shows soonest where requests are many.
+	ShortWindow = 2 * time.Second
 	// readingPeriod is the time between readings of the sums.
 	readingPeriod = time.Second
 )
@@ -213,14 +215,26 @@
 	return out
 }
 
-// Recent returns the counts of the last Window, and takes a reading when one is due.
-func (l *Ledger) Recent(now time.Duration) Totals {
-	sum := l.Sum()
-	if n := len(l.history); n == 0 || now-l.history[n-1].at >= readingPeriod {
-		l.history = append(l.history, reading{at: now, totals: sum})
+// Read takes a reading of the sums when one is due. Recent has counts only
+// from readings.
+func (l *Ledger) Read(now time.Duration) {
+	if n := len(l.history); n > 0 && now-l.history[n-1].at < readingPeriod {
+		return
 	}
+	l.history = append(l.history, reading{at: now, totals: l.Sum()})
 	for len(l.history) > 1 && now-l.history[1].at >= Window {
 		l.history = l.history[1:]
 	}
-	return sum.Since(l.history[0].totals)
+}
+
+// Recent returns which of the sums are of the last window, which is at most Window, or up
+// to the time between two readings more.
+func (l *Ledger) Recent(sum Totals, now, window time.Duration) Totals {
+	var earlier Totals
+	for i, r := range l.history {
+		if i == 0 || now-r.at >= window {
+			earlier = r.totals
+		}
+	}
+	return sum.Since(earlier)
 }
--- a/internal/decide/sycrollout/loads.go
+++ b/internal/decide/sycrollout/loads.go
@@ -49,7 +49,8 @@
 	return append(orders, l.drops(model, ordered)...)
 }
 
-// wanted lists the weights that the i-th of n engines should hold.
+// wanted lists the weights that the i-th of n engines should hold, those that
+// serve first.
 func (l Lineup) wanted(i, n int) []string {
 	var weights []string
 	if l.HasBase {
@@ -58,7 +59,9 @@
 	if l.HasCandidate && l.Progress.State != StatePending && i < l.targets(n) {
 		weights = append(weights, l.Candidate.Value().Weights())
 	}
-	slices.Sort(weights)
+	if l.Progress.Share >= 1 {
+		slices.Reverse(weights)
+	}
 	return slices.Compact(weights)
 }
 
--- a/internal/decide/sycrollout/shares.go
+++ b/internal/decide/sycrollout/shares.go
@@ -21,6 +21,9 @@
 	// Candidate is the version whose rollout is under way or next.
 	Candidate    Version
 	HasCandidate bool
+	// Next is the version after the candidate; it is known during a probation only.
+	Next    Version
+	HasNext bool
 	// Progress is the candidate's recorded progress, in the state "pending" if there is none.
 	Progress sycrecord.RolloutFields
 	// ProgressGeneration is the generation of the progress record, 0 if there is none.
@@ -53,9 +56,15 @@
 		if v.Value().Initial() || chart.Final(fields.State) {
 			continue
 		}
+		if l.HasCandidate {
+			l.Next, l.HasNext = v, true
+			return l
+		}
 		l.Candidate, l.HasCandidate = v, true
 		l.Progress, l.ProgressGeneration = fields, generation
-		return l
+		if fields.State != StateProbation {
+			return l
+		}
 	}
 	return l
 }
@@ -84,7 +93,7 @@
 	if !ok || r.Value().Fields().Generation != v.Generation() {
 		return 0, false
 	}
-	return r.Offset() + 1, r.Value().Fields().State == StateDone
+	return r.Offset() + 1, stateOf(r.Value().Fields()) == StateDone
 }
 
 // progress returns a version's recorded progress; a record of an earlier
@@ -96,13 +105,22 @@
 		return none, 0
 	}
 	fields := r.Value().Fields()
+	fields.State = stateOf(fields)
 	if fields.Generation != v.Generation() || !chart.Has(fields.State) {
 		return none, r.Generation()
 	}
 	return fields, r.Generation()
 }
 
-// Subject returns the version as a subject of evidence.
+// stateOf is the state of the chart that a record stands for.
+func stateOf(f sycrecord.RolloutFields) string {
+	if f.State == StateDone && f.Probation > 0 {
+		return StateProbation
+	}
+	return f.State
+}
+
+// subject returns the version as a subject of evidence.
 func subject(v Version) Subject {
 	return Subject{Version: v.Value().Name(), Generation: v.Generation()}
 }
@@ -118,7 +136,7 @@
 	share := 0.0
 	stopped := false
 	if l.HasCandidate {
-		stopped = vetoed(subject(l.Candidate)) || wall.After(l.Candidate.Value().Deadline())
+		stopped = vetoed(subject(l.Candidate)) || l.late(wall)
 		share = l.Progress.Share
 	}
 	if stopped {
@@ -134,6 +152,11 @@
 	return list
 }
 
+// late reports whether the candidate is past its deadline without being done.
+func (l Lineup) late(wall time.Time) bool {
+	return l.Progress.State != StateProbation && wall.After(l.Candidate.Value().Deadline())
+}
+
 func newShare(v Version, share float64, vetoed bool) sycwork.VersionShare {
 	return sycwork.VersionShare{
 		Version: v.Value().Name(),
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -13,8 +13,12 @@
 const (
 	// confidence is the number of standard deviations of the Wilson bounds.
 	confidence = 3.5
+	// failureChance is the probability below which failures are not taken for chance.
+	failureChance = 2e-5
 	// failureMargin is how much higher a version's failure rate may be.
 	failureMargin = 0.02
+	// tailPrecision is the part of a sum below which a further term is left out.
+	tailPrecision = 1e-6
 	// minFailures is the smallest number of failures that counts as evidence.
 	minFailures = 3
 	// referenceQuantile and slowShare define slowness: more than slowShare of a
@@ -39,19 +43,24 @@
 	Reason string
 	// Requests is the number of the version's requests that were seen.
 	Requests uint64
-	Evidence []sycrecord.EvidenceFields
+	// OldRequests is the number of the predecessor's requests on all routes.
+	OldRequests uint64
+	Evidence    []sycrecord.EvidenceFields
 }
 
 // Compare judges a version against its predecessor, route by route. Requests
 // are compared only with requests of the same load and size class.
 func Compare(t Totals, candidate, predecessor Subject) Verdict {
 	routes := map[string]bool{}
-	for cell := range t {
-		if (Subject{cell.Version, cell.Generation}) == candidate {
+	var v Verdict
+	for cell, counts := range t {
+		switch (Subject{cell.Version, cell.Generation}) {
+		case candidate:
 			routes[cell.Route] = true
+		case predecessor:
+			v.OldRequests += counts.Requests
 		}
 	}
-	var v Verdict
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
 		v.judge(t, route, candidate, predecessor)
 	}
@@ -70,9 +79,11 @@
 	for load := range loadClasses {
 		byLoad := comparison{}
 		for size := range sizeClasses {
-			fresh := t[Cell{candidate.Version, candidate.Generation, route, load, size}]
-			old := t[Cell{predecessor.Version, predecessor.Generation, route, load, size}]
-			byLoad.add(&fresh, &old)
+			fresh, isFresh := t[Cell{candidate.Version, candidate.Generation, route, load, size}]
+			old, isOld := t[Cell{predecessor.Version, predecessor.Generation, route, load, size}]
+			if isFresh || isOld {
+				byLoad.add(&fresh, &old)
+			}
 		}
 		if byLoad.fresh.Requests > 0 {
 			v.Evidence = append(v.Evidence, byLoad.evidence(route, loadName(load)))
@@ -137,7 +148,31 @@
 	if c.old.Requests > 0 {
 		before = float64(c.old.Failures) / float64(c.old.Requests)
 	}
-	return wilsonLow(c.fresh.Failures, c.fresh.Requests) > before+failureMargin
+	return binomialTail(c.fresh.Failures, c.fresh.Requests, before+failureMargin) < failureChance
+}
+
+// binomialTail is the probability of at least hits in a number of trials. It
+// returns 1 where hits are no more than expected.
+func binomialTail(hits, trials uint64, p float64) float64 {
+	k, n := float64(hits), float64(trials)
+	if k <= n*p {
+		return 1
+	}
+	term := math.Exp(logChoose(n, k) + k*math.Log(p) + (n-k)*math.Log1p(-p))
+	sum := 0.0
+	for ; k <= n && term > sum*tailPrecision; k++ {
+		sum += term
+		term *= (n - k) / (k + 1) * p / (1 - p)
+	}
+	return sum
+}
+
+// logChoose is the logarithm of the binomial coefficient.
+func logChoose(n, k float64) float64 {
+	a, _ := math.Lgamma(n + 1)
+	b, _ := math.Lgamma(k + 1)
+	c, _ := math.Lgamma(n - k + 1)
+	return a - b - c
 }
 
 // wilsonLow is the lower Wilson bound of a proportion; 0 without trials.
