Order adapters and roles

The protocol and the stand-in had orders to load adapters and to change roles; nobody gave them, and a version with an adapter got requests on engines that had its weights alone.

An engine counts as ready for a version, and gets its requests, when it reports weights and adapter; requests run where the wanted and the reported role are both. The engine stand-in refuses requests in other roles.

Splitting requests over engines by role was ruled out: cached blocks are imported between engines that run whole requests.

--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -43,14 +43,17 @@
 	// CacheBlocks is the size of the cache, UsedBlocks the part in use.
 	CacheBlocks int
 	UsedBlocks  int
-	// Ready lists the loaded weights by model.
+	// Ready lists the loaded weights by model, alone and with each adapter on them.
 	Ready []Loaded
+	// Role is one of the roles of sycrecord, empty if the engine names none.
+	Role string
 }
 
-// Loaded names weights that an engine is ready to serve.
+// Loaded names weights that an engine is ready to serve, with an adapter or alone.
 type Loaded struct {
 	Model   string
 	Weights string
+	Adapter string
 }
 
 // endpoint is what a dispatcher knows of an endpoint.
@@ -114,12 +117,18 @@
 	if e.record.Type() != sycrecord.EndpointEngine {
 		return false
 	}
+	if !servingRole(e.record.Role()) || !servingRole(e.report.Role) {
+		return false
+	}
 	if !e.reported {
 		return initial && slices.Contains(e.record.Models(), model)
 	}
-	return slices.Contains(e.report.Ready, Loaded{Model: model, Weights: v.Weights})
+	return slices.Contains(e.report.Ready, Loaded{Model: model, Weights: v.Weights, Adapter: v.Adapter})
 }
 
+// servingRole reports whether engines of a role run requests.
+func servingRole(role string) bool { return role == "" || role == sycrecord.RoleBoth }
+
 func (e *endpoint) offers(service string) bool {
 	return e.record.Type() == sycrecord.EndpointService && e.record.Service() == service
 }
--- a/internal/decide/sycrecord/config.go
+++ b/internal/decide/sycrecord/config.go
@@ -124,8 +124,16 @@
 	Fencing       bool     `json:"checks_fencing,omitempty"`
 	Slots         int      `json:"max_concurrent,omitempty"`
 	Leaving       bool     `json:"leaving,omitempty"`
+	Role          string   `json:"role,omitempty"`
 }
 
+// Roles of engines. Requests run on engines whose role is RoleBoth.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+	RoleBoth    = "both"
+)
+
 // Types of endpoints.
 const (
 	EndpointEngine  = "engine"
@@ -168,6 +176,9 @@
 // MaxConcurrent is the number of requests that the endpoint runs together.
 func (e Endpoint) MaxConcurrent() int { return e.fields.Slots }
 
+// Role is the role that an engine is ordered to take; empty leaves it as it is.
+func (e Endpoint) Role() string { return e.fields.Role }
+
 // Leaving reports whether the endpoint must get no new work.
 func (e Endpoint) Leaving() bool { return e.fields.Leaving }
 
--- a/internal/decide/sycrecord/validate.go
+++ b/internal/decide/sycrecord/validate.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -89,6 +90,9 @@
 	}
 }
 
+// roles lists the roles that an engine may be given.
+var roles = []string{RolePrefill, RoleDecode, RoleBoth}
+
 func (e *EndpointFields) validate(f *faults) {
 	validateURL(e.Address, "spec.address", f)
 	validateName(e.FailureDomain, "spec.failure_domain", f)
@@ -96,6 +100,8 @@
 	f.require(known, "spec.type", "must be %q, %q or %q", EndpointEngine, EndpointService, EndpointKVStore)
 	f.require((e.Type == EndpointService) == (e.Service != ""), "spec.service", "is required on service endpoints and not allowed on others")
 	f.require(e.Type == EndpointEngine || len(e.Models) == 0, "spec.models", "is allowed on engines only")
+	f.require(e.Role == "" || slices.Contains(roles, e.Role), "spec.role", "must be %q, %q or %q", RolePrefill, RoleDecode, RoleBoth)
+	f.require(e.Type == EndpointEngine || e.Role == "", "spec.role", "is allowed on engines only")
 	f.require(e.Slots > 0 && e.Slots <= maxConcurrent, "spec.max_concurrent", "must be from 1 to %d", maxConcurrent)
 	validateNames(e.Models, "spec.models", f)
 }
--- /dev/null
+++ b/internal/decide/sycrollout/adapter_test.go
@@ -0,0 +1,83 @@
+package sycrollout_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+)
+
+func TestAdapterOrders(t *testing.T) {
+	config := apply(t, sycconfig.NewState(), sycrecord.KindVersion, "v1", sycrecord.VersionFields{Model: "m", Weights: "w1", Adapter: "a1", Initial: true})
+	config = apply(t, config, sycrecord.KindVersion, "v2", sycrecord.VersionFields{Model: "m", Weights: "w1", Adapter: "a2", Deadline: noon, Canary: 0.5, Steps: []float64{1}})
+	lineup := func(f sycrecord.RolloutFields) sycrollout.Lineup {
+		f.Generation = 1
+		return sycrollout.NewLineup("m", config, apply(t, sycconfig.NewState(), sycrecord.KindRollout, "v2", f))
+	}
+	first := sycrollout.Adapter{Weights: "w1", Name: "a1"}
+	second := sycrollout.Adapter{Weights: "w1", Name: "a2"}
+	engine := func(adapters ...sycrollout.Adapter) []sycrollout.EngineState {
+		return []sycrollout.EngineState{{Endpoint: "a", Ready: []string{"w1"}, Adapters: adapters}}
+	}
+	order := func(kind, adapter string) sycrollout.Order {
+		return sycrollout.Order{Endpoint: "a", Kind: kind, Model: "m", Weights: "w1", Adapter: adapter}
+	}
+	preparing := lineup(sycrecord.RolloutFields{State: sycrollout.StatePreparing})
+	tests := []struct {
+		name    string
+		lineup  sycrollout.Lineup
+		engines []sycrollout.EngineState
+		want    []sycrollout.Order
+	}{
+		{"weights first", preparing, []sycrollout.EngineState{{Endpoint: "a"}}, []sycrollout.Order{order(sycrollout.OrderLoad, "")}},
+		{"weights on their way", preparing, []sycrollout.EngineState{{Endpoint: "a", Loading: []string{"w1"}}}, nil},
+		{
+			"both adapters", preparing, engine(),
+			[]sycrollout.Order{order(sycrollout.OrderLoadAdapter, "a1"), order(sycrollout.OrderLoadAdapter, "a2")},
+		},
+		{"the other is there", preparing, engine(first), []sycrollout.Order{order(sycrollout.OrderLoadAdapter, "a2")}},
+		{"complete", preparing, engine(first, second), nil},
+		{"both kept in the probation", lineup(sycrecord.RolloutFields{State: sycrollout.StateDone, Share: 1, Probation: probation}), engine(first, second), nil},
+		{
+			"dropped when no version needs it", lineup(sycrecord.RolloutFields{State: sycrollout.StateDone, Share: 1}), engine(first, second),
+			[]sycrollout.Order{order(sycrollout.OrderDropAdapter, "a1")},
+		},
+		{
+			"kept until the successor is there", lineup(sycrecord.RolloutFields{State: sycrollout.StateDone, Share: 1}), engine(first),
+			[]sycrollout.Order{order(sycrollout.OrderLoadAdapter, "a2")},
+		},
+		{
+			"dropped when rolled back", lineup(sycrecord.RolloutFields{State: sycrollout.StateRolledBack}), engine(first, second),
+			[]sycrollout.Order{order(sycrollout.OrderDropAdapter, "a2")},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			must.Eq(t, tt.want, sycrollout.Orders("m", tt.lineup, tt.engines))
+		})
+	}
+}
+
+func TestRoleOrders(t *testing.T) {
+	tests := []struct {
+		name             string
+		wanted, reported string
+		orders           int
+	}{
+		{"any will do", "", "both", 0},
+		{"as wanted", "decode", "decode", 0},
+		{"another", "decode", "both", 1},
+		{"not reported", "both", "", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			orders := sycrollout.RoleOrders([]sycrollout.EngineRole{{Endpoint: "a", Wanted: tt.wanted, Reported: tt.reported}})
+			must.Len(t, tt.orders, orders)
+			for _, o := range orders {
+				must.Eq(t, sycrollout.Order{Endpoint: "a", Kind: sycrollout.OrderRole, Role: tt.wanted}, o)
+			}
+		})
+	}
+}
--- a/internal/decide/sycrollout/loads.go
+++ b/internal/decide/sycrollout/loads.go
@@ -5,23 +5,70 @@
 	"slices"
 )
 
+// Kinds of orders.
+const (
+	OrderLoad        = "load"
+	OrderDrop        = "drop"
+	OrderLoadAdapter = "load_adapter"
+	OrderDropAdapter = "drop_adapter"
+	OrderRole        = "role"
+)
+
 // EngineState is what an engine reports of a model's weights.
 type EngineState struct {
 	Endpoint      string
 	FailureDomain string
 	ChecksFencing bool
-	// Ready and Loading list weights of the model.
-	Ready   []string
-	Loading []string
+	// Ready and Loading list weights of the model, Adapters those on ready weights.
+	Ready    []string
+	Loading  []string
+	Adapters []Adapter
+}
+
+// Adapter names an adapter on weights.
+type Adapter struct {
+	Weights string
+	Name    string
+}
+
+// Holds reports whether the engine has a version's weights and adapter.
+func (e EngineState) Holds(v Version) bool {
+	a := adapterOf(v)
+	return slices.Contains(e.Ready, a.Weights) && (a.Name == "" || slices.Contains(e.Adapters, a))
+}
+
+func adapterOf(v Version) Adapter {
+	return Adapter{Weights: v.Value().Weights(), Name: v.Value().Adapter()}
+}
+
+// EngineRole is the role that an engine reports and the one that its record wants.
+type EngineRole struct {
+	Endpoint string
+	// Wanted is empty if any role will do.
+	Wanted   string
+	Reported string
 }
 
 // Order is a target state that an engine is told to reach.
 type Order struct {
 	Endpoint string
-	// Kind is "load" or "drop".
+	// Kind is one of the kinds of orders above.
 	Kind    string
 	Model   string
 	Weights string
+	Adapter string
+	Role    string
+}
+
+// RoleOrders returns the orders to engines that report another role than wanted.
+func RoleOrders(engines []EngineRole) []Order {
+	var orders []Order
+	for _, e := range engines {
+		if e.Wanted != "" && e.Wanted != e.Reported {
+			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderRole, Role: e.Wanted})
+		}
+	}
+	return orders
 }
 
 // Orders compares the engines of a model with what the lineup wants and
@@ -35,7 +82,7 @@
 		loading += len(e.Loading)
 	}
 	for i, e := range ordered {
-		for _, weights := range l.wanted(i, len(ordered)) {
+		for _, weights := range l.wantedWeights(i, len(ordered)) {
 			if slices.Contains(e.Ready, weights) || slices.Contains(e.Loading, weights) {
 				continue
 			}
@@ -43,24 +90,45 @@
 				continue
 			}
 			loading++
-			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: "load", Model: model, Weights: weights})
+			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderLoad, Model: model, Weights: weights})
 		}
+		orders = append(orders, l.adapterLoads(model, e, l.wanted(i, len(ordered)))...)
 	}
 	return append(orders, l.drops(model, ordered)...)
 }
 
-// wanted lists the weights that the i-th of n engines should hold, those that
-// serve first.
-func (l Lineup) wanted(i, n int) []string {
-	var weights []string
+// adapterLoads returns the orders for adapters whose weights are there.
+func (l Lineup) adapterLoads(model string, e EngineState, wanted []Adapter) []Order {
+	var orders []Order
+	for _, a := range wanted {
+		if a.Name == "" || !slices.Contains(e.Ready, a.Weights) || slices.Contains(e.Adapters, a) {
+			continue
+		}
+		orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderLoadAdapter, Model: model, Weights: a.Weights, Adapter: a.Name})
+	}
+	return orders
+}
+
+// wanted lists what the i-th of n engines should hold, what serves first.
+func (l Lineup) wanted(i, n int) []Adapter {
+	var list []Adapter
 	if l.HasBase {
-		weights = append(weights, l.Base.Value().Weights())
+		list = append(list, adapterOf(l.Base))
 	}
 	if l.HasCandidate && l.Progress.State != StatePending && i < l.targets(n) {
-		weights = append(weights, l.Candidate.Value().Weights())
+		list = append(list, adapterOf(l.Candidate))
 	}
 	if l.Progress.Share >= 1 {
-		slices.Reverse(weights)
+		slices.Reverse(list)
+	}
+	return slices.Compact(list)
+}
+
+// wantedWeights lists the weights that the i-th of n engines should hold.
+func (l Lineup) wantedWeights(i, n int) []string {
+	var weights []string
+	for _, a := range l.wanted(i, n) {
+		weights = append(weights, a.Weights)
 	}
 	return slices.Compact(weights)
 }
@@ -72,30 +140,40 @@
 	return EnginesFor(v.nextShare(), n)
 }
 
-// drops returns the orders for weights that no version of the lineup uses, on
-// engines that already hold the base.
+// drops returns the orders for weights and adapters that no version of the
+// lineup uses, on engines that already hold the base.
 func (l Lineup) drops(model string, engines []EngineState) []Order {
-	var orders []Order
 	if !l.HasBase {
 		return nil
 	}
-	for i, e := range engines {
-		wanted := l.wanted(i, len(engines))
-		if !slices.Contains(e.Ready, l.Base.Value().Weights()) {
+	var orders []Order
+	used := l.used()
+	for _, e := range engines {
+		if !e.Holds(l.Base) {
 			continue
 		}
 		for _, weights := range e.Ready {
-			if slices.Contains(wanted, weights) || l.candidateWeights(weights) {
-				continue
+			if !slices.ContainsFunc(used, func(a Adapter) bool { return a.Weights == weights }) {
+				orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderDrop, Model: model, Weights: weights})
+			}
+		}
+		for _, a := range e.Adapters {
+			sameWeights := slices.ContainsFunc(used, func(b Adapter) bool { return a.Weights == b.Weights })
+			if sameWeights && !slices.Contains(used, a) {
+				orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderDropAdapter, Model: model, Weights: a.Weights, Adapter: a.Name})
 			}
-			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: "drop", Model: model, Weights: weights})
 		}
 	}
 	return orders
 }
 
-func (l Lineup) candidateWeights(weights string) bool {
-	return l.HasCandidate && l.Progress.State != StatePending && l.Candidate.Value().Weights() == weights
+// used lists what the versions of the lineup use on any engine.
+func (l Lineup) used() []Adapter {
+	list := []Adapter{adapterOf(l.Base)}
+	if l.HasCandidate && l.Progress.State != StatePending {
+		list = append(list, adapterOf(l.Candidate))
+	}
+	return list
 }
 
 // spread orders engines so that the first ones lie in different failure domains.
--- a/internal/standin/sycengine/completion.go
+++ b/internal/standin/sycengine/completion.go
@@ -196,9 +196,12 @@
 	}
 }
 
-// resolve checks that the model, weights and adapter are loaded and fills in
+// resolve checks that the role allows requests and that the model, weights and adapter are loaded and fills in
 // weights that the request leaves open.
 func (e *Engine) resolve(l *life, q *completion) verdict {
+	if l.role != roleBoth {
+		return refused(http.StatusConflict, "wrong_role", "engines of this role run no whole requests")
+	}
 	var ready []string
 	for key, state := range l.loaded {
 		if key.model == q.Model && state == stateReady {
--- a/internal/standin/sycengine/options.go
+++ b/internal/standin/sycengine/options.go
@@ -51,6 +51,9 @@
 	Seed uint64
 }
 
+// roleBoth is the role of engines that run whole requests.
+const roleBoth = "both"
+
 // Defaults of the options.
 const (
 	DefaultPrefillTokensPerSecond = 20000
@@ -68,7 +71,7 @@
 )
 
 func (o Options) withDefaults() Options {
-	orDefault(&o.Role, "both")
+	orDefault(&o.Role, roleBoth)
 	orDefault(&o.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
 	orDefault(&o.PrefillChunk, DefaultPrefillChunk)
 	orDefault(&o.DecodeStep, DefaultDecodeStep)
--- a/internal/traffic/sycfeed/client.go
+++ b/internal/traffic/sycfeed/client.go
@@ -41,12 +41,14 @@
 	Blocks        int             `json:"kv_blocks"`
 	UsedBlocks    int             `json:"kv_blocks_used"`
 	Weights       []weightsAnswer `json:"weights"`
+	Role          string          `json:"role"`
 }
 
 type weightsAnswer struct {
-	Model   string `json:"model"`
-	Weights string `json:"weights"`
-	State   string `json:"state"`
+	Model    string   `json:"model"`
+	Weights  string   `json:"weights"`
+	State    string   `json:"state"`
+	Adapters []string `json:"adapters"`
 }
 
 type eventsAnswer struct {
@@ -83,10 +85,15 @@
 		PrefillTokens: a.PrefillTokens,
 		CacheBlocks:   a.Blocks,
 		UsedBlocks:    a.UsedBlocks,
+		Role:          a.Role,
 	}
 	for _, w := range a.Weights {
-		if w.State == stateReady {
-			r.Ready = append(r.Ready, sycdispatch.Loaded{Model: w.Model, Weights: w.Weights})
+		if w.State != stateReady {
+			continue
+		}
+		r.Ready = append(r.Ready, sycdispatch.Loaded{Model: w.Model, Weights: w.Weights})
+		for _, adapter := range w.Adapters {
+			r.Ready = append(r.Ready, sycdispatch.Loaded{Model: w.Model, Weights: w.Weights, Adapter: adapter})
 		}
 	}
 	return r, min(max(now.Sub(a.AsOf), 0), oldestReport)
--- a/internal/traffic/sycorder/client.go
+++ b/internal/traffic/sycorder/client.go
@@ -34,6 +34,7 @@
 type Report struct {
 	Incarnation string    `json:"incarnation"`
 	Weights     []Weights `json:"weights"`
+	Role        string    `json:"role"`
 	Fence       uint64    `json:"fence"`
 }
 
@@ -43,9 +44,10 @@
 	// Fence is the offset of the lease under which the order is given.
 	Fence   uint64 `json:"fence"`
 	Kind    string `json:"kind"`
-	Model   string `json:"model"`
-	Weights string `json:"weights"`
+	Model   string `json:"model,omitempty"`
+	Weights string `json:"weights,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"`
 }
 
 // FencedError reports that an engine has seen a newer fencing number.
--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -180,6 +180,9 @@
 			r.orders = append(r.orders, m.order(now, config, o, fence))
 		}
 	}
+	for _, o := range sycrollout.RoleOrders(rolesOf(config, reports)) {
+		r.orders = append(r.orders, m.order(now, config, o, fence))
+	}
 	return r
 }
 
@@ -194,7 +197,7 @@
 	s.engines = len(engines)
 	s.ready, s.loadTime = 0, 0
 	for _, e := range engines {
-		if slices.Contains(e.Ready, weights) {
+		if e.Holds(l.Candidate) {
 			s.ready++
 		}
 		s.loadTime = max(s.loadTime, m.loads[loadKey{e.Endpoint, weights}].took)
@@ -229,6 +232,9 @@
 			case w.Model != model:
 			case w.State == sycorder.Ready:
 				state.Ready = append(state.Ready, w.Weights)
+				for _, adapter := range w.Adapters {
+					state.Adapters = append(state.Adapters, sycrollout.Adapter{Weights: w.Weights, Name: adapter})
+				}
 			case w.State == sycorder.Loading:
 				state.Loading = append(state.Loading, w.Weights)
 			}
@@ -238,6 +244,21 @@
 	return list
 }
 
+// rolesOf lists the engines that answered with their roles.
+func rolesOf(config *sycconfig.State, reports map[string]sycorder.Report) []sycrollout.EngineRole {
+	var list []sycrollout.EngineRole
+	for _, e := range config.Endpoints() {
+		if report, ok := reports[e.Value().Name()]; ok {
+			list = append(list, sycrollout.EngineRole{
+				Endpoint: e.Value().Name(),
+				Wanted:   e.Value().Role(),
+				Reported: report.Role,
+			})
+		}
+	}
+	return list
+}
+
 // timeLoads notes how long engines took to load what they were told to.
 func (m *Manager) timeLoads(now time.Duration, engines []sycrollout.EngineState) {
 	for _, e := range engines {
@@ -253,18 +274,20 @@
 
 func (m *Manager) order(now time.Duration, config *sycconfig.State, o sycrollout.Order, fence uint64) order {
 	key := loadKey{o.Endpoint, o.Weights}
-	if t, ok := m.loads[key]; o.Kind == "load" && (!ok || t.took > 0) {
+	if t, ok := m.loads[key]; o.Kind == sycrollout.OrderLoad && (!ok || t.took > 0) {
 		m.loads[key] = loadTime{ordered: now}
 	}
 	endpoint, _ := config.Endpoint(o.Endpoint)
 	return order{
 		address: endpoint.Value().Address(),
 		body: sycorder.Order{
-			ID:      fmt.Sprintf("%d-%s-%s-%s", fence, o.Kind, o.Endpoint, o.Weights),
+			ID:      fmt.Sprintf("%d-%s-%s-%s-%s%s", fence, o.Kind, o.Endpoint, o.Weights, o.Adapter, o.Role),
 			Fence:   fence,
 			Kind:    o.Kind,
 			Model:   o.Model,
 			Weights: o.Weights,
+			Adapter: o.Adapter,
+			Role:    o.Role,
 		},
 	}
 }
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -26,21 +26,25 @@
 	mostBad = 0.1
 )
 
-// site is a deployment whose VMs run in this process.
+// site is a deployment; without a program its VMs run in this process.
 type site struct {
 	*sycdeploy.Deployment
 	workload sycload.Workload
 }
 
 func newSite(t *testing.T) *site {
+	t.Helper()
+	return newSiteOf(t, sycdeploy.Options{Engine: sycengine.Options{Speed: 8}})
+}
+
+// newSiteOf completes the options.
+func newSiteOf(t *testing.T, o sycdeploy.Options) *site {
 	t.Helper()
 	workload, ok := sycload.FindWorkload("bottlers")
 	must.True(t, ok)
-	d, err := sycdeploy.New(t.Context(), sycdeploy.Options{
-		Workload: workload,
-		Engine:   sycengine.Options{Speed: 8},
-		Seed:     7,
-	})
+	o.Workload = workload
+	o.Seed = 7
+	d, err := sycdeploy.New(t.Context(), o)
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, d.Close()) })
 	return &site{Deployment: d, workload: workload}
