--- a/internal/decide/sycrecord/validate.go
+++ b/internal/decide/sycrecord/validate.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,8 @@
 	DefaultConcurrent     = 32
 	DefaultCanary         = 0.05
 	DefaultBake           = Duration(30 * time.Second)
+	// probationBakes is the default length of the probation in bake times.
+	probationBakes = 20
 )
 
 // Defaults fills the weight.
@@ -87,6 +90,9 @@
 	}
 }
 
+// roles lists the roles that an engine may be given.
+var roles = []string{RolePrefill, RoleDecode, RoleBoth}
+
 func (e *EndpointFields) validate(f *faults) {
 	validateURL(e.Address, "spec.address", f)
 	validateName(e.FailureDomain, "spec.failure_domain", f)
@@ -94,6 +100,8 @@
 	f.require(known, "spec.type", "must be %q, %q or %q", EndpointEngine, EndpointService, EndpointKVStore)
 	f.require((e.Type == EndpointService) == (e.Service != ""), "spec.service", "is required on service endpoints and not allowed on others")
 	f.require(e.Type == EndpointEngine || len(e.Models) == 0, "spec.models", "is allowed on engines only")
+	f.require(e.Role == "" || slices.Contains(roles, e.Role), "spec.role", "must be %q, %q or %q", RolePrefill, RoleDecode, RoleBoth)
+	f.require(e.Type == EndpointEngine || e.Role == "", "spec.role", "is allowed on engines only")
 	f.require(e.Slots > 0 && e.Slots <= maxConcurrent, "spec.max_concurrent", "must be from 1 to %d", maxConcurrent)
 	validateNames(e.Models, "spec.models", f)
 }
@@ -123,6 +131,7 @@
 	f.require(!v.Deadline.IsZero(), "spec.deadline", "is required unless the version is initial")
 	f.require(v.Canary > 0 && v.Canary <= maxCanary, "spec.canary_share", "must be above 0 and at most 0.5")
 	f.require(v.Bake > 0 && v.Bake <= maxTimeout, "spec.bake", "must be above 0 and at most 24h")
+	f.require(v.Probation >= 0 && v.Probation <= maxTimeout, "spec.probation", "must be above 0 and at most 24h")
 	former := v.Canary
 	for i, step := range v.Steps {
 		path := "spec.steps[" + strconv.Itoa(i) + "]"
@@ -176,6 +185,7 @@
 func (r *RolloutFields) validate(f *faults) {
 	f.require(r.State != "", "spec.state", "is required")
 	f.require(r.Share >= 0 && r.Share <= 1, "spec.share", "must be from 0 to 1")
+	f.require(r.Probation >= 0, "spec.probation", "must not be below 0")
 }
 
 func validateNames(names []string, path string, f *faults) {
