--- a/internal/standin/sycscenario/outage.go
+++ b/internal/standin/sycscenario/outage.go
@@ -9,13 +9,13 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/standin/sycscenario/pause.go
+++ b/internal/standin/sycscenario/pause.go
@@ -11,11 +11,11 @@
 	"golang.org/x/sync/errgroup"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 	"sycamorecart.example/sycamorecart/internal/standin/sycservice"
 )
--- a/internal/standin/sycscenario/probe.go
+++ b/internal/standin/sycscenario/probe.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
-	"sycamorecart.example/sycamorecart/internal/standin/sycpause"
 )
 
 const (
