--- a/internal/decide/syclimit/doc.go
+++ b/internal/decide/syclimit/doc.go
@@ -3,7 +3,8 @@
 //
 // Every VM accrues a fixed fraction of each customer's tokens. A VM that runs
 // short borrows: the lender debits the tokens and lowers its own cap by the
-// loan until the borrower has reported it spent or can no longer spend it. So
+// loan until the borrower has reported it over or can no longer spend it. What
+// the borrower does not spend at once becomes its own, within its own cap. So
 // the tokens that all VMs hold or have in transit are at most the burst, and
 // what they spend in a window of length t is at most burst + rate*t. A lost
 // message loses tokens and never doubles them.
--- a/internal/decide/syclimit/lender.go
+++ b/internal/decide/syclimit/lender.go
@@ -26,13 +26,6 @@
 	maxSettled = 64
 	// maxPending bounds the requests to one peer for one customer.
 	maxPending = 3
-	// leastShortage is the shortage, as a part of the cap, for which a peer is
-	// asked to share what it has.
-	leastShortage = 4
-	// leastSurplus is the smallest part of its cap that a VM lends for a shortage.
-	leastSurplus = 6
-	// leastCap is the smallest cap for which tokens are shared before they are needed.
-	leastCap = Token / 2
 )
 
 // request is a request for a loan that has no answer yet.
@@ -148,24 +141,6 @@
 	return Ask{Peer: l.peer.Address, ID: id, Customer: customer, Amount: amount, Settled: l.report()}
 }
 
-// share starts a request for a part of what the peer has more.
-func (l *lender) share(now time.Duration, customer string, id uint64, shortage Micro) Ask {
-	l.pending = append(l.pending, request{id: id, sent: now, wanted: shortage, share: true})
-	return Ask{Peer: l.peer.Address, ID: id, Customer: customer, Shortage: shortage, Settled: l.report()}
-}
-
-// shared updates the estimate from the answer to a request to share.
-func (l *lender) shared(now time.Duration, loan Loan, s Settings) {
-	l.left = loan.Left
-	l.asOf = now
-	if loan.Amount > 0 {
-		l.levelFor = 0
-		return
-	}
-	l.levelFor = min(max(2*l.levelFor, s.MinDry), s.MaxDry)
-	l.level = now + l.levelFor
-}
-
 // report takes the loans to report out.
 func (l *lender) report() []Settled {
 	settled := l.settled
--- a/internal/decide/syclimit/loan.go
+++ b/internal/decide/syclimit/loan.go
@@ -37,17 +37,6 @@
 	return min(free, m.lendLimit(b.limit)-b.lent)
 }
 
-// surplus is the part of what is free that leaves this VM as short of its cap as
-// a borrower with a like cap.
-func (m *Machine) surplus(c *customer, free, shortage Micro) Micro {
-	whole := m.fraction.Of(c.bucket.limit.burst)
-	more := min((c.bucket.own+shortage-whole)/2, shortage, free)
-	if more < whole/leastSurplus {
-		return 0
-	}
-	return more
-}
-
 // Answer takes a loan for a request that this VM sent. One that comes late,
 // twice or unasked is dropped.
 func (m *Machine) Answer(now time.Duration, peer, name string, id uint64, loan Loan) []Action {
--- a/internal/decide/syclimit/serve.go
+++ b/internal/decide/syclimit/serve.go
@@ -133,39 +133,6 @@
 	return actions
 }
 
-// share asks a peer that probably has more for a part of it, so that tokens do
-// not reach the cap of one VM while another is short.
-func (m *Machine) share(now time.Duration, c *customer) []Action {
-	whole := m.fraction.Of(c.bucket.limit.burst)
-	shortage := whole - c.bucket.lent - c.bucket.available()
-	if whole < leastCap || shortage < whole/leastShortage || now < m.quiet || !m.mayAsk(now) {
-		return nil
-	}
-	if c.lenders == nil {
-		c.setPeers(m.peers, m.settings)
-	}
-	var best *lender
-	for _, l := range c.lenders {
-		if len(l.pending) > 0 {
-			return nil
-		}
-		if now >= l.level && now >= l.dryUntil && (best == nil || m.fuller(now, c, l, best)) {
-			best = l
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	m.asks -= Token
-	m.lastID++
-	return []Action{best.share(now, c.name, m.lastID, shortage)}
-}
-
-// fuller reports whether a probably has more than b.
-func (m *Machine) fuller(now time.Duration, c *customer, a, b *lender) bool {
-	return a.estimate(now, c.bucket.limit, m.settings) > b.estimate(now, c.bucket.limit, m.settings)
-}
-
 // mayAsk reports whether the budget allows another request for a loan.
 func (m *Machine) mayAsk(now time.Duration) bool {
 	rate := toMicro(m.settings.AskRate)
