--- a/internal/decide/sycrecord/config.go
+++ b/internal/decide/sycrecord/config.go
@@ -124,8 +124,16 @@
 	Fencing       bool     `json:"checks_fencing,omitempty"`
 	Slots         int      `json:"max_concurrent,omitempty"`
 	Leaving       bool     `json:"leaving,omitempty"`
+	Role          string   `json:"role,omitempty"`
 }
 
+// Roles of engines. Requests run on engines whose role is RoleBoth.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+	RoleBoth    = "both"
+)
+
 // Types of endpoints.
 const (
 	EndpointEngine  = "engine"
@@ -168,6 +176,9 @@
 // MaxConcurrent is the number of requests that the endpoint runs together.
 func (e Endpoint) MaxConcurrent() int { return e.fields.Slots }
 
+// Role is the role that an engine is ordered to take; empty leaves it as it is.
+func (e Endpoint) Role() string { return e.fields.Role }
+
 // Leaving reports whether the endpoint must get no new work.
 func (e Endpoint) Leaving() bool { return e.fields.Leaving }
 
@@ -181,6 +192,8 @@
 	Canary   float64   `json:"canary_share,omitempty"`
 	Steps    []float64 `json:"steps,omitempty"`
 	Bake     Duration  `json:"bake,omitempty"`
+	// Probation is 0 for the default.
+	Probation Duration `json:"probation,omitempty"`
 }
 
 // Version is a set of weights that serves a model, now or after its rollout.
@@ -219,6 +232,15 @@
 // Bake is the shortest time that each stage lasts.
 func (v Version) Bake() time.Duration { return time.Duration(v.fields.Bake) }
 
+// Probation is the shortest time that the predecessor stays loaded after the
+// rollout is done.
+func (v Version) Probation() time.Duration {
+	if v.fields.Probation > 0 {
+		return time.Duration(v.fields.Probation)
+	}
+	return probationBakes * v.Bake()
+}
+
 // SlotFields is the wire form of a slot.
 type SlotFields struct {
 	Name     string  `json:"name"`
