--- a/internal/decide/syclimit/loan.go
+++ b/internal/decide/syclimit/loan.go
@@ -37,17 +37,6 @@
 	return min(free, m.lendLimit(b.limit)-b.lent)
 }
 
-// surplus is the part of what is free that leaves this VM as short of its cap as
-// a borrower with a like cap.
-func (m *Machine) surplus(c *customer, free, shortage Micro) Micro {
-	whole := m.fraction.Of(c.bucket.limit.burst)
-	more := min((c.bucket.own+shortage-whole)/2, shortage, free)
-	if more < whole/leastSurplus {
-		return 0
-	}
-	return more
-}
-
 // Answer takes a loan for a request that this VM sent. One that comes late,
 // twice or unasked is dropped.
 func (m *Machine) Answer(now time.Duration, peer, name string, id uint64, loan Loan) []Action {
@@ -92,9 +81,13 @@
 	return c, c.lender(peer)
 }
 
-// giveBack returns loans that were not needed soon after they came.
+// giveBack returns loans that were not needed soon after they came, and those
+// that would expire soon, so that nothing is lost.
 func (m *Machine) giveBack(now time.Duration, c *customer) {
-	c.settle(now, c.bucket.returnable(now-m.settings.ReturnAfter))
+	c.settle(now, c.bucket.take(func(l heldLoan) bool {
+		unneeded := len(c.waiting) == 0 && l.taken < now-m.settings.ReturnAfter
+		return unneeded || l.expires <= now+m.settings.ReturnAfter
+	}))
 }
 
 // report tells lenders of loans that are over, returned ones at once and spent
