Wake an idle VM less

Cause: of 713 goroutine switches a second in an idle VM (runtime trace of 5 s, 4 VMs, 10 engines) 133 were the control loop's, 50 of these the chooser's tick, and 8 the digest for other failure domains where there are none.

--- a/internal/operate/sycloop/loop.go
+++ b/internal/operate/sycloop/loop.go
@@ -6,6 +6,7 @@
 package sycloop
 
 import (
+	"math"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -15,25 +16,38 @@
 // its posters and drops nothing.
 const Depth = 4096
 
-// longestWait is the time between looks at a loop without tasks.
-const longestWait = time.Hour
+// longestWait is later than any task is due.
+const longestWait = time.Duration(math.MaxInt64)
 
 // Loop executes posted functions one at a time, in order.
 type Loop struct {
 	tomb  tomb.Tomb
 	start time.Time
 	work  chan func(now time.Duration)
-	// tasks belongs to the loop's goroutine.
-	tasks []*task
+	// tasks and wakeAt belong to the loop's goroutine; wakeAt is when the timer
+	// for the tasks fires.
+	tasks  []*Task
+	wakeAt time.Duration
 }
 
-// task is a function that runs at a period.
-type task struct {
+// Task is a function that runs at a period.
+type Task struct {
+	loop   *Loop
 	period time.Duration
 	due    time.Duration
 	run    func(now time.Duration)
 }
 
+// SetPeriod changes the period, and brings the next run forward if need be. It
+// must be called on the loop.
+func (t *Task) SetPeriod(period time.Duration) {
+	if t.period == period {
+		return
+	}
+	t.period = period
+	t.due = min(t.due, t.loop.Now()+period)
+}
+
 // New starts a loop.
 func New() *Loop {
 	l := &Loop{
@@ -43,37 +57,43 @@
 	l.tomb.Go(func() error {
 		timer := time.NewTimer(longestWait)
 		defer timer.Stop()
+		l.wakeAt = longestWait
 		for {
 			select {
 			case <-l.tomb.Dying():
 				return nil
 			case f := <-l.work:
-				known := len(l.tasks)
 				f(l.Now())
-				if len(l.tasks) > known {
-					timer.Reset(0)
-				}
 			case <-timer.C:
-				timer.Reset(l.runTasks())
+				l.wakeAt = longestWait
+				l.runTasks()
+			}
+			if next := l.nextTask(); next != l.wakeAt {
+				l.wakeAt = next
+				timer.Reset(next - l.Now())
 			}
 		}
 	})
 	return l
 }
 
-// runTasks runs the tasks that are due and returns the time to the next.
-func (l *Loop) runTasks() time.Duration {
+// runTasks runs the tasks that are due.
+func (l *Loop) runTasks() {
 	for _, t := range l.tasks {
 		if now := l.Now(); now >= t.due {
-			t.run(now)
 			t.due = max(t.due+t.period, now)
+			t.run(now)
 		}
 	}
-	wait := longestWait
+}
+
+// nextTask is when a task is due next.
+func (l *Loop) nextTask() time.Duration {
+	next := longestWait
 	for _, t := range l.tasks {
-		wait = min(wait, t.due-l.Now())
+		next = min(next, t.due)
 	}
-	return max(wait, 0)
+	return next
 }
 
 // Now is the monotonic time since the loop started.
@@ -115,8 +135,20 @@
 // that comes while the loop is busy is made up for once. Like Post it must not
 // be called from inside a posted function.
 func (l *Loop) Every(period time.Duration, f func(now time.Duration)) {
-	l.Post(func(now time.Duration) {
-		l.tasks = append(l.tasks, &task{period: period, due: now + period, run: f})
+	l.NewTask(period, f).Start()
+}
+
+// NewTask returns a task that doesn't run before its start.
+func (l *Loop) NewTask(period time.Duration, f func(now time.Duration)) *Task {
+	return &Task{loop: l, period: period, run: f}
+}
+
+// Start lets the task run from a period later on; it must be called once, and
+// not from inside a posted function.
+func (t *Task) Start() {
+	t.loop.Post(func(now time.Duration) {
+		t.due = now + t.period
+		t.loop.tasks = append(t.loop.tasks, t)
 	})
 }
 
--- a/internal/operate/sycloop/loop_test.go
+++ b/internal/operate/sycloop/loop_test.go
@@ -45,3 +45,19 @@
 	must.NoError(t, loop.Close())
 	must.Greater(t, 0, counts[1])
 }
+
+func TestTaskIsBroughtForward(t *testing.T) {
+	loop := sycloop.New()
+	ran := make(chan struct{}, 1)
+	task := loop.NewTask(time.Hour, func(time.Duration) {
+		select {
+		case ran <- struct{}{}:
+		default:
+		}
+	})
+	task.Start()
+	must.True(t, loop.Do(func(time.Duration) { task.SetPeriod(time.Millisecond) }))
+	<-ran
+	must.True(t, loop.Do(func(time.Duration) { task.SetPeriod(time.Hour) }))
+	must.NoError(t, loop.Close())
+}
--- a/internal/peer/sycmesh/share.go
+++ b/internal/peer/sycmesh/share.go
@@ -27,25 +27,22 @@
 		return
 	}
 	m.sequence++
-	near := m.digest(true)
-	far := m.digest(false)
-	tellNear := m.news(near, &m.toldNear)
-	tellFar := m.news(far, &m.toldFar)
+	digests := map[bool]*sycpeerpb.ShareRequest{}
 	addresses := make([]string, 0, len(targets))
 	same := map[string]bool{}
 	for _, vm := range targets {
 		near := vm.GetFailureDomain() == m.options.Self.FailureDomain
-		if near && !tellNear || !near && !tellFar {
+		if _, ok := digests[near]; !ok {
+			digests[near] = m.digest(near)
+		}
+		if digests[near] == nil {
 			continue
 		}
 		addresses = append(addresses, vm.GetAddress())
 		same[vm.GetAddress()] = near
 	}
 	m.fan(addresses, func(address string) {
-		request := far
-		if same[address] {
-			request = near
-		}
+		request := digests[same[address]]
 		if _, err := m.options.Client.Share(ctx, address, request); err != nil {
 			log.Debugf("VM %s took no digest: %v", address, err)
 		}
@@ -61,9 +58,18 @@
 	return *told || before || reports > 0
 }
 
-func (m *Mesh) digest(same bool) *sycpeerpb.ShareRequest {
+// digest returns what to tell the VMs of this failure domain or the others; nil
+// when there is nothing to tell.
+func (m *Mesh) digest(near bool) *sycpeerpb.ShareRequest {
 	request := &sycpeerpb.ShareRequest{From: encode(m.options.Self), Sequence: m.sequence}
-	m.options.Digests.ShareOut(same, request)
+	m.options.Digests.ShareOut(near, request)
+	told := &m.toldFar
+	if near {
+		told = &m.toldNear
+	}
+	if !m.news(request, told) {
+		return nil
+	}
 	return request
 }
 
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -14,8 +14,12 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 )
 
-// TickPeriod is the time between looks at deadlines and at the configuration.
-const TickPeriod = 20 * time.Millisecond
+// TickPeriod is the time between looks at deadlines and at the configuration
+// while requests wait, idlePeriod while none does.
+const (
+	TickPeriod = 20 * time.Millisecond
+	idlePeriod = 100 * time.Millisecond
+)
 
 // statsPeriod is the time between updates of the gauges.
 const statsPeriod = time.Second
@@ -47,9 +51,10 @@
 	config   func() *sycconfig.State
 	versions func(model string) []sycwork.VersionShare
 	ids      atomic.Uint64
-	// dispatcher and waiting belong to the loop.
+	// dispatcher, waiting and tick belong to the loop.
 	dispatcher machine
 	waiting    map[uint64]chan sycdispatch.Decision
+	tick       *sycloop.Task
 	gauges     *gauges
 	keeps      chan sycdispatch.Keep
 	// urgent has a token while other VMs should be told of this VM's load.
@@ -75,9 +80,10 @@
 		Seed:          o.Seed,
 		Versions:      c.versions,
 	})
-	c.loop.Every(TickPeriod, func(now time.Duration) {
+	c.tick = c.loop.NewTask(idlePeriod, func(now time.Duration) {
 		c.act(now, func(d machine) { d.Tick(now) })
 	})
+	c.tick.Start()
 	c.loop.Every(statsPeriod, func(time.Duration) { c.gauges.set(c.dispatcher.Stats()) })
 	return c
 }
@@ -154,6 +160,7 @@
 			answer <- d
 		}
 	}
+	c.pace()
 	if c.dispatcher.Urgent() {
 		c.Hurry()
 	}
@@ -166,6 +173,15 @@
 	}
 }
 
+// pace has the tick come often while requests wait.
+func (c *Chooser) pace() {
+	if len(c.waiting) > 0 {
+		c.tick.SetPeriod(TickPeriod)
+		return
+	}
+	c.tick.SetPeriod(idlePeriod)
+}
+
 // request turns work into a request; hashing the prompt is done here, on the
 // traffic goroutine.
 func (c *Chooser) request(w sycwork.Work) *sycdispatch.Request {
