--- a/cmd/sycamorebench/footprint.go
+++ b/cmd/sycamorebench/footprint.go
@@ -33,6 +33,7 @@
 	customers string
 	span      time.Duration
 	profile   string
+	domain    int
 }
 
 // Name is the command's name.
@@ -51,6 +52,7 @@
 	f.StringVar(&c.engines, "engines", "10,40,80", "`numbers` of engines, with the first number of VMs and customers")
 	f.StringVar(&c.customers, "customers", "10,2000,8000", "`numbers` of customers, with the first number of VMs and engines")
 	f.DurationVar(&c.span, "span", 8*time.Second, "how long each size is measured")
+	f.IntVar(&c.domain, "domain", 4, "largest number of `VMs` in a failure domain")
 	f.StringVar(&c.profile, "profile", "", "`file` for a processor profile of a router; the last size overwrites the others")
 }
 
@@ -60,6 +62,9 @@
 		f.Usage()
 		return subcommands.ExitUsageError
 	}
+	if c.domain <= 0 {
+		return failed(eris.New("a failure domain needs a VM"))
+	}
 	if c.binary == "" {
 		binary, err := sycdeploy.FindBinary()
 		if err != nil {
@@ -111,7 +116,7 @@
 }
 
 func (c *footprintCommand) options() sycfootprint.Options {
-	return sycfootprint.Options{Binary: c.binary, Span: c.span, Profile: c.profile}
+	return sycfootprint.Options{Binary: c.binary, Span: c.span, DomainSize: c.domain, Profile: c.profile}
 }
 
 func parseNumbers(list string) ([]int, error) {
--- a/internal/standin/sycfootprint/footprint.go
+++ b/internal/standin/sycfootprint/footprint.go
@@ -59,6 +59,8 @@
 	Binary string
 	// Span is how long each size is measured, at least a second.
 	Span time.Duration
+	// DomainSize is the largest number of VMs in a failure domain.
+	DomainSize int
 	// Profile names the file that gets a processor profile of one router over
 	// the span; empty takes none, and a profile adds to the cost.
 	Profile string
@@ -67,7 +69,7 @@
 // Measure runs a deployment of the given size and reads its cost over the span.
 func Measure(ctx context.Context, o Options, size Size) (cost Cost, err error) {
 	d, err := sycdeploy.New(ctx, sycdeploy.Options{
-		Workload: sycload.Idle(size.VMs, size.Engines),
+		Workload: sycload.Idle(size.VMs, size.Engines, o.DomainSize),
 		Binary:   o.Binary,
 		Settings: o.settings(),
 		Seed:     1,
--- a/internal/standin/sycload/idle.go
+++ b/internal/standin/sycload/idle.go
@@ -2,12 +2,9 @@
 
 import "fmt"
 
-// domainSize is the number of VMs in each failure domain of an idle deployment.
-const domainSize = 4
-
-// Idle is a deployment without traffic, whose failure domains have up to four
-// VMs each and share the engines evenly.
-func Idle(vms, engines int) Workload {
+// Idle is a deployment without traffic, whose failure domains have up to
+// domainSize VMs each and share the engines evenly.
+func Idle(vms, engines, domainSize int) Workload {
 	w := Workload{name: "idle"}
 	count := max((vms+domainSize-1)/domainSize, 1)
 	for i := range count {
