--- a/internal/decide/sycdispatch/cache_test.go
+++ b/internal/decide/sycdispatch/cache_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
+	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
 	"sycamorecart.example/sycamorecart/internal/decide/sycprefix"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
@@ -41,6 +42,9 @@
 		crash func(r *rig)
 	}{
 		{"new incarnation in a report", func(r *rig) { r.report("e1", "second", 0) }},
+		{"new incarnation in another VM's report", func(r *rig) {
+			must.True(t, r.Relayed(r.now, r.now, "e1", sycdispatch.Report{Incarnation: "second"}))
+		}},
 		{"new incarnation in an answer", func(r *rig) {
 			d := r.place("b", text("other", 8))
 			for d.Target.Endpoint != "e1" {
@@ -130,3 +134,13 @@
 	must.Eq(t, "http://kv:80", d.Target.Import.From)
 	must.Eq(t, chainOf("a", prompt), d.Target.Import.Blocks)
 }
+
+func TestOtherVMsDontBringAnEndpointBack(t *testing.T) {
+	r := warm(t, text("shared", 50))
+	r.Unreachable(r.now, "e1")
+	must.False(t, r.Relayed(r.now, r.now, "e1", sycdispatch.Report{Incarnation: "first"}))
+	must.Eq(t, sychealth.Out, r.Endpoints(r.now)[1].Health)
+	r.report("e1", "first", 0)
+	must.Eq(t, sychealth.Probing, r.Endpoints(r.now)[1].Health)
+	must.True(t, r.Relayed(r.now, r.now, "e1", sycdispatch.Report{Incarnation: "first"}))
+}
