Bound polls of other domains' engines, describe who polls what

At design size a configuration holds 5,400 engines: the period of the own domain's 270 no longer grows with the others (27 s before), and a VM's own polls to know the way are bounded to 5 a second (90 before).

--- a/internal/decide/sycpoll/fleet_test.go
+++ b/internal/decide/sycpoll/fleet_test.go
@@ -93,6 +93,12 @@
 	return f
 }
 
+// boundOf is the oldest that a report may get; every third engine is far.
+func boundOf(engines int) time.Duration {
+	far := (engines + 2) / 3
+	return sycpoll.Settings{}.Defaults().Bound(engines-far, far, pollTimeout)
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 
 func (f *fleet) lost(from, to int) bool { return f.fault.lost != nil && f.fault.lost(f, from, to) }
@@ -243,7 +249,7 @@
 // reach gets older than the bound, whatever becomes of digests, VMs and rosters.
 func TestReportsStayFresh(t *testing.T) {
 	for _, size := range []struct{ vms, engines int }{{1, 10}, {3, 10}, {6, 16}} {
-		bound := sycpoll.Settings{}.Defaults().Bound(size.engines, pollTimeout)
+		bound := boundOf(size.engines)
 		for _, fault := range faults {
 			for seed := range uint64(2) {
 				t.Run(fmt.Sprintf("%s, %d VMs, seed %d", fault.name, size.vms, seed), func(t *testing.T) {
@@ -279,7 +285,7 @@
 			f.run(time.Duration(f.random.IntN(400))*time.Millisecond, func() {})
 			f.down[name] = false
 			f.incarnations[name]++
-			f.run(sycpoll.Settings{}.Defaults().Bound(len(f.engines), pollTimeout), func() {})
+			f.run(boundOf(len(f.engines)), func() {})
 			for i, v := range f.vms {
 				must.Eq(t, f.incarnations[name], v.taken[name].incarnation, must.Sprintf("VM %d", i))
 			}
--- a/internal/decide/sycpoll/plan.go
+++ b/internal/decide/sycpoll/plan.go
@@ -88,8 +88,9 @@
 	settings Settings
 	self     string
 	random   *rand.Rand
-	// engines is ordered by name.
+	// engines is ordered by name; far counts those of other failure domains.
 	engines []*engine
+	far     int
 	members []string
 	// credit is the number of polls allowed now, as of the time creditAt.
 	credit   float64
@@ -122,6 +123,12 @@
 	}
 	slices.SortFunc(list, func(a, b *engine) int { return cmp.Compare(a.Name, b.Name) })
 	p.engines = list
+	p.far = 0
+	for _, e := range list {
+		if e.Far {
+			p.far++
+		}
+	}
 	p.rank()
 }
 
@@ -258,21 +265,22 @@
 		return own
 	}
 	patience := p.settings.Patience + time.Duration(min(e.rank-1, p.settings.Ranks))*p.settings.Stagger
-	contact := e.begun + time.Duration(float64(p.settings.Contact)*e.spread)
-	return min(max(e.takenAt+period+patience, own), contact)
+	contact := max(p.settings.Contact, every(len(p.engines), p.settings.ContactRate))
+	alone := e.begun + time.Duration(float64(contact)*e.spread)
+	return min(max(e.takenAt+period+patience, own), alone)
 }
 
 // period is the time between polls of the engine by all VMs together.
 func (p *Plan) period(e *engine) time.Duration {
-	round := p.settings.round(len(p.engines))
-	switch {
-	case e.reported && !e.newest.Busy && !e.lost:
-		return max(p.settings.IdlePeriod, round)
-	case e.Far:
-		return max(p.settings.FarPeriod, round)
-	default:
-		return max(p.settings.Period, round)
+	s := p.settings
+	period := max(s.Period, every(len(p.engines)-p.far, s.Reports))
+	if e.Far {
+		period = max(s.FarPeriod, every(p.far, s.FarReports))
+	}
+	if e.reported && !e.newest.Busy && !e.lost {
+		return max(period, s.IdlePeriod)
 	}
+	return period
 }
 
 // Verdict is what follows from a poll's end.
--- a/internal/decide/sycpoll/setting.go
+++ b/internal/decide/sycpoll/setting.go
@@ -19,9 +19,11 @@
 	FarPeriod time.Duration
 	// IdlePeriod is the time between polls of an engine without work.
 	IdlePeriod time.Duration
-	// Reports bounds the polls a second of all engines by all VMs together, by
-	// longer periods where there are many engines.
-	Reports float64
+	// Reports and FarReports bound the polls a second of the engines of the own
+	// and of other failure domains by all VMs together, by longer periods where
+	// there are many engines.
+	Reports    float64
+	FarReports float64
 	// Patience is how much older than its period a report may get before the
 	// second VM polls the engine itself, and Stagger what each further rank adds.
 	Patience time.Duration
@@ -29,8 +31,10 @@
 	// Ranks is the rank from which on patience grows no more.
 	Ranks int
 	// Contact is the longest time between own polls of an engine, by which a VM
-	// knows that it can reach it and how long the way is.
-	Contact time.Duration
+	// knows that it can reach it and how long the way is; where there are many
+	// engines, ContactRate bounds these polls a second.
+	Contact     time.Duration
+	ContactRate float64
 	// Rate bounds the polls a second, Burst those at once.
 	Rate  float64
 	Burst float64
@@ -42,10 +46,12 @@
 	setDefault(&s.FarPeriod, 400*time.Millisecond)
 	setDefault(&s.IdlePeriod, time.Second)
 	setDefault(&s.Reports, 200)
+	setDefault(&s.FarReports, 50)
 	setDefault(&s.Patience, 750*time.Millisecond)
 	setDefault(&s.Stagger, 250*time.Millisecond)
 	setDefault(&s.Ranks, 4)
 	setDefault(&s.Contact, time.Minute)
+	setDefault(&s.ContactRate, 5)
 	setDefault(&s.Rate, 50)
 	setDefault(&s.Burst, 10)
 	return s
@@ -59,15 +65,15 @@
 }
 
 // Bound is the oldest that a report gets at a VM that can reach all of a number
-// of engines and whose polls end within the given time.
-func (s Settings) Bound(engines int, poll time.Duration) time.Duration {
-	longest := max(s.Period, s.FarPeriod, s.IdlePeriod, s.round(engines))
+// of engines of its own and of other failure domains, and whose polls end within
+// the given time.
+func (s Settings) Bound(near, far int, poll time.Duration) time.Duration {
+	longest := max(s.Period, s.FarPeriod, s.IdlePeriod, every(near, s.Reports), every(far, s.FarReports))
 	wait := time.Duration((1+jitter/2)*float64(longest)) + s.Patience + time.Duration(s.Ranks)*s.Stagger
-	alone := time.Duration(float64(engines) / s.Rate * float64(time.Second))
-	return wait + alone + 2*poll
+	return wait + every(near+far, s.Rate) + 2*poll
 }
 
-// round is the shortest time in which the VMs together poll a number of engines.
-func (s Settings) round(engines int) time.Duration {
-	return time.Duration(float64(engines) / s.Reports * float64(time.Second))
+// every is the time in which a number of engines is polled once at a rate a second.
+func every(engines int, rate float64) time.Duration {
+	return time.Duration(float64(engines) / rate * float64(time.Second))
 }
