Tell engines of a new leader's fencing number

An engine that checks fencing knows only the numbers of the orders that it got. One that needed nothing of a new leader still took the former's late orders: in the first run of TestPausedLeader engine-krynica-1 dropped an adapter for a leader that had been replaced. A leader now repeats the role, which changes nothing, to each such engine whose reported number is below the first of its holding. Doing so at each renewal was ruled out: it adds nothing, as numbers of former holders are lower, and costs an order for each engine every 4 s.

TestPausedLeader stops the leader's process during a rollout with an adapter, wakes it after another VM has finished, and sends orders with its old number. Engines that check fencing refuse all; those that ignore it are repaired.

The load generator learned which adapter goes with which weights, since it expected answers without one; it is as strict as before.

--- a/internal/decide/syclease/lease.go
+++ b/internal/decide/syclease/lease.go
@@ -29,6 +29,9 @@
 	// generation and fence are those of the newest lease record seen.
 	generation uint64
 	fence      uint64
+	// term is the fence of the first of the records in a row that name this
+	// incarnation, up to the newest; it is meaningful only while mine is true.
+	term uint64
 	// readAt is when the newest record was first seen.
 	readAt time.Duration
 	// readDuration is the duration written in the newest record.
@@ -62,6 +65,7 @@
 		return
 	}
 	value := lease.Value()
+	inRow := t.mine && lease.Generation() == t.generation+1
 	t.generation = lease.Generation()
 	t.fence = lease.Offset()
 	t.readAt = now
@@ -70,6 +74,9 @@
 	if t.mine {
 		t.grantedAt = t.proposedAt[value.Proposal()]
 	}
+	if !inRow {
+		t.term = t.fence
+	}
 	// Every earlier proposal expected a generation that has passed.
 	clear(t.proposedAt)
 }
@@ -82,6 +89,10 @@
 	return t.fence, true
 }
 
+// Term is the lowest fencing number of this VM's present holding, which is above
+// all numbers of former holders. It is meaningful only while the VM holds the lease.
+func (t *Tracker) Term() uint64 { return t.term }
+
 // Free reports whether the former holder's lease has surely ended.
 func (t *Tracker) Free(now time.Duration) bool {
 	if t.generation == 0 {
--- a/internal/decide/sycrollout/adapter_test.go
+++ b/internal/decide/sycrollout/adapter_test.go
@@ -64,20 +64,25 @@
 	tests := []struct {
 		name             string
 		wanted, reported string
-		orders           int
+		unfenced         bool
+		want             string
 	}{
-		{"any will do", "", "both", 0},
-		{"as wanted", "decode", "decode", 0},
-		{"another", "decode", "both", 1},
-		{"not reported", "both", "", 1},
+		{"any will do", "", "both", false, ""},
+		{"as wanted", "decode", "decode", false, ""},
+		{"another", "decode", "both", false, "decode"},
+		{"not reported", "both", "", false, "both"},
+		{"any will do, fencing number is unknown", "", "both", true, "both"},
+		{"as wanted, fencing number is unknown", "decode", "decode", true, "decode"},
+		{"engine without roles", "", "", true, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			orders := sycrollout.RoleOrders([]sycrollout.EngineRole{{Endpoint: "a", Wanted: tt.wanted, Reported: tt.reported}})
-			must.Len(t, tt.orders, orders)
-			for _, o := range orders {
-				must.Eq(t, sycrollout.Order{Endpoint: "a", Kind: sycrollout.OrderRole, Role: tt.wanted}, o)
+			engine := sycrollout.EngineRole{Endpoint: "a", Wanted: tt.wanted, Reported: tt.reported, Unfenced: tt.unfenced}
+			var want []sycrollout.Order
+			if tt.want != "" {
+				want = []sycrollout.Order{{Endpoint: "a", Kind: sycrollout.OrderRole, Role: tt.want}}
 			}
+			must.Eq(t, want, sycrollout.RoleOrders([]sycrollout.EngineRole{engine}))
 		})
 	}
 }
--- a/internal/decide/sycrollout/loads.go
+++ b/internal/decide/sycrollout/loads.go
@@ -47,6 +47,9 @@
 	// Wanted is empty if any role will do.
 	Wanted   string
 	Reported string
+	// Unfenced is true if the engine checks fencing numbers and has seen none of
+	// the present leader's, so that it would still take a former leader's order.
+	Unfenced bool
 }
 
 // Order is a target state that an engine is told to reach.
@@ -60,12 +63,14 @@
 	Role    string
 }
 
-// RoleOrders returns the orders to engines that report another role than wanted.
+// RoleOrders returns the orders to engines that report another role than wanted,
+// and to those that must learn of the present leader's fencing number.
 func RoleOrders(engines []EngineRole) []Order {
 	var orders []Order
 	for _, e := range engines {
-		if e.Wanted != "" && e.Wanted != e.Reported {
-			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderRole, Role: e.Wanted})
+		target := cmp.Or(e.Wanted, e.Reported)
+		if target != "" && (e.Unfenced || target != e.Reported) {
+			orders = append(orders, Order{Endpoint: e.Endpoint, Kind: OrderRole, Role: target})
 		}
 	}
 	return orders
--- a/internal/standin/sycload/exchange.go
+++ b/internal/standin/sycload/exchange.go
@@ -125,7 +125,7 @@
 
 // check compares the whole text with the expected one.
 func (x *exchange) check() {
-	want := strings.Join(sycengine.Answer(x.o.weights, "", x.prompt, x.arrival.output), "")
+	want := strings.Join(sycengine.Answer(x.o.weights, x.runner.options.Adapters[x.o.weights], x.prompt, x.arrival.output), "")
 	got := strings.Join(x.tokens, "")
 	if got == want {
 		return
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -31,6 +31,9 @@
 	Keys map[string]string
 	// Model is the model asked for.
 	Model string
+	// Adapters gives the adapter that answers on weights are made with; weights that
+	// it doesn't name have none.
+	Adapters map[string]string
 	// BookPath is the path that bookings are posted to; empty sends none.
 	BookPath string
 	// Documents replace the synthetic documents of the prompts.
--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -180,7 +180,7 @@
 			r.orders = append(r.orders, m.order(now, config, o, fence))
 		}
 	}
-	for _, o := range sycrollout.RoleOrders(rolesOf(config, reports)) {
+	for _, o := range sycrollout.RoleOrders(rolesOf(config, reports, m.tracker.Term())) {
 		r.orders = append(r.orders, m.order(now, config, o, fence))
 	}
 	return r
@@ -244,8 +244,9 @@
 	return list
 }
 
-// rolesOf lists the engines that answered with their roles.
-func rolesOf(config *sycconfig.State, reports map[string]sycorder.Report) []sycrollout.EngineRole {
+// rolesOf lists the engines that answered with their roles; term is the lowest
+// fencing number of the present leader.
+func rolesOf(config *sycconfig.State, reports map[string]sycorder.Report, term uint64) []sycrollout.EngineRole {
 	var list []sycrollout.EngineRole
 	for _, e := range config.Endpoints() {
 		if report, ok := reports[e.Value().Name()]; ok {
@@ -253,6 +254,7 @@
 				Endpoint: e.Value().Name(),
 				Wanted:   e.Value().Role(),
 				Reported: report.Role,
+				Unfenced: e.Value().ChecksFencing() && report.Fence < term,
 			})
 		}
 	}
--- /dev/null
+++ b/internal/traffic/sycversion/paused_test.go
@@ -0,0 +1,159 @@
+package sycversion_test
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
+)
+
+// repairTimeout bounds the wait until engines are again as their records say.
+const repairTimeout = 30 * time.Second
+
+// TestPausedLeader pauses the leader's process while it rolls out a version with
+// an adapter. Another VM must finish, and orders of the former leader that arrive
+// late must be refused or repaired.
+func TestPausedLeader(t *testing.T) {
+	binary, err := sycdeploy.BuildRouter(t.TempDir())
+	must.NoError(t, err)
+	tests := []struct {
+		name   string
+		checks bool
+	}{
+		{"engines check fencing", true},
+		{"engines ignore fencing", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			site := newSiteOf(t, sycdeploy.Options{
+				Binary: binary,
+				Engine: sycengine.Options{Speed: 8, ChecksFencing: tt.checks},
+			})
+			site.adapters = map[string]string{"w2": "a2"}
+			publishAdapter(t, site)
+			for len(site.Outcomes()) < 2 {
+				must.NoError(t, t.Context().Err())
+				time.Sleep(50 * time.Millisecond)
+			}
+			former := site.leader(t)
+			pid := former.PID()
+			t.Cleanup(func() { _ = syscall.Kill(pid, syscall.SIGCONT) })
+			must.NoError(t, syscall.Kill(pid, syscall.SIGSTOP))
+			last, result := drive(t, site, without(site, former))
+			must.NoError(t, syscall.Kill(pid, syscall.SIGCONT))
+			must.Eq(t, sycrollout.StateDone, last.State, must.Sprint(last.Reason))
+			must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
+			must.Less(t, last.Fence, site.Outcomes()[0].Fields().Fence)
+			late(t, site, site.Outcomes()[0].Fields().Fence, tt.checks)
+			awaitRepair(t, site)
+			_, result = drive(t, site, site.URLs())
+			must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
+			checkLogs(t, site, tt.checks)
+		})
+	}
+}
+
+func publishAdapter(t *testing.T, site *site) {
+	t.Helper()
+	operations := []sycrecord.Operation{sycdeploy.Put(sycrecord.KindVersion, "second", sycrecord.VersionFields{
+		Model:    sycdeploy.Model,
+		Weights:  "w2",
+		Adapter:  "a2",
+		Deadline: time.Now().Add(time.Minute),
+		Canary:   0.1,
+		Steps:    []float64{0.5, 1},
+		Bake:     sycrecord.Duration(2 * time.Second),
+	})}
+	for _, e := range site.Engines() {
+		operations = append(operations, sycrecord.Operation{
+			Schema: sycrecord.NewestSchema,
+			Verb:   sycrecord.Merge,
+			Kind:   sycrecord.KindEndpoint,
+			Name:   e.Name(),
+			Spec:   []byte(`{"role":"both"}`),
+		})
+	}
+	_, err := site.Publish(t.Context(), operations...)
+	must.NoError(t, err)
+}
+
+func without(site *site, former *sycdeploy.Router) []string {
+	var urls []string
+	for _, r := range site.Routers() {
+		if r != former {
+			urls = append(urls, r.URL())
+		}
+	}
+	return urls
+}
+
+// late sends orders of a former leader that contradict the records.
+func late(t *testing.T, site *site, fence uint64, checks bool) {
+	t.Helper()
+	client := sycorder.NewClient(nil)
+	defer client.Close()
+	for _, e := range site.Engines() {
+		for _, o := range []sycorder.Order{
+			{ID: "late-adapter", Kind: sycrollout.OrderDropAdapter, Model: sycdeploy.Model, Weights: "w2", Adapter: "a2"},
+			{ID: "late-weights", Kind: sycrollout.OrderDrop, Model: sycdeploy.Model, Weights: "w2"},
+			{ID: "late-role", Kind: sycrollout.OrderRole, Role: sycrecord.RolePrefill},
+		} {
+			o.Fence = fence
+			err := client.Send(t.Context(), e.URL(), o)
+			var fenced *sycorder.FencedError
+			must.Eq(t, checks, errors.As(err, &fenced), must.Sprintf("%s: %v", e.Name(), err))
+		}
+	}
+}
+
+// awaitRepair waits until all engines have the version and the role.
+func awaitRepair(t *testing.T, site *site) {
+	t.Helper()
+	client := sycorder.NewClient(nil)
+	defer client.Close()
+	deadline := time.Now().Add(repairTimeout)
+	// The reports lag; the first that count are those after the orders.
+	time.Sleep(2 * sycengine.DefaultLoadLag)
+	for _, e := range site.Engines() {
+		for {
+			report, err := client.Report(t.Context(), e.URL())
+			must.NoError(t, err)
+			ready := slices.ContainsFunc(report.Weights, func(w sycorder.Weights) bool {
+				return w.Weights == "w2" && w.State == sycorder.Ready && slices.Contains(w.Adapters, "a2")
+			})
+			if ready && report.Role == sycrecord.RoleBoth {
+				break
+			}
+			must.True(t, time.Now().Before(deadline), must.Sprintf("%s: %+v", e.Name(), report))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// checkLogs checks what engines were told and asked for.
+func checkLogs(t *testing.T, site *site, checks bool) {
+	t.Helper()
+	adapted := 0
+	for _, e := range site.Engines() {
+		highest := uint64(0)
+		for _, o := range e.Orders() {
+			must.True(t, !checks || !o.Taken || o.Fence >= highest)
+			highest = max(highest, o.Fence)
+		}
+		for _, r := range e.Requests() {
+			must.Eq(t, r.Weights == "w2", r.Adapter == "a2")
+			if r.Adapter == "a2" && r.Outcome == sycengine.OutcomeRun {
+				adapted++
+			}
+		}
+	}
+	must.Greater(t, 0, adapted)
+}
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -30,6 +30,8 @@
 type site struct {
 	*sycdeploy.Deployment
 	workload sycload.Workload
+	// adapters gives the adapter that goes with weights, if there is one.
+	adapters map[string]string
 }
 
 func newSite(t *testing.T) *site {
@@ -73,6 +75,7 @@
 		Routers:     urls,
 		Keys:        site.Keys(),
 		Model:       sycdeploy.Model,
+		Adapters:    site.adapters,
 		Seed:        7,
 		Duration:    outcomeTimeout,
 		RateFactor:  3,
