Test rollouts at the weight store's rate limit

Nothing showed with real stand-ins that loads stay within the store's rate and that a version whose loads cannot make the deadline is rolled back before it.

--- a/internal/standin/sycplatform/platform.go
+++ b/internal/standin/sycplatform/platform.go
@@ -114,5 +114,8 @@
 // RemoveVM takes a VM off the list, as the platform's machinery does when the VM is gone.
 func (p *Platform) RemoveVM(id string) { p.list.change(id, nil) }
 
+// StoreReads is the number of downloads from the weight store that run now.
+func (p *Platform) StoreReads() int { return int(p.store.inUse.Load()) }
+
 // Close stops the platform and waits for its handlers.
 func (p *Platform) Close() error { return p.server.Close() }
--- /dev/null
+++ b/internal/traffic/sycversion/store_test.go
@@ -0,0 +1,64 @@
+package sycversion_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
+	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
+)
+
+// mostLoads is the number of engines that may load weights together.
+const mostLoads = 2
+
+// TestStoreRate gives the weight store rates at which the loads of all engines
+// fit before the deadline, or don't.
+func TestStoreRate(t *testing.T) {
+	const (
+		size     = 4 << 20
+		deadline = 40 * time.Second
+	)
+	tests := []struct {
+		name  string
+		rate  int
+		state string
+	}{
+		{"loads fit", 4 << 20, sycrollout.StateDone},
+		{"loads do not fit", 256 << 10, sycrollout.StateRolledBack},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			site := newSiteOf(t, sycdeploy.Options{
+				Engine:   sycengine.Options{Speed: 8},
+				Platform: sycplatform.Options{StoreBytesPerSecond: tt.rate, Weights: map[string]int64{"w2": size}},
+			})
+			ends := time.Now().Add(deadline)
+			publish(t, site, deadline)
+			highest := 0
+			stop := make(chan struct{})
+			watched := make(chan struct{})
+			go func() {
+				defer close(watched)
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+						highest = max(highest, site.Platform().StoreReads())
+					}
+				}
+			}()
+			last, result := drive(t, site, site.URLs())
+			close(stop)
+			<-watched
+			must.Eq(t, tt.state, last.State, must.Sprint(last.Reason))
+			must.True(t, time.Now().Before(ends), must.Sprint(last.Reason))
+			must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
+			must.Between(t, 1, highest, mostLoads)
+			t.Logf("%s; %d loads together at most", last.Reason, highest)
+		})
+	}
+}
