Allow for load that rises after a version is done

At the full share a version is compared with earlier counts of its predecessor. Durations now count as slow from 1.7 times the reference on where the predecessor's counts are earlier ones; at smaller shares nothing changes.

A slowdown below 1.7 times that comes only then is not found any more. Finer load classes were ruled out: each would need evidence of its own before the full share.

--- a/internal/decide/sycrollout/stage.go
+++ b/internal/decide/sycrollout/stage.go
@@ -38,10 +38,11 @@
 }
 
 func (s *Stage) compare(t, sum Totals) Verdict {
-	if s.share >= 1 {
-		s.refer(t, sum)
+	if s.share < 1 {
+		return Compare(t, s.candidate, s.predecessor)
 	}
-	return Compare(t, s.candidate, s.predecessor)
+	s.refer(t, sum)
+	return compare(t, s.candidate, s.predecessor, laterSlack)
 }
 
 // refer puts all counts of the predecessor into t: at the full share it gets no
--- a/internal/decide/sycrollout/stage_test.go
+++ b/internal/decide/sycrollout/stage_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+// TestLoadRisesAfterDone makes answers longer by as much as the load can within
+// a class: the predecessor would have been as slow.
+func TestLoadRisesAfterDone(t *testing.T) {
+	const rise = 1.45
+	for seed := range uint64(20) {
+		tr := newTraffic(seed)
+		tr.bend = func(at time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			if at > canaryTime+stepTime {
+				s.FirstToken = time.Duration(float64(s.FirstToken) * rise)
+				s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * rise)
+			}
+		}
+		found, _ := tr.rollout(0, time.Minute/perMinute)
+		must.Zero(t, found, must.Sprintf("seed %d", seed))
+	}
+}
+
 func TestGoodVersionIsKeptAfterDone(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -25,6 +25,10 @@
 	// version's requests take longer than the predecessor's referenceQuantile.
 	referenceQuantile = 0.9
 	slowShare         = 0.3
+	// laterSlack is the number of buckets by which durations must be above the
+	// reference where the predecessor's were counted earlier: load may have risen
+	// within its class since.
+	laterSlack = 3
 	// minReference is the smallest number of the predecessor's requests in a cell
 	// that a comparison rests on.
 	minReference = 10
@@ -51,6 +55,11 @@
 // Compare judges a version against its predecessor, route by route. Requests
 // are compared only with requests of the same load and size class.
 func Compare(t Totals, candidate, predecessor Subject) Verdict {
+	return compare(t, candidate, predecessor, 0)
+}
+
+// compare counts a duration as slow from slack buckets above the reference on.
+func compare(t Totals, candidate, predecessor Subject, slack int) Verdict {
 	routes := map[string]bool{}
 	var v Verdict
 	for cell, counts := range t {
@@ -62,22 +71,23 @@
 		}
 	}
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
-		v.judge(t, route, candidate, predecessor)
+		v.judge(t, route, candidate, predecessor, slack)
 	}
 	return v
 }
 
 // comparison gathers a route's counts over all load and size classes.
 type comparison struct {
+	slack                 int
 	fresh, old            Counts
 	slowFirst, slowNext   uint64
 	totalFirst, totalNext uint64
 }
 
-func (v *Verdict) judge(t Totals, route string, candidate, predecessor Subject) {
-	all := comparison{}
+func (v *Verdict) judge(t Totals, route string, candidate, predecessor Subject, slack int) {
+	all := comparison{slack: slack}
 	for load := range loadClasses {
-		byLoad := comparison{}
+		byLoad := comparison{slack: slack}
 		for size := range sizeClasses {
 			fresh, isFresh := t[Cell{candidate.Version, candidate.Generation, route, load, size}]
 			old, isOld := t[Cell{predecessor.Version, predecessor.Generation, route, load, size}]
@@ -98,8 +108,8 @@
 func (c *comparison) add(fresh, old *Counts) {
 	c.fresh.add(fresh)
 	c.old.add(old)
-	c.slowFirst, c.totalFirst = slower(&fresh.FirstToken, &old.FirstToken, c.slowFirst, c.totalFirst)
-	c.slowNext, c.totalNext = slower(&fresh.BetweenTokens, &old.BetweenTokens, c.slowNext, c.totalNext)
+	c.slowFirst, c.totalFirst = c.slower(&fresh.FirstToken, &old.FirstToken, c.slowFirst, c.totalFirst)
+	c.slowNext, c.totalNext = c.slower(&fresh.BetweenTokens, &old.BetweenTokens, c.slowNext, c.totalNext)
 }
 
 func (c *comparison) merge(other *comparison) {
@@ -112,11 +122,11 @@
 }
 
 // slower counts the durations above the predecessor's reference quantile.
-func slower(fresh, old *Buckets, slow, total uint64) (uint64, uint64) {
+func (c *comparison) slower(fresh, old *Buckets, slow, total uint64) (uint64, uint64) {
 	if old.Total() < minReference {
 		return slow, total
 	}
-	reference := old.quantileBucket(referenceQuantile)
+	reference := min(old.quantileBucket(referenceQuantile)+c.slack, BucketCount-1)
 	return slow + fresh.above(reference), total + fresh.Total()
 }
 
