--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -72,6 +72,9 @@
 	chooser  *sycchoose.Chooser
 	feed     *sycfeed.Feed
 	drain    *sycdrain.Drain
+	// started is when the VM was made; met is set once it has been acquainted.
+	started time.Time
+	met     atomic.Bool
 	// drained is set when the VM has ended its service to callers.
 	drained atomic.Bool
 	closers closers
@@ -82,6 +85,7 @@
 func New(s *sycsetting.Settings) (*VM, error) {
 	v := &VM{
 		settings:    s,
+		started:     time.Now(),
 		incarnation: uuid.NewString(),
 		drain:       sycdrain.New(s.DrainSettle()),
 		dial:        sycdial.From(s.Peers().Addr(), sycdial.DefaultTimeout),
@@ -267,17 +271,6 @@
 	v.serve(v.operator, v.operatorsListener)
 }
 
-// Ready reports whether the VM may get traffic, and why not.
-func (v *VM) Ready() (bool, string) {
-	if v.drain.Draining() {
-		return false, "the VM is shutting down"
-	}
-	if !v.store.Ready() {
-		return false, "the VM has no configuration yet"
-	}
-	return true, ""
-}
-
 // Drain takes the VM out of service: it stays open until the balancer has
 // noticed, finishes every request and then stops.
 func (v *VM) Drain(ctx context.Context) error {
--- a/internal/standin/sycdeploy/deploy_test.go
+++ b/internal/standin/sycdeploy/deploy_test.go
@@ -10,6 +10,7 @@
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycfault"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
+	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
 const startTimeout = time.Minute
@@ -138,3 +139,39 @@
 	}
 	return counts
 }
+
+// TestReplacedVMRunsRequestsOnceReady shows that a VM at a new address is ready
+// only when it knows a VM that lends it tokens.
+func TestReplacedVMRunsRequestsOnceReady(t *testing.T) {
+	binary, err := sycdeploy.BuildRouter(t.TempDir())
+	must.NoError(t, err)
+	workload, ok := sycload.FindWorkload("bottlers")
+	must.True(t, ok)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	const lag = 500 * time.Millisecond
+	d, err := sycdeploy.New(ctx, sycdeploy.Options{
+		Workload: workload,
+		Binary:   binary,
+		Settings: map[string]string{"platform.list_lag": lag.String()},
+		Platform: sycplatform.Options{ListLag: lag},
+		Seed:     1,
+	})
+	must.NoError(t, err)
+	defer d.Close()
+	for _, router := range d.Routers()[:2] {
+		must.NoError(t, router.Replace())
+		must.NoError(t, router.AwaitReady(ctx))
+		result, err := sycload.Run(ctx, sycload.Options{
+			Workload:   workload,
+			Routers:    []string{router.URL()},
+			Keys:       d.Keys(),
+			Seed:       1,
+			Duration:   time.Second,
+			RateFactor: 10,
+		})
+		must.NoError(t, err)
+		must.Positive(t, result.Total.Sent)
+		must.Eq(t, 0, result.Total.Refusals["503 no_slots"])
+	}
+}
