Leave peers alone while the log answers

Cause: a VM took the log for late when the last proof of its end was older than a hold and a pause, 1.3 s. A proof counts from the start of its read, which is held for a second, so it is up to 2 s old while all is well, and peers were asked some 6.7 times a second for nothing.

The log is late now when the newest read of it takes longer than that. A log that hangs is noticed as soon as before. Ruled out: to allow two holds, which notices it a second later.

--- a/internal/operate/sycstate/follower.go
+++ b/internal/operate/sycstate/follower.go
@@ -54,6 +54,8 @@
 	// nanoseconds; 0 unless this VM folded that record.
 	oldest atomic.Int64
 	served served
+	// began is when the newest read of the log began, on the loop's clock.
+	began atomic.Int64
 	// proposals counts the operations of this VM that wait for their results.
 	proposals atomic.Int64
 
@@ -165,6 +167,7 @@
 func (f *follower) readLog() bool {
 	o := f.store.options
 	start := o.Loop.Now()
+	f.began.Store(int64(start))
 	from := f.state.Load().Next()
 	wait := f.wait()
 	logReads.Inc()
@@ -307,11 +310,14 @@
 	}
 }
 
-// stale reports whether the log failed, or has not been heard for longer than a
-// held read and a peer's answer take.
+// stale reports whether the log failed, has not been read to its end, or takes
+// longer for an answer than it holds a read.
 func (f *follower) stale() bool {
-	age, ok := f.proof()
-	return f.failures.Load() > 0 || !ok || age > f.store.options.Wait+f.store.options.PeerPoll
+	if _, ok := f.proof(); !ok || f.failures.Load() > 0 {
+		return true
+	}
+	o := f.store.options
+	return o.Loop.Now()-time.Duration(f.began.Load()) > o.Wait+o.PeerPoll
 }
 
 // readPeer asks peers for records until one has some, or a proof that is young
--- a/internal/operate/sycstate/rig_test.go
+++ b/internal/operate/sycstate/rig_test.go
@@ -43,6 +43,8 @@
 // peers reaches the other stores of a test directly.
 type peers struct {
 	stores atomic.Pointer[[]*sycstate.Store]
+	// queries counts the questions for records.
+	queries atomic.Int64
 }
 
 func (p *peers) pick() (*sycstate.Store, error) {
@@ -58,6 +60,7 @@
 
 // Records asks peers until one has records, as sycpeer.Fetcher does.
 func (p *peers) Records(ctx context.Context, q sycpeer.Query) (*sycpeerpb.RecordsReply, error) {
+	p.queries.Add(1)
 	var reply *sycpeerpb.RecordsReply
 	for range askedPeers {
 		store, err := p.pick()
--- a/internal/operate/sycstate/store_test.go
+++ b/internal/operate/sycstate/store_test.go
@@ -246,6 +246,23 @@
 	eventually(t, "read without a reader", two.has("c", 200))
 }
 
+// TestPeersAreLeftAloneWhileTheLogAnswers counts the questions to peers during held
+// reads of the log, which take longer than the pause between questions.
+func TestPeersAreLeftAloneWhileTheLogAnswers(t *testing.T) {
+	p := platform(t, sycplatform.Options{})
+	other := startWith(t, sycstate.Options{}, p.URL(), false)
+	v := startWith(t, sycstate.Options{}, p.URL(), false, other)
+	eventually(t, "proven", func() bool {
+		_, config := v.store.Proof(sycstate.ConfigStream)
+		_, system := v.store.Proof(sycstate.SystemStream)
+		return config && system
+	})
+	const reads = 8
+	calls, queries := v.network.calls.Load(), v.peers.queries.Load()
+	eventually(t, "held reads", func() bool { return v.network.calls.Load() >= calls+reads })
+	must.Less(t, queries+reads/2, v.peers.queries.Load())
+}
+
 // appendDirectly appends an operation as an operator does.
 func appendDirectly(t *testing.T, address string, op sycrecord.Operation) error {
 	t.Helper()
