Leave room for loans only in what a VM has gained

A VM that gained a slot left the lendable part of its whole fraction empty for 0.4 s, and so dropped own tokens that nobody else could hold. With small bursts lent whole that was all of them. Now the room is that of the gained parts.

Why it is enough: who loses p of a fraction f holds at most the lendable part of f, less what its smaller cap still allows, which is at most the lendable part of p.

--- a/internal/decide/syclimit/machine.go
+++ b/internal/decide/syclimit/machine.go
@@ -11,7 +11,9 @@
 	// quiet is when the loans of those who accrued the fraction before, such as
 	// this VM's predecessor, have surely ended.
 	quiet time.Duration
-	steps steps
+	// gained is the fraction that those had; it counts until quiet.
+	gained Fraction
+	steps  steps
 	// fraction is the total of steps.
 	fraction Fraction
 	peers    []Peer
@@ -93,7 +95,7 @@
 		m.accrue(now, c)
 	}
 	if total > m.fraction {
-		m.quiet = max(m.quiet, now+m.settings.Outlast(m.settings.LoanValid))
+		m.gain(now, total-m.fraction)
 	}
 	m.steps = m.steps.change(now, total)
 	m.fraction = total
@@ -103,6 +105,15 @@
 	return m.Tick(now)
 }
 
+// gain leaves room for the loans of whoever accrued a part before.
+func (m *Machine) gain(now time.Duration, part Fraction) {
+	if now >= m.quiet {
+		m.gained = 0
+	}
+	m.gained += part
+	m.quiet = max(m.quiet, now+m.settings.Outlast(m.settings.LoanValid))
+}
+
 // SetPeers changes the VMs that may lend.
 func (m *Machine) SetPeers(now time.Duration, peers []Peer) []Action {
 	m.peers = append([]Peer(nil), peers...)
@@ -188,12 +199,16 @@
 	return uint64(float64(nano) * (1 - m.settings.ClockError))
 }
 
-// limit is the cap on own and lent tokens together. Until the loans of the
-// predecessor have ended it leaves room for them.
+// roundingSlack is more than the micro-tokens by which the rounding of several
+// gained parts differs from that of their sum.
+const roundingSlack Micro = 16
+
+// limit is the cap on own and lent tokens together. Until the loans of those who
+// had the gained part have ended it leaves room for them.
 func (m *Machine) limit(now time.Duration, l Limit) Micro {
 	whole := m.fraction.Of(l.burst)
-	if now < m.quiet {
-		return whole - m.lendLimit(l)
+	if now < m.quiet && m.gained > 0 {
+		return max(whole-m.gained.Of(m.settings.lendable(l.burst))-roundingSlack, 0)
 	}
 	return whole
 }
--- a/internal/decide/syclimit/machine_test.go
+++ b/internal/decide/syclimit/machine_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// A VM that gains a small part keeps the own tokens that it has.
+func TestGainLeavesOwnTokens(t *testing.T) {
+	limit := syclimit.NewLimit(0.01, 8, 0)
+	m := syclimit.New(syclimit.Settings{}, 0, 1)
+	m.SetFraction(0, syclimit.Whole/2)
+	now := 10 * time.Hour
+	m.Lend(now, loanRequest(1, 0), limit)
+	m.SetFraction(now, syclimit.Whole*5/8)
+	own, _, _ := m.Held(now, customer)
+	must.LessEq(t, own, 4*syclimit.Token-100)
+	m.SetFraction(now, syclimit.Whole*6/8)
+	own, _, _ = m.Held(now+300*time.Millisecond, customer)
+	must.LessEq(t, 4*syclimit.Token, own) // both parts are left empty
+}
+
 func TestLoansAreLentOnceAndRoomComesBack(t *testing.T) {
 	limit := syclimit.NewLimit(1000, 32, 0)
 	cases := []struct {
