--- a/internal/operate/sycloop/loop.go
+++ b/internal/operate/sycloop/loop.go
@@ -6,6 +6,7 @@
 package sycloop
 
 import (
+	"math"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -15,25 +16,47 @@
 // its posters and drops nothing.
 const Depth = 4096
 
-// longestWait is the time between looks at a loop without tasks.
-const longestWait = time.Hour
+// longestWait is later than any task is due.
+const longestWait = time.Duration(math.MaxInt64)
 
 // Loop executes posted functions one at a time, in order.
 type Loop struct {
 	tomb  tomb.Tomb
 	start time.Time
 	work  chan func(now time.Duration)
-	// tasks belongs to the loop's goroutine.
-	tasks []*task
+	// tasks, watches, seen and wakeAt belong to the loop's goroutine.
+	tasks   []*Task
+	watches []watch
+	// seen is when the loop last began something.
+	seen time.Duration
+	// wakeAt is when the timer for the tasks fires.
+	wakeAt time.Duration
 }
 
-// task is a function that runs at a period.
-type task struct {
+// watch is a function for when the loop has stood still.
+type watch struct {
+	limit time.Duration
+	run   func(now time.Duration)
+}
+
+// Task is a function that runs at a period.
+type Task struct {
+	loop   *Loop
 	period time.Duration
 	due    time.Duration
 	run    func(now time.Duration)
 }
 
+// SetPeriod changes the period, and brings the next run forward if need be. It
+// must be called on the loop.
+func (t *Task) SetPeriod(period time.Duration) {
+	if t.period == period {
+		return
+	}
+	t.period = period
+	t.due = min(t.due, t.loop.Now()+period)
+}
+
 // New starts a loop.
 func New() *Loop {
 	l := &Loop{
@@ -43,37 +66,58 @@
 	l.tomb.Go(func() error {
 		timer := time.NewTimer(longestWait)
 		defer timer.Stop()
+		l.wakeAt = longestWait
 		for {
 			select {
 			case <-l.tomb.Dying():
 				return nil
 			case f := <-l.work:
-				known := len(l.tasks)
+				l.notice()
 				f(l.Now())
-				if len(l.tasks) > known {
-					timer.Reset(0)
-				}
 			case <-timer.C:
-				timer.Reset(l.runTasks())
+				l.notice()
+				l.wakeAt = longestWait
+				l.runTasks()
+			}
+			if next := l.nextTask(); next != l.wakeAt {
+				l.wakeAt = next
+				timer.Reset(next - l.Now())
 			}
 		}
 	})
 	return l
 }
 
-// runTasks runs the tasks that are due and returns the time to the next.
-func (l *Loop) runTasks() time.Duration {
+// notice runs the watches whose limit has passed since the loop last began
+// something.
+func (l *Loop) notice() {
+	now := l.Now()
+	still := now - l.seen
+	l.seen = now
+	for _, w := range l.watches {
+		if still > w.limit {
+			w.run(now)
+		}
+	}
+}
+
+// runTasks runs the tasks that are due.
+func (l *Loop) runTasks() {
 	for _, t := range l.tasks {
 		if now := l.Now(); now >= t.due {
-			t.run(now)
 			t.due = max(t.due+t.period, now)
+			t.run(now)
 		}
 	}
-	wait := longestWait
+}
+
+// nextTask is when a task is due next.
+func (l *Loop) nextTask() time.Duration {
+	next := longestWait
 	for _, t := range l.tasks {
-		wait = min(wait, t.due-l.Now())
+		next = min(next, t.due)
 	}
-	return max(wait, 0)
+	return next
 }
 
 // Now is the monotonic time since the loop started.
@@ -115,9 +159,38 @@
 // that comes while the loop is busy is made up for once. Like Post it must not
 // be called from inside a posted function.
 func (l *Loop) Every(period time.Duration, f func(now time.Duration)) {
-	l.Post(func(now time.Duration) {
-		l.tasks = append(l.tasks, &task{period: period, due: now + period, run: f})
+	l.NewTask(period, f).Start()
+}
+
+// NewTask returns a task that doesn't run before its start.
+func (l *Loop) NewTask(period time.Duration, f func(now time.Duration)) *Task {
+	return &Task{loop: l, period: period, run: f}
+}
+
+// Start lets the task run from a period later on; it must be called once, and
+// not from inside a posted function.
+func (t *Task) Start() {
+	t.loop.Post(func(now time.Duration) {
+		t.due = now + t.period
+		t.loop.tasks = append(t.loop.tasks, t)
+	})
+}
+
+const (
+	// watchBeats is how often a watched loop shows within the limit that it is alive.
+	watchBeats = 4
+	// shortestBeat is the shortest time between two such signs.
+	shortestBeat = time.Millisecond
+)
+
+// Watch runs f on the loop, before anything else, whenever the loop has stood
+// still for longer than the limit: the process was stopped, or a function took
+// that long. Like Post it must not be called from inside a posted function.
+func (l *Loop) Watch(limit time.Duration, f func(now time.Duration)) {
+	l.Post(func(time.Duration) {
+		l.watches = append(l.watches, watch{limit: limit, run: f})
 	})
+	l.Every(max(limit/watchBeats, shortestBeat), func(time.Duration) {})
 }
 
 // Close stops the loop and waits for its goroutines.
