--- a/internal/decide/syclimit/serve.go
+++ b/internal/decide/syclimit/serve.go
@@ -28,8 +28,8 @@
 	actions = append(actions, m.ask(now, c)...)
 	if len(c.waiting) == 0 {
 		actions = append(actions, m.share(now, c)...)
-		m.giveBack(now, c)
 	}
+	m.giveBack(now, c)
 	actions = append(actions, m.report(now, c)...)
 	m.dropServed()
 	return actions
@@ -116,7 +116,8 @@
 		width -= len(l.pending)
 	}
 	var actions []Action
-	for _, l := range m.ranked(now, c) {
+	ranked := m.ranked(now, c)
+	for i, l := range ranked {
 		if missing <= 0 || width <= 0 || !m.mayAsk(now) {
 			break
 		}
@@ -126,44 +127,22 @@
 		estimate := l.estimate(now, c.bucket.limit, m.settings)
 		m.asks -= Token
 		m.lastID++
-		actions = append(actions, l.ask(now, c.name, m.lastID, missing))
-		missing -= min(estimate, missing)
+		part := m.part(c, l, missing, min(len(ranked)-i, width))
+		actions = append(actions, l.ask(now, c.name, m.lastID, part))
+		missing -= min(estimate, part)
 		width--
 	}
 	return actions
 }
 
-// share asks a peer that probably has more for a part of it, so that tokens do
-// not reach the cap of one VM while another is short.
-func (m *Machine) share(now time.Duration, c *customer) []Action {
-	whole := m.fraction.Of(c.bucket.limit.burst)
-	shortage := whole - c.bucket.lent - c.bucket.available()
-	if whole < leastCap || shortage < whole/leastShortage || now < m.quiet || !m.mayAsk(now) {
-		return nil
-	}
-	if c.lenders == nil {
-		c.setPeers(m.peers, m.settings)
+// part is what to ask of one of several lenders: all that is missing, or, where
+// one cannot lend a token, an even part and half as much again, so that some are
+// not emptied while others reach their caps.
+func (m *Machine) part(c *customer, l *lender, missing Micro, lenders int) Micro {
+	if lendable(l.peer, c.bucket.limit, m.settings) >= Token {
+		return missing
 	}
-	var best *lender
-	for _, l := range c.lenders {
-		if len(l.pending) > 0 {
-			return nil
-		}
-		if now >= l.level && now >= l.dryUntil && (best == nil || m.fuller(now, c, l, best)) {
-			best = l
-		}
-	}
-	if best == nil {
-		return nil
-	}
-	m.asks -= Token
-	m.lastID++
-	return []Action{best.share(now, c.name, m.lastID, shortage)}
-}
-
-// fuller reports whether a probably has more than b.
-func (m *Machine) fuller(now time.Duration, c *customer, a, b *lender) bool {
-	return a.estimate(now, c.bucket.limit, m.settings) > b.estimate(now, c.bucket.limit, m.settings)
+	return min(missing, missing*3/2/Micro(lenders)+1)
 }
 
 // mayAsk reports whether the budget allows another request for a loan.
--- a/internal/operate/sycloop/loop.go
+++ b/internal/operate/sycloop/loop.go
@@ -24,12 +24,21 @@
 	tomb  tomb.Tomb
 	start time.Time
 	work  chan func(now time.Duration)
-	// tasks and wakeAt belong to the loop's goroutine; wakeAt is when the timer
-	// for the tasks fires.
-	tasks  []*Task
+	// tasks, watches, seen and wakeAt belong to the loop's goroutine.
+	tasks   []*Task
+	watches []watch
+	// seen is when the loop last began something.
+	seen time.Duration
+	// wakeAt is when the timer for the tasks fires.
 	wakeAt time.Duration
 }
 
+// watch is a function for when the loop has stood still.
+type watch struct {
+	limit time.Duration
+	run   func(now time.Duration)
+}
+
 // Task is a function that runs at a period.
 type Task struct {
 	loop   *Loop
@@ -63,8 +72,10 @@
 			case <-l.tomb.Dying():
 				return nil
 			case f := <-l.work:
+				l.notice()
 				f(l.Now())
 			case <-timer.C:
+				l.notice()
 				l.wakeAt = longestWait
 				l.runTasks()
 			}
@@ -77,6 +88,19 @@
 	return l
 }
 
+// notice runs the watches whose limit has passed since the loop last began
+// something.
+func (l *Loop) notice() {
+	now := l.Now()
+	still := now - l.seen
+	l.seen = now
+	for _, w := range l.watches {
+		if still > w.limit {
+			w.run(now)
+		}
+	}
+}
+
 // runTasks runs the tasks that are due.
 func (l *Loop) runTasks() {
 	for _, t := range l.tasks {
@@ -152,6 +176,23 @@
 	})
 }
 
+const (
+	// watchBeats is how often a watched loop shows within the limit that it is alive.
+	watchBeats = 4
+	// shortestBeat is the shortest time between two such signs.
+	shortestBeat = time.Millisecond
+)
+
+// Watch runs f on the loop, before anything else, whenever the loop has stood
+// still for longer than the limit: the process was stopped, or a function took
+// that long. Like Post it must not be called from inside a posted function.
+func (l *Loop) Watch(limit time.Duration, f func(now time.Duration)) {
+	l.Post(func(time.Duration) {
+		l.watches = append(l.watches, watch{limit: limit, run: f})
+	})
+	l.Every(max(limit/watchBeats, shortestBeat), func(time.Duration) {})
+}
+
 // Close stops the loop and waits for its goroutines.
 func (l *Loop) Close() error {
 	l.tomb.Kill(nil)
