Keep the prompts of the steps' loads apart from those of the run's load

The steps' loads have another seed now. In "domain alone" the customer that sends more than its rate sends only to the domain: its tokens there must not be spent before.

--- a/internal/standin/sycscenario/outage.go
+++ b/internal/standin/sycscenario/outage.go
@@ -63,7 +63,6 @@
 			_, err := r.load(ctx, sycload.Options{
 				Workload:   r.workload.Only(r.CustomerNames()[customer]),
 				Routers:    r.urlsOf(r.Domains()[0])[:1],
-				Seed:       1,
 				Duration:   3 * time.Second,
 				RateFactor: 12,
 			})
@@ -229,8 +228,11 @@
 // domainAlone cuts the first failure domain off from the others and from the
 // platform; its callers still get answers.
 func domainAlone() Scenario {
+	// The customer that sends more than its rate would spend its tokens before.
+	const over = 4
 	return Scenario{
-		name: "domain alone",
+		name:     "domain alone",
+		reserved: []int{over},
 		steps: []step{{time.Second, func(ctx context.Context, r *run) error {
 			domain := r.Domains()[0]
 			r.cut(true)
@@ -240,7 +242,6 @@
 			result, err := r.load(ctx, sycload.Options{
 				Workload:   r.workload,
 				Routers:    r.urlsOf(domain),
-				Seed:       1,
 				Duration:   aloneLength,
 				RateFactor: aloneRate,
 			})
@@ -272,7 +273,6 @@
 			_, err := r.load(ctx, sycload.Options{
 				Workload:   r.workload.Only(r.CustomerNames()[customer]),
 				Routers:    r.URLs(),
-				Seed:       1,
 				Duration:   5 * time.Second,
 				RateFactor: 2,
 			})
--- a/internal/standin/sycscenario/pause.go
+++ b/internal/standin/sycscenario/pause.go
@@ -220,7 +220,6 @@
 	_, err := r.load(ctx, sycload.Options{
 		Workload:    r.workload.Only(customer),
 		Routers:     []string{router.URL()},
-		Seed:        1,
 		Duration:    floodLength,
 		MaxRequests: floodMost,
 		RateFactor:  200,
@@ -254,7 +253,6 @@
 			_, err := r.load(ctx, sycload.Options{
 				Workload:   r.workload.Only(r.CustomerNames()[leaderCustomer]),
 				Routers:    r.URLs(),
-				Seed:       1,
 				Duration:   leaderLoad,
 				RateFactor: 2,
 			})
--- a/internal/standin/sycscenario/probe.go
+++ b/internal/standin/sycscenario/probe.go
@@ -19,10 +19,14 @@
 	// awaitTimeout bounds the wait for a state that a step needs.
 	awaitTimeout = 45 * time.Second
 	awaitPoll    = 50 * time.Millisecond
+	// loadSeed is added to the run's seed for the steps' loads.
+	loadSeed = 1000
 )
 
-// load sends requests of a step's own and adds them to the run's.
+// load sends requests of a step's own and adds them to the run's. Its seed differs
+// from that of the run's load, so that no prompt or slot is sent by both.
 func (r *run) load(ctx context.Context, o sycload.Options) (sycload.Result, error) {
+	o.Seed = r.seed + loadSeed
 	o.Keys = r.Keys()
 	o.BookPath = sycdeploy.BookPath
 	result, err := sycload.Run(ctx, o)
--- a/internal/standin/sycscenario/scenario.go
+++ b/internal/standin/sycscenario/scenario.go
@@ -78,6 +78,7 @@
 	ledger   *sycoracle.Ledger
 	result   sycload.Result
 	workload sycload.Workload
+	seed     uint64
 
 	mu sync.Mutex
 	// marks holds when something happened, by name.
@@ -175,6 +176,7 @@
 	r := &run{
 		Deployment: deployment,
 		workload:   o.Workload,
+		seed:       o.Seed,
 		ledger:     sycoracle.NewLedger(),
 		marks:      map[string]time.Time{},
 	}
