Relay adapters and roles of engines with their load

Where an engine had an adapter the receiver took every relayed report for incomplete and polled the engine itself; a role that serves no requests was not seen, so that requests went to the engine and were refused there.

ReadyWeights names the adapter, LoadReport the role, and both count among the constants that are left out while they stay the same. TestNeighboursShareReports loads an adapter and changes the role now; with the former share.go it fails. A digest of a VM from before is completed by a poll.

--- a/internal/traffic/sycfeed/share.go
+++ b/internal/traffic/sycfeed/share.go
@@ -43,6 +43,7 @@
 		UsedBlocks:    uint32(max(r.UsedBlocks, 0)),
 		Constant:      constantOf(r),
 		Ready:         readyOut(r.Ready),
+		Role:          r.Role,
 	}
 	delete(n.unreached, name)
 }
@@ -53,6 +54,7 @@
 		r.Incarnation = ""
 		r.CacheBlocks = 0
 		r.Ready = nil
+		r.Role = ""
 		return
 	}
 	n.told[r.GetEndpoint()] = r.GetConstant()
@@ -61,7 +63,7 @@
 // constantOf identifies the parts of a report that seldom change.
 func constantOf(r sycdispatch.Report) uint64 {
 	h := xxhash.New()
-	fmt.Fprintf(h, "%q %d %q", r.Incarnation, r.CacheBlocks, r.Ready)
+	fmt.Fprintf(h, "%q %d %q %q", r.Incarnation, r.CacheBlocks, r.Ready, r.Role)
 	return h.Sum64()
 }
 
@@ -139,26 +141,28 @@
 		CacheBlocks:   int(in.GetCacheBlocks()),
 		UsedBlocks:    int(in.GetUsedBlocks()),
 		Ready:         readyIn(in.GetReady()),
+		Role:          in.GetRole(),
 	}
 	if r.Incarnation == "" {
 		known := f.newest[in.GetEndpoint()]
 		r.Incarnation = known.Incarnation
 		r.CacheBlocks = known.CacheBlocks
 		r.Ready = known.Ready
+		r.Role = known.Role
 	}
 	return r, constantOf(r) == in.GetConstant()
 }
 
 func readyOut(list []sycdispatch.Loaded) (out []*sycpeerpb.ReadyWeights) {
 	for _, l := range list {
-		out = append(out, &sycpeerpb.ReadyWeights{Model: l.Model, Weights: l.Weights})
+		out = append(out, &sycpeerpb.ReadyWeights{Model: l.Model, Weights: l.Weights, Adapter: l.Adapter})
 	}
 	return out
 }
 
 func readyIn(list []*sycpeerpb.ReadyWeights) (in []sycdispatch.Loaded) {
 	for _, l := range list {
-		in = append(in, sycdispatch.Loaded{Model: l.GetModel(), Weights: l.GetWeights()})
+		in = append(in, sycdispatch.Loaded{Model: l.GetModel(), Weights: l.GetWeights(), Adapter: l.GetAdapter()})
 	}
 	return in
 }
--- a/internal/traffic/sycfeed/share_test.go
+++ b/internal/traffic/sycfeed/share_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
@@ -65,6 +66,26 @@
 	to.loop.Do(func(now time.Duration) { to.feed.ShareIn(now, list, unreached) })
 }
 
+// runs reports whether the VM has an endpoint for a request now.
+func (n *neighbour) runs(t *testing.T) bool {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	grant, err := n.chooser.Choose(ctx, sycwork.Work{Model: "m", Prompt: "hello"})
+	if err != nil {
+		return false
+	}
+	grant.Done(sycwork.Result{Outcome: sycwork.Cancelled})
+	return true
+}
+
+func order(t *testing.T, engine *sycengine.Engine, body string) {
+	t.Helper()
+	response, err := http.Post(engine.URL()+"/v1/orders", "application/json", strings.NewReader(body))
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusAccepted, response.StatusCode)
+}
+
 // TestNeighboursShareReports lets two VMs share the polls of an engine that
 // crashes and comes back.
 func TestNeighboursShareReports(t *testing.T) {
@@ -73,6 +94,7 @@
 	})
 	must.NoError(t, err)
 	t.Cleanup(func() { must.NoError(t, engine.Close()) })
+	order(t, engine, `{"id":"1","fence":1,"kind":"load_adapter","model":"m","weights":"w1","adapter":"a"}`)
 	state := config(t, engine.URL())
 	vms := []*neighbour{newNeighbour(t, "a", "b", state), newNeighbour(t, "b", "a", state)}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -106,6 +128,11 @@
 	one, two := vms[0].calls.polls.Load()-start[0], vms[1].calls.polls.Load()-start[1]
 	must.LessEq(t, 2, min(one, two), must.Sprintf("both poll: %d and %d", one, two))
 
+	order(t, engine, `{"id":"2","fence":2,"kind":"role","role":"decode"}`)
+	eventually(t, all(func(n *neighbour) bool { return !n.runs(t) }))
+	order(t, engine, `{"id":"3","fence":3,"kind":"role","role":"both"}`)
+	eventually(t, all(func(n *neighbour) bool { return n.runs(t) }))
+
 	engine.Crash()
 	eventually(t, all(func(n *neighbour) bool { return n.chooser.Endpoints()[0].Health == sychealth.Out }))
 	eventually(t, all(serves))
