--- a/internal/traffic/sycversion/late_test.go
+++ b/internal/traffic/sycversion/late_test.go
@@ -42,6 +42,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			site := newSite(t)
 			publish(t, site, 25*time.Second)
 			last, _ := drive(t, site, site.URLs())
--- a/internal/traffic/sycversion/paused_test.go
+++ b/internal/traffic/sycversion/paused_test.go
@@ -33,6 +33,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			site := newSiteOf(t, sycdeploy.Options{
 				Binary: binary,
 				Engine: sycengine.Options{Speed: 8, ChecksFencing: tt.checks},
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -24,8 +24,13 @@
 	// mostBad is the largest share of all requests that a version which is bad
 	// from the start may get.
 	mostBad = 0.1
+	// together is how many sites run at a time.
+	together = 2
 )
 
+// places bounds the sites that run at a time.
+var places = make(chan struct{}, together)
+
 // site is a deployment; without a program its VMs run in this process.
 type site struct {
 	*sycdeploy.Deployment
@@ -39,9 +44,11 @@
 	return newSiteOf(t, sycdeploy.Options{Engine: sycengine.Options{Speed: 8}})
 }
 
-// newSiteOf completes the options.
+// newSiteOf completes the options, and waits for a place.
 func newSiteOf(t *testing.T, o sycdeploy.Options) *site {
 	t.Helper()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	workload, ok := sycload.FindWorkload("bottlers")
 	must.True(t, ok)
 	o.Workload = workload
@@ -136,6 +143,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			site := newSite(t)
 			tt.fault(site)
 			publish(t, site, 25*time.Second)
@@ -169,6 +177,7 @@
 // finish the rollout, and no engine may take an order of the former one after one
 // of the new.
 func TestKilledLeaderIsReplaced(t *testing.T) {
+	t.Parallel()
 	site := newSite(t)
 	publish(t, site, 40*time.Second)
 	for len(site.Outcomes()) < 2 {
--- a/internal/traffic/sycversion/store_test.go
+++ b/internal/traffic/sycversion/store_test.go
@@ -31,6 +31,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			site := newSiteOf(t, sycdeploy.Options{
 				Engine:   sycengine.Options{Speed: 8},
 				Platform: sycplatform.Options{StoreBytesPerSecond: tt.rate, Weights: map[string]int64{"w2": size}},
