--- a/cmd/sycamorecart/main.go
+++ b/cmd/sycamorecart/main.go
@@ -13,6 +13,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(newServe(), "")
+	subcommands.Register(newJoin(), "")
 	subcommands.Register(newCheck(), "")
 	subcommands.Register(newPublish(), "")
 	subcommands.Register(newWatch(), "")
--- /dev/null
+++ b/internal/decide/sycfeed/feed.go
@@ -0,0 +1,128 @@
+// Package sycfeed holds the newest record of each key of a log, as read from
+// the log itself or told by other VMs. Offsets decide: a record never replaces
+// a newer one, whoever told it.
+package sycfeed
+
+import (
+	"slices"
+	"time"
+)
+
+// Record is one entry of the log.
+type Record struct {
+	Offset int64
+	Key    string
+	// Value is empty for a key that was dropped.
+	Value []byte
+}
+
+// Change is a record that replaced what was known of its key.
+type Change struct {
+	Record
+	// Dropped means that the key is gone.
+	Dropped bool
+}
+
+// Feed is the state of one log.
+type Feed struct {
+	// next is the offset up to which every record has been seen.
+	next    int64
+	records map[string]Record
+	// hold keeps dropped keys for a while, since a log that was out drops keys
+	// whose owners could not write.
+	hold time.Duration
+	// holdUntil is the end of the time in which drops wait.
+	holdUntil time.Duration
+	held      map[string]held
+}
+
+type held struct {
+	record Record
+	due    time.Duration
+}
+
+// New returns an empty feed. After an outage drops wait for the time of hold.
+func New(hold time.Duration) *Feed {
+	return &Feed{records: map[string]Record{}, hold: hold, held: map[string]held{}}
+}
+
+// Next is the offset from which on records are to be read.
+func (f *Feed) Next() int64 { return f.next }
+
+// Returned tells that the log answers again after an outage.
+func (f *Feed) Returned(now time.Duration) { f.holdUntil = now + f.hold }
+
+// Apply takes in records up to the offset next, and returns what changed.
+func (f *Feed) Apply(now time.Duration, records []Record, next int64) []Change {
+	var out []Change
+	for _, r := range records {
+		old, known := f.records[r.Key]
+		if known && old.Offset >= r.Offset {
+			continue
+		}
+		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < f.holdUntil {
+			if h, waits := f.held[r.Key]; !waits || h.record.Offset < r.Offset {
+				f.held[r.Key] = held{record: r, due: now + f.hold}
+			}
+			continue
+		}
+		if h, waits := f.held[r.Key]; waits && h.record.Offset < r.Offset {
+			delete(f.held, r.Key)
+		}
+		out = append(out, f.set(r))
+	}
+	f.next = max(f.next, next)
+	return out
+}
+
+// Replace takes in the newest records of all keys; keys that are missing from
+// them were dropped at some offset below next.
+func (f *Feed) Replace(now time.Duration, records []Record, next int64) []Change {
+	present := map[string]bool{}
+	for _, r := range records {
+		present[r.Key] = true
+	}
+	for key, r := range f.records {
+		if !present[key] && len(r.Value) > 0 && r.Offset < next {
+			records = append(records, Record{Offset: max(next-1, r.Offset+1), Key: key})
+		}
+	}
+	return f.Apply(now, records, next)
+}
+
+// Due carries out the drops whose time of waiting has passed.
+func (f *Feed) Due(now time.Duration) []Change {
+	var out []Change
+	for key, h := range f.held {
+		if now < h.due {
+			continue
+		}
+		delete(f.held, key)
+		if f.records[key].Offset < h.record.Offset {
+			out = append(out, f.set(h.record))
+		}
+	}
+	return out
+}
+
+func (f *Feed) set(r Record) Change {
+	f.records[r.Key] = r
+	return Change{Record: r, Dropped: len(r.Value) == 0}
+}
+
+// Since returns the records at an offset or later, in their order.
+func (f *Feed) Since(from int64) []Record {
+	var out []Record
+	for _, r := range f.records {
+		if r.Offset >= from {
+			out = append(out, r)
+		}
+	}
+	for _, h := range f.held {
+		if h.record.Offset >= from {
+			out = append(out, h.record)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	return out
+}
--- /dev/null
+++ b/internal/decide/sycfeed/feed_test.go
@@ -0,0 +1,62 @@
+package sycfeed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+)
+
+const hold = 2 * time.Second
+
+func rec(offset int64, key, value string) sycfeed.Record {
+	return sycfeed.Record{Offset: offset, Key: key, Value: []byte(value)}
+}
+
+func keys(changes []sycfeed.Change) []string {
+	var out []string
+	for _, c := range changes {
+		k := c.Key
+		if c.Dropped {
+			k = "-" + k
+		}
+		out = append(out, k)
+	}
+	return out
+}
+
+func TestOlderRecordsChangeNothing(t *testing.T) {
+	f := sycfeed.New(hold)
+	must.Eq(t, []string{"a", "b"}, keys(f.Apply(0, []sycfeed.Record{rec(4, "a", "new"), rec(5, "b", "x")}, 6)))
+	must.Nil(t, f.Apply(0, []sycfeed.Record{rec(2, "a", "old")}, 3))
+	must.Eq(t, int64(6), f.Next())
+	must.Eq(t, []sycfeed.Record{rec(5, "b", "x")}, f.Since(5))
+}
+
+func TestReplaceDropsMissingKeys(t *testing.T) {
+	f := sycfeed.New(hold)
+	f.Apply(0, []sycfeed.Record{rec(4, "a", "x"), rec(5, "b", "x")}, 6)
+	must.Eq(t, []string{"c", "-a"}, keys(f.Replace(0, []sycfeed.Record{rec(5, "b", "x"), rec(8, "c", "x")}, 9)))
+	must.Eq(t, int64(9), f.Next())
+}
+
+func TestDropsWaitAfterAnOutage(t *testing.T) {
+	tests := []struct {
+		name string
+		back bool
+		want []string
+	}{{"comes back", true, nil}, {"stays away", false, []string{"-a"}}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := sycfeed.New(hold)
+			f.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, 2)
+			f.Returned(time.Second)
+			must.Nil(t, f.Apply(time.Second, []sycfeed.Record{rec(2, "a", "")}, 3))
+			if tt.back {
+				f.Apply(2*time.Second, []sycfeed.Record{rec(3, "a", "y")}, 4)
+			}
+			must.Eq(t, tt.want, keys(f.Due(time.Second+hold)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/sycplace/place.go
@@ -0,0 +1,496 @@
+// Package sycplace chooses the endpoint of each request on one VM, from the
+// registry, what the VM and its peers have under way, which parts of prompts
+// the engines are believed to keep, and how attempts went.
+//
+// A Placer is a pure state machine: it is told the time and every event.
+package sycplace
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+)
+
+const (
+	// rereadPrice is the price of reading shared parts again that another engine
+	// keeps, as a part of the time that it takes.
+	rereadPrice = 0.5
+	// awayPenalty is the disadvantage of endpoints in other failure domains.
+	awayPenalty = 4 * time.Millisecond
+	// stepPenalty is what each running request adds to the time of an engine's step.
+	stepPenalty = 300 * time.Microsecond
+	// homeBonus is the advantage of the engine that all VMs would choose for a
+	// prompt that none keeps.
+	homeBonus = 60 * time.Millisecond
+	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
+	suspectPenalty = 250 * time.Millisecond
+	// oldAfter is the age of newer weights from which on engines with older ones
+	// are at a disadvantage, and oldNever that from which on they get no requests
+	// while others can.
+	oldAfter   = 1200 * time.Millisecond
+	oldNever   = 5 * time.Second
+	oldPenalty = 150 * time.Millisecond
+	// fullPause is how long an endpoint that was full is left alone.
+	fullPause = 60 * time.Millisecond
+	// waitingPerSlot is how many requests may wait at a plain service's endpoint
+	// for each that runs.
+	waitingPerSlot = 2
+	// noneRetry is the time after which a request that found no endpoint may come again.
+	noneRetry = 500 * time.Millisecond
+)
+
+// Request is a request to be placed.
+type Request struct {
+	ID      uint64
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Parts is the prompt; the last part is the request's own.
+	Parts  []Part
+	Tokens int
+	// Exclude names endpoints that were tried.
+	Exclude []string
+	// Left is the time to the request's deadline.
+	Left time.Duration
+	// Work is how long a request to the plain service takes, 0 if unknown.
+	Work time.Duration
+}
+
+// Target is where a request goes.
+type Target struct {
+	Endpoint Endpoint
+	// Weights is the version of the request's model there.
+	Weights int64
+	// Held is the number of prompt tokens that are believed to be kept there.
+	Held int
+	// Load is what was under way there.
+	Load Load
+	// Expected is the time to the first byte of the answer.
+	Expected time.Duration
+}
+
+// Reason says why a request was not placed.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// NoEndpoint means that the service has no endpoint that may get work.
+	NoEndpoint Reason = "no_endpoint"
+	// Full means that the endpoints can't start the request in time.
+	Full Reason = "full"
+)
+
+// Refusal says that a request was not placed.
+type Refusal struct {
+	Reason Reason
+	// After is the time after which it may come again.
+	After time.Duration
+	// Endpoints is how many endpoints were considered.
+	Endpoints int
+}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// Outcomes of attempts.
+const (
+	// Served is a complete answer.
+	Served Outcome = iota
+	// Failed is an answer that says so, was broken off or made no sense.
+	Failed
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// WasFull means that the endpoint had no room.
+	WasFull
+	// Moved means that another endpoint has the address.
+	Moved
+	// Cancelled is an attempt that nobody waits for.
+	Cancelled
+)
+
+// attempt is a request under way.
+type attempt struct {
+	endpoint *endpoint
+	request  *Request
+	started  time.Duration
+	missing  int
+	expected time.Duration
+	answered bool
+}
+
+// Settings describes the deployment's engines.
+type Settings struct {
+	FailureDomain string
+	Seed          uint64
+	// TokensPerSecond is how fast an engine reads prompts.
+	TokensPerSecond float64
+	// FirstToken is the time to the first token of an empty prompt.
+	FirstToken time.Duration
+}
+
+// Placer places the requests of one VM.
+type Placer struct {
+	settings  Settings
+	endpoints map[string]*endpoint
+	// order lists the endpoints by id, so that decisions don't depend on map order.
+	order    []*endpoint
+	attempts map[uint64]*attempt
+	// cacheTokens is the size of the engines' caches by service.
+	cacheTokens map[string]int
+	// held names endpoints that are about to take an order, and until when.
+	held map[string]time.Duration
+	// named holds the newest version of each model's weights.
+	named map[string]naming
+	sent  []Sent
+	split splitter
+}
+
+type naming struct {
+	version int64
+	at      time.Duration
+}
+
+// New returns a placer that knows no endpoints.
+func New(s Settings) *Placer {
+	return &Placer{
+		settings:    s,
+		endpoints:   map[string]*endpoint{},
+		attempts:    map[uint64]*attempt{},
+		cacheTokens: map[string]int{},
+		held:        map[string]time.Duration{},
+		named:       map[string]naming{},
+	}
+}
+
+// CacheTokens sets the size of the cache of each engine of a service.
+func (p *Placer) CacheTokens(service string, tokens int) {
+	if p.cacheTokens[service] == tokens {
+		return
+	}
+	p.cacheTokens[service] = tokens
+	for _, e := range p.order {
+		if e.record.Service == service {
+			e.cache.limit = int(usedCache * float64(tokens))
+		}
+	}
+}
+
+// Name sets the newest version of a model's weights.
+func (p *Placer) Name(now time.Duration, model string, version int64) {
+	if p.named[model].version < version {
+		p.named[model] = naming{version: version, at: now}
+	}
+}
+
+// Put takes in an endpoint's record.
+func (p *Placer) Put(record Endpoint) {
+	e := p.endpoints[record.ID]
+	if e == nil || e.record.Born != record.Born || e.record.Address != record.Address {
+		fresh := newEndpoint(record, p.settings.Seed, p.cacheTokens[record.Service])
+		if e != nil {
+			fresh.attempts = e.attempts
+			for _, a := range fresh.attempts {
+				a.endpoint = fresh
+			}
+		}
+		p.endpoints[record.ID] = fresh
+		p.reorder()
+		return
+	}
+	if !maps.Equal(e.record.Weights, record.Weights) {
+		e.cache.clear()
+	}
+	e.record = record
+}
+
+// Drop removes an endpoint.
+func (p *Placer) Drop(id string) {
+	delete(p.endpoints, id)
+	p.reorder()
+}
+
+func (p *Placer) reorder() {
+	p.order = slices.SortedFunc(maps.Values(p.endpoints), func(a, b *endpoint) int {
+		return cmp.Compare(a.record.ID, b.record.ID)
+	})
+}
+
+// Endpoint returns the record of an endpoint.
+func (p *Placer) Endpoint(id string) (Endpoint, bool) {
+	e, ok := p.endpoints[id]
+	if !ok {
+		return Endpoint{}, false
+	}
+	return e.record, true
+}
+
+// Endpoints lists the records of all endpoints by id.
+func (p *Placer) Endpoints() []Endpoint {
+	out := make([]Endpoint, 0, len(p.order))
+	for _, e := range p.order {
+		out = append(out, e.record)
+	}
+	return out
+}
+
+// Hold keeps requests off an endpoint until a time, while others can take them.
+func (p *Placer) Hold(id string, until time.Duration) { p.held[id] = until }
+
+// Requests returns how many of this VM's requests an endpoint has.
+func (p *Placer) Requests(id string) int {
+	if e := p.endpoints[id]; e != nil {
+		return len(e.attempts)
+	}
+	return 0
+}
+
+// Place chooses an endpoint and begins an attempt there.
+func (p *Placer) Place(now time.Duration, r *Request) (*Target, *Refusal) {
+	candidates, refusal := p.candidates(now, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	var best *endpoint
+	var bestScore, bestExpected time.Duration
+	for _, e := range candidates {
+		score, expected := p.score(now, r, e, candidates)
+		if best == nil || score < bestScore {
+			best, bestScore, bestExpected = e, score, expected
+		}
+	}
+	load := best.load(now)
+	if after, full := p.full(r, best, load, bestExpected); full {
+		return nil, &Refusal{Reason: Full, After: after, Endpoints: len(candidates)}
+	}
+	held := best.cache.held(r.Parts)
+	a := &attempt{endpoint: best, request: r, started: now, missing: max(r.Tokens-held, 0), expected: bestExpected}
+	best.attempts[r.ID] = a
+	p.attempts[r.ID] = a
+	if len(r.Parts) > 0 {
+		best.cache.add(r.Parts)
+		p.sent = append(p.sent, Sent{Endpoint: best.record.ID, Parts: r.Parts})
+	}
+	return &Target{
+		Endpoint: best.record,
+		Weights:  best.record.Weights[r.Model],
+		Held:     held,
+		Load:     load,
+		Expected: bestExpected,
+	}, nil
+}
+
+// candidates lists the endpoints that may get the request, the better ones only
+// if there are any.
+func (p *Placer) candidates(now time.Duration, r *Request) ([]*endpoint, *Refusal) {
+	var all []*endpoint
+	for _, e := range p.order {
+		if e.record.Service != r.Service || slices.Contains(r.Exclude, e.record.ID) || !e.usable(now) {
+			continue
+		}
+		if r.Model != "" && len(e.record.Weights) > 0 {
+			if _, loaded := e.record.Weights[r.Model]; !loaded {
+				continue
+			}
+		}
+		all = append(all, e)
+	}
+	all = p.split.filter(r, all)
+	if len(all) == 0 {
+		return nil, &Refusal{Reason: NoEndpoint, After: noneRetry}
+	}
+	all = prefer(all, func(e *endpoint) bool { return !p.outdated(now, r.Model, e, oldNever) })
+	all = prefer(all, func(e *endpoint) bool { return now >= p.held[e.record.ID] })
+	all = prefer(all, func(e *endpoint) bool { return now >= e.fullUntil })
+	return all, nil
+}
+
+// prefer returns the endpoints that fit, or all if none does.
+func prefer(all []*endpoint, fits func(*endpoint) bool) []*endpoint {
+	var out []*endpoint
+	for _, e := range all {
+		if fits(e) {
+			out = append(out, e)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+// outdated reports whether an engine has older weights than were named that
+// long ago.
+func (p *Placer) outdated(now time.Duration, model string, e *endpoint, age time.Duration) bool {
+	n, ok := p.named[model]
+	return ok && e.record.Weights[model] < n.version && now-n.at >= age
+}
+
+// score is the cost of the request at an endpoint as a time, and the expected
+// time to the first byte.
+func (p *Placer) score(now time.Duration, r *Request, e *endpoint, all []*endpoint) (score, expected time.Duration) {
+	load := e.load(now)
+	if r.Model == "" {
+		expected = p.plainTime(r, e, load)
+		score = expected
+	} else {
+		held := e.cache.held(r.Parts)
+		missing := max(r.Tokens-held, 0)
+		read := p.readTime(load.Tokens + missing)
+		expected = time.Duration(e.pace * float64(p.settings.FirstToken+read+time.Duration(load.Requests)*stepPenalty))
+		shared := sharedTokens(r.Parts)
+		again := max(min(shared, p.mostHeld(r, all))-held, 0)
+		score = expected + time.Duration(rereadPrice*float64(p.readTime(again)))
+		if p.outdated(now, r.Model, e, oldAfter) {
+			score += oldPenalty
+		}
+		score -= homeBonusFor(r, e, held)
+	}
+	if e.record.FailureDomain != p.settings.FailureDomain {
+		score += awayPenalty
+	}
+	if e.health.State() == sychealth.Suspect {
+		score += suspectPenalty
+	}
+	return score, expected
+}
+
+// plainTime is the expected time of a request to a plain service.
+func (p *Placer) plainTime(r *Request, e *endpoint, load Load) time.Duration {
+	work := max(r.Work, time.Millisecond)
+	waiting := max(load.Requests+1-e.record.Slots, 0)
+	rounds := 1 + float64(waiting)/float64(max(e.record.Slots, 1))
+	// Fewer requests there mean fewer that this VM hasn't heard of yet.
+	crowd := time.Duration(load.Requests) * work / time.Duration(2*max(e.record.Slots, 1))
+	return time.Duration(e.pace*rounds*float64(work)) + crowd
+}
+
+func (p *Placer) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / p.settings.TokensPerSecond * float64(time.Second))
+}
+
+// sharedTokens is the length of the parts that other requests share.
+func sharedTokens(parts []Part) int {
+	tokens := 0
+	for i := 0; i+1 < len(parts); i++ {
+		tokens += parts[i].Tokens
+	}
+	return tokens
+}
+
+func (p *Placer) mostHeld(r *Request, all []*endpoint) int {
+	most := 0
+	for _, e := range all {
+		most = max(most, e.cache.held(r.Parts))
+	}
+	return most
+}
+
+// homeBonusFor makes VMs agree on an engine for a prompt that none keeps yet.
+func homeBonusFor(r *Request, e *endpoint, held int) time.Duration {
+	if len(r.Parts) < 2 || held >= sharedTokens(r.Parts) {
+		return 0
+	}
+	deepest := r.Parts[len(r.Parts)-2].Hash
+	rank := xxhash.Sum64(append(bytes8(deepest), bytes8(e.hash)...))
+	return time.Duration(float64(rank>>11) / (1 << 53) * float64(homeBonus))
+}
+
+func bytes8(v uint64) []byte {
+	out := make([]byte, 8, 16)
+	for i := range out {
+		out[i] = byte(v >> (8 * i))
+	}
+	return out
+}
+
+// full reports whether the best endpoint can't answer in time, and when it may.
+func (p *Placer) full(r *Request, e *endpoint, load Load, expected time.Duration) (time.Duration, bool) {
+	if r.Model == "" {
+		slots := max(e.record.Slots, 1)
+		if load.Requests < slots*(1+waitingPerSlot) {
+			return 0, expected > r.Left
+		}
+		return max(r.Work, 50*time.Millisecond), true
+	}
+	return max(expected-r.Left, 100*time.Millisecond), expected > r.Left
+}
+
+// Answered tells that the first byte of an answer has come.
+func (p *Placer) Answered(now time.Duration, id uint64) {
+	a := p.attempts[id]
+	if a == nil || a.answered {
+		return
+	}
+	a.answered = true
+	a.endpoint.learn(now-a.started, a.expected)
+}
+
+// Finish ends an attempt.
+func (p *Placer) Finish(now time.Duration, id uint64, o Outcome) {
+	a := p.attempts[id]
+	if a == nil {
+		return
+	}
+	delete(p.attempts, id)
+	delete(a.endpoint.attempts, id)
+	switch o {
+	case Served:
+		a.endpoint.health.Observe(now, sychealth.Success)
+	case Failed:
+		a.endpoint.health.Observe(now, sychealth.Failure)
+	case Unreachable:
+		a.endpoint.health.Observe(now, sychealth.Unreachable)
+	case WasFull:
+		a.endpoint.fullUntil = now + fullPause
+	case Moved:
+		a.endpoint.health.Observe(now, sychealth.Unreachable)
+	case Cancelled:
+	}
+}
+
+// Loads returns what this VM has under way, for its peers.
+func (p *Placer) Loads() []Load {
+	var out []Load
+	for _, e := range p.order {
+		if len(e.attempts) > 0 {
+			out = append(out, e.own())
+		}
+	}
+	return out
+}
+
+// Take returns the prompts sent since the last call, for the peers.
+func (p *Placer) Take() []Sent {
+	out := p.sent
+	p.sent = nil
+	return out
+}
+
+// Heard takes in what another VM has under way and has sent.
+func (p *Placer) Heard(now time.Duration, vm string, loads []Load, sent []Sent) {
+	for _, e := range p.order {
+		delete(e.peers, vm)
+	}
+	for _, l := range loads {
+		if e := p.endpoints[l.Endpoint]; e != nil {
+			e.peers[vm] = peerLoad{Load: l, at: now}
+		}
+	}
+	for _, s := range sent {
+		if e := p.endpoints[s.Endpoint]; e != nil {
+			e.cache.add(s.Parts)
+		}
+	}
+}
+
+// State describes an endpoint's health, for logs and metrics.
+func (p *Placer) State(id string) string {
+	if e := p.endpoints[id]; e != nil {
+		return string(e.health.State())
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/operate/sycfleet/fleet.go
@@ -0,0 +1,324 @@
+package sycfleet
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
+	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
+	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
+	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/peer/sycgossip"
+)
+
+const (
+	// gossipPeriod is the time between two exchanges of a pair of VMs.
+	gossipPeriod = 250 * time.Millisecond
+	// dropHold is how long endpoints that the log dropped in an outage may take
+	// to come back.
+	dropHold = 2300 * time.Millisecond
+	// tickPeriod is how often due work is looked for.
+	tickPeriod = 100 * time.Millisecond
+	// goneAfter is how long a VM is unheard before its record is dropped.
+	goneAfter = 20 * time.Second
+)
+
+// ErrDropped means that a log no longer keeps the records asked for.
+var ErrDropped = errors.New("records are no longer kept")
+
+// Options configures a Fleet.
+type Options struct {
+	// Name is the VM's name, Incarnation tells its starts apart.
+	Name          string
+	Incarnation   string
+	FailureDomain string
+	// Address is where other VMs reach this one.
+	Address  string
+	Listener net.Listener
+	Seeds    []string
+	// FirstStart is set when the whole deployment starts for the first time.
+	FirstStart bool
+	Lease      time.Duration
+	// Retries bounds the arrivals beyond the first of each request, over all VMs.
+	Retries sycattempt.Allowance
+	Place   sycplace.Settings
+	Log     Log
+	Decoder Decoder
+	Engines Engines
+}
+
+// Fleet is one VM's part in the fleet. The loop owns all fields below it.
+type Fleet struct {
+	tomb     tomb.Tomb
+	options  Options
+	log      *logrus.Entry
+	loop     *sycloop.Loop
+	mesh     *sycgossip.Mesh
+	view     atomic.Pointer[view]
+	leaving  atomic.Bool
+	requests atomic.Uint64
+
+	placer  *sycplace.Placer
+	quota   *sycquota.Fleet
+	retries *sycattempt.Budgets
+	lease   *sycduty.Lease
+	feeds   map[string]*sycfeed.Feed
+	peers   *peers
+	weights map[string]int64
+	loads   *loads
+	// rollouts holds the rollouts that operators asked for, by service.
+	rollouts map[string]*rollout
+	// registered is when this VM last wrote its own record.
+	registered time.Duration
+	// readable is true once a feed of the operator's was read from the log or a peer.
+	readable bool
+}
+
+// New starts to follow the log and to talk to other VMs.
+func New(o Options) (*Fleet, error) {
+	f := &Fleet{
+		options: o,
+		log:     logrus.WithField("part", "fleet"),
+		loop:    sycloop.New(),
+		placer:  sycplace.New(o.Place),
+		quota:   sycquota.New(o.FirstStart),
+		lease:   sycduty.New(o.Incarnation, o.Lease),
+		feeds: map[string]*sycfeed.Feed{
+			FeedOperator:  sycfeed.New(0),
+			FeedEndpoints: sycfeed.New(dropHold),
+			FeedVMs:       sycfeed.New(0),
+		},
+		weights:  map[string]int64{},
+		loads:    newLoads(),
+		rollouts: map[string]*rollout{},
+	}
+	f.view.Store(&view{})
+	f.peers = newPeers(o.Address, o.Seeds)
+	f.retries = sycattempt.NewBudgets(o.Retries)
+	mesh, err := sycgossip.New(sycgossip.Options{
+		Listener: o.Listener,
+		Self:     o.Address,
+		Period:   gossipPeriod,
+		Node:     f,
+	})
+	if err != nil {
+		return nil, errors.Join(err, f.loop.Close())
+	}
+	f.mesh = mesh
+	for _, name := range slices.Sorted(maps.Keys(f.feeds)) {
+		f.tomb.Go(func() error { return f.follow(name) })
+	}
+	f.tomb.Go(f.followDuty)
+	f.loop.Every(tickPeriod, func(time.Duration) { f.tick(sycclock.Now()) })
+	return f, nil
+}
+
+// Config is the configuration in force, nil before any is known.
+func (f *Fleet) Config() *sycsite.Config { return f.view.Load().config }
+
+// Ready reports whether this VM can serve.
+func (f *Fleet) Ready() bool { return f.Config() != nil && !f.leaving.Load() }
+
+// Leave gives up the VM's duties and tells the others that it goes.
+func (f *Fleet) Leave() {
+	f.leaving.Store(true)
+	f.loop.Do(func(time.Duration) { f.lease.Resign() })
+	f.mesh.Kick()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := f.options.Log.Put(ctx, FeedVMs, f.options.Address, nil); err != nil {
+		f.log.WithError(err).Warn("fleet: own record not dropped")
+	}
+}
+
+// Close ends all activity and waits for it.
+func (f *Fleet) Close() error {
+	f.tomb.Kill(nil)
+	err := f.mesh.Close()
+	return errors.Join(err, f.tomb.Wait(), f.loop.Close())
+}
+
+func (f *Fleet) tick(now time.Duration) {
+	for _, name := range slices.Sorted(maps.Keys(f.feeds)) {
+		f.changed(now, name, f.feeds[name].Due(now))
+	}
+	f.register(now)
+	f.dutyTick(now)
+}
+
+// follow reads one feed of the log for as long as the VM runs.
+func (f *Fleet) follow(name string) error {
+	ctx := f.tomb.Context(context.Background())
+	healthy, whole := true, true
+	for f.tomb.Alive() {
+		var next int64
+		f.loop.Do(func(time.Duration) { next = f.feeds[name].Next() })
+		var records []sycfeed.Record
+		var err error
+		if whole {
+			records, next, err = f.newest(ctx, name)
+		} else {
+			records, next, err = f.read(ctx, name, next)
+		}
+		if errors.Is(err, ErrDropped) {
+			whole = true
+			continue
+		}
+		if err != nil {
+			if healthy {
+				f.log.WithError(err).WithField("feed", name).Warn("fleet: log lost")
+			}
+			healthy = false
+			f.pause(retryPause)
+			continue
+		}
+		returned := !healthy
+		if returned {
+			f.log.WithField("feed", name).Info("fleet: log answers again")
+		}
+		healthy = true
+		f.loop.Do(func(time.Duration) {
+			now := sycclock.Now()
+			feed := f.feeds[name]
+			if returned {
+				feed.Returned(now)
+			}
+			f.readable = true
+			if whole {
+				f.changed(now, name, feed.Replace(now, records, next))
+				return
+			}
+			f.changed(now, name, feed.Apply(now, records, next))
+		})
+		whole = false
+		f.pause(followPause[name])
+	}
+	return nil
+}
+
+const (
+	// readWait is how long a read waits for records; the operator's bounds need
+	// a silent connection to be found within it and readGrace.
+	readWait  = 900 * time.Millisecond
+	readGrace = 700 * time.Millisecond
+	// retryPause is the time between reads of a log that does not answer.
+	retryPause = 200 * time.Millisecond
+)
+
+// followPause is the time between two reads of a feed. The records of endpoints
+// come several times a second, so that they are read in batches.
+var followPause = map[string]time.Duration{
+	FeedOperator:  20 * time.Millisecond,
+	FeedEndpoints: 400 * time.Millisecond,
+	FeedVMs:       500 * time.Millisecond,
+}
+
+func (f *Fleet) newest(ctx context.Context, name string) ([]sycfeed.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
+	defer cancel()
+	return f.options.Log.Newest(ctx, name)
+}
+
+func (f *Fleet) read(ctx context.Context, name string, from int64) ([]sycfeed.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
+	defer cancel()
+	return f.options.Log.Read(ctx, name, from, readWait)
+}
+
+func (f *Fleet) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-f.tomb.Dying():
+	case <-time.After(d):
+	}
+}
+
+// changed takes in what has changed in a feed.
+func (f *Fleet) changed(now time.Duration, name string, changes []sycfeed.Change) {
+	for _, c := range changes {
+		switch name {
+		case FeedOperator:
+			f.operatorChanged(now, c)
+		case FeedEndpoints:
+			f.endpointChanged(c)
+		case FeedVMs:
+			f.vmChanged(now, c)
+		}
+	}
+}
+
+func (f *Fleet) operatorChanged(now time.Duration, c sycfeed.Change) {
+	if c.Dropped {
+		return
+	}
+	record, err := f.options.Decoder.Operator(c.Key, c.Value)
+	if err != nil {
+		f.log.WithError(err).WithFields(logrus.Fields{"key": c.Key, "offset": c.Offset}).Error("fleet: operator's record can't be read")
+		return
+	}
+	switch r := record.(type) {
+	case *sycsite.Config:
+		f.configure(now, r)
+	case Weights:
+		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: weights named")
+		f.weights[r.Model] = max(f.weights[r.Model], r.Version)
+		f.placer.Name(now, r.Model, r.Version)
+	case Rollout:
+		f.rolloutAsked(now, r, c.Offset)
+	}
+}
+
+func (f *Fleet) configure(now time.Duration, c *sycsite.Config) {
+	if old := f.Config(); old != nil && old.Version() >= c.Version() {
+		return
+	}
+	f.view.Store(&view{config: c})
+	var limits []sycquota.Limit
+	for _, customer := range c.Customers() {
+		limits = append(limits, sycquota.Limit{Customer: customer.Name, Rate: customer.Rate, Burst: customer.Burst})
+	}
+	f.quota.Configure(now, limits)
+	for _, s := range c.Services() {
+		if s.Engine {
+			f.placer.CacheTokens(s.Name, s.CacheTokens)
+		}
+	}
+	f.log.WithField("version", c.Version()).Info("fleet: configuration applied")
+}
+
+func (f *Fleet) endpointChanged(c sycfeed.Change) {
+	if c.Dropped {
+		if _, known := f.placer.Endpoint(c.Key); known {
+			f.log.WithField("endpoint", c.Key).Info("fleet: endpoint gone")
+		}
+		f.placer.Drop(c.Key)
+		return
+	}
+	e, err := f.options.Decoder.Endpoint(c.Key, c.Value)
+	if err != nil {
+		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "offset": c.Offset}).Warn("fleet: endpoint's record can't be read")
+		f.placer.Drop(c.Key)
+		return
+	}
+	old, known := f.placer.Endpoint(c.Key)
+	f.placer.Put(e)
+	if !known || old.Leaving != e.Leaving || old.Born != e.Born || !maps.Equal(old.Weights, e.Weights) {
+		f.log.WithFields(logrus.Fields{
+			"endpoint": e.ID, "service": e.Service, "address": e.Address, "leaving": e.Leaving,
+			"release": e.Release, "weights": e.Weights, "offset": c.Offset,
+		}).Info("fleet: endpoint changed")
+	}
+}
--- /dev/null
+++ b/internal/operate/sycfleet/peers.go
@@ -0,0 +1,310 @@
+package sycfleet
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
+	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
+)
+
+const (
+	// outboxLimit bounds the prompts that wait to be told to a VM.
+	outboxLimit = 200
+	// recordsPerAnswer bounds the records told in one answer.
+	recordsPerAnswer = 200
+	// registerAgain is the time between two writes of a VM's own record.
+	registerAgain = 3 * time.Second
+)
+
+// vmRecord is a VM's own record in the shared log.
+type vmRecord struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Incarnation   string `json:"incarnation"`
+}
+
+// peerVM is another VM.
+type peerVM struct {
+	incarnation string
+	heard       time.Duration
+	leaving     bool
+	outbox      []sycplace.Sent
+	// listed reports whether the VM's record lies in the log.
+	listed bool
+}
+
+// peers holds what is known of the other VMs.
+type peers struct {
+	self  string
+	seeds []string
+	vms   map[string]*peerVM
+	// selfListed is the incarnation in this VM's own record.
+	selfListed string
+}
+
+func newPeers(self string, seeds []string) *peers {
+	return &peers{self: self, seeds: seeds, vms: map[string]*peerVM{}}
+}
+
+func (p *peers) get(now time.Duration, address string) *peerVM {
+	vm := p.vms[address]
+	if vm == nil {
+		vm = &peerVM{heard: now}
+		p.vms[address] = vm
+	}
+	return vm
+}
+
+func (f *Fleet) vmChanged(now time.Duration, c sycfeed.Change) {
+	var r vmRecord
+	if !c.Dropped {
+		if err := json.Unmarshal(c.Value, &r); err != nil {
+			f.log.WithError(err).WithField("vm", c.Key).Warn("fleet: VM's record can't be read")
+			return
+		}
+	}
+	if c.Key == f.options.Address {
+		f.peers.selfListed = r.Incarnation
+		return
+	}
+	if c.Dropped {
+		delete(f.peers.vms, c.Key)
+	} else {
+		f.peers.get(now, c.Key).listed = true
+	}
+	f.log.WithFields(logrus.Fields{"vm": c.Key, "dropped": c.Dropped, "vms": len(f.peers.vms) + 1}).Info("fleet: member changed")
+	f.members(now)
+}
+
+// members tells the limits who shares them.
+func (f *Fleet) members(now time.Duration) {
+	var names []string
+	for address, vm := range f.peers.vms {
+		if !vm.leaving {
+			names = append(names, address)
+		}
+	}
+	f.quota.Members(now, names)
+}
+
+// register writes this VM's own record if it is missing, and lets the holder of
+// the duties drop those of VMs that are gone.
+func (f *Fleet) register(now time.Duration) {
+	if f.peers.selfListed != f.options.Incarnation && now-f.registered > registerAgain && !f.leaving.Load() {
+		f.registered = now
+		value, err := json.Marshal(vmRecord{
+			Name:          f.options.Name,
+			FailureDomain: f.options.FailureDomain,
+			Incarnation:   f.options.Incarnation,
+		})
+		if err == nil {
+			f.put(f.options.Address, value)
+		}
+	}
+	if _, holds := f.lease.Holds(now); !holds {
+		return
+	}
+	for address, vm := range f.peers.vms {
+		if vm.listed && now-vm.heard > goneAfter {
+			vm.heard = now
+			f.put(address, nil)
+		}
+	}
+}
+
+func (f *Fleet) put(key string, value []byte) {
+	f.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
+		defer cancel()
+		if err := f.options.Log.Put(ctx, FeedVMs, key, value); err != nil {
+			f.log.WithError(err).WithField("vm", key).Warn("fleet: VM's record not written")
+		}
+		return nil
+	})
+}
+
+// Peers implements sycgossip.Node.
+func (f *Fleet) Peers() []string {
+	var out []string
+	f.loop.Do(func(time.Duration) {
+		out = slices.Collect(maps.Keys(f.peers.vms))
+		if len(out) == 0 {
+			out = append(out, f.peers.seeds...)
+		}
+	})
+	return out
+}
+
+// State implements sycgossip.Node.
+func (f *Fleet) State(peer string) *sycgossippb.State {
+	var out *sycgossippb.State
+	f.loop.Do(func(time.Duration) { out = f.state(sycclock.Now(), peer) })
+	return out
+}
+
+// Answer implements sycgossip.Node.
+func (f *Fleet) Answer(in *sycgossippb.State) *sycgossippb.State {
+	var out *sycgossippb.State
+	f.loop.Do(func(time.Duration) {
+		out = f.state(sycclock.Now(), in.Address)
+		for _, feed := range in.Feeds {
+			own := f.feeds[feed.Name]
+			if own == nil || own.Next() <= feed.Next {
+				continue
+			}
+			f.addRecords(out, feed)
+		}
+	})
+	return out
+}
+
+// addRecords adds the records that the caller lacks to an answer.
+func (f *Fleet) addRecords(out *sycgossippb.State, lacks *sycgossippb.Feed) {
+	for _, feed := range out.Feeds {
+		if feed.Name != lacks.Name {
+			continue
+		}
+		records := f.feeds[lacks.Name].Since(lacks.Next)
+		if len(records) > recordsPerAnswer {
+			records = records[:recordsPerAnswer]
+			feed.Next = records[len(records)-1].Offset + 1
+		}
+		for _, r := range records {
+			feed.Records = append(feed.Records, &sycgossippb.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+		}
+	}
+}
+
+func (f *Fleet) state(now time.Duration, peer string) *sycgossippb.State {
+	f.collectSent()
+	out := &sycgossippb.State{
+		Address:       f.options.Address,
+		FailureDomain: f.options.FailureDomain,
+		Incarnation:   f.options.Incarnation,
+		Leaving:       f.leaving.Load(),
+		Known:         slices.Collect(maps.Keys(f.peers.vms)),
+	}
+	for _, u := range f.quota.Report(now) {
+		out.Usage = append(out.Usage, &sycgossippb.Usage{Customer: u.Customer, Spent: u.Spent, Level: u.Level})
+	}
+	for _, l := range f.placer.Loads() {
+		out.Loads = append(out.Loads, &sycgossippb.Load{Endpoint: l.Endpoint, Requests: int64(l.Requests), Tokens: int64(l.Tokens)})
+	}
+	if vm := f.peers.vms[peer]; vm != nil {
+		for _, s := range vm.outbox {
+			out.Sent = append(out.Sent, encodeSent(s))
+		}
+		vm.outbox = nil
+	}
+	for _, name := range []string{FeedOperator, FeedEndpoints, FeedVMs} {
+		out.Feeds = append(out.Feeds, &sycgossippb.Feed{Name: name, Next: f.feeds[name].Next()})
+	}
+	for id, until := range f.loads.holds {
+		if until > now {
+			out.Holds = append(out.Holds, &sycgossippb.Hold{Endpoint: id, Milliseconds: (until - now).Milliseconds()})
+		}
+	}
+	f.addRollouts(now, out)
+	return out
+}
+
+// collectSent hands the prompts sent since the last time to all outboxes.
+func (f *Fleet) collectSent() {
+	sent := f.placer.Take()
+	if len(sent) == 0 {
+		return
+	}
+	for _, vm := range f.peers.vms {
+		vm.outbox = append(vm.outbox, sent...)
+		if over := len(vm.outbox) - outboxLimit; over > 0 {
+			vm.outbox = slices.Delete(vm.outbox, 0, over)
+		}
+	}
+}
+
+func encodeSent(s sycplace.Sent) *sycgossippb.Sent {
+	out := &sycgossippb.Sent{Endpoint: s.Endpoint}
+	for _, p := range s.Parts {
+		out.Hashes = append(out.Hashes, p.Hash)
+		out.Tokens = append(out.Tokens, int64(p.Tokens))
+	}
+	return out
+}
+
+func decodeSent(s *sycgossippb.Sent) sycplace.Sent {
+	out := sycplace.Sent{Endpoint: s.Endpoint}
+	for i, h := range s.Hashes {
+		if i < len(s.Tokens) {
+			out.Parts = append(out.Parts, sycplace.Part{Hash: h, Tokens: int(s.Tokens[i])})
+		}
+	}
+	return out
+}
+
+// Heard implements sycgossip.Node.
+func (f *Fleet) Heard(in *sycgossippb.State) {
+	f.loop.Do(func(time.Duration) { f.heard(sycclock.Now(), in) })
+}
+
+func (f *Fleet) heard(now time.Duration, in *sycgossippb.State) {
+	if in.Address == "" || in.Address == f.options.Address {
+		return
+	}
+	_, known := f.peers.vms[in.Address]
+	vm := f.peers.get(now, in.Address)
+	changed := !known || vm.leaving != in.Leaving
+	vm.heard, vm.leaving, vm.incarnation = now, in.Leaving, in.Incarnation
+	if len(f.peers.vms) == 1 || !f.readable {
+		for _, address := range in.Known {
+			if address != f.options.Address && f.peers.vms[address] == nil {
+				f.peers.get(now, address)
+				changed = true
+			}
+		}
+	}
+	if changed {
+		f.members(now)
+	}
+	usage := make([]sycquota.Usage, 0, len(in.Usage))
+	for _, u := range in.Usage {
+		usage = append(usage, sycquota.Usage{Customer: u.Customer, Spent: u.Spent, Level: u.Level})
+	}
+	f.quota.Heard(now, in.Address, in.Incarnation, usage)
+	var sent []sycplace.Sent
+	for _, s := range in.Sent {
+		sent = append(sent, decodeSent(s))
+	}
+	placed := make([]sycplace.Load, 0, len(in.Loads))
+	for _, l := range in.Loads {
+		placed = append(placed, sycplace.Load{Endpoint: l.Endpoint, Requests: int(l.Requests), Tokens: int(l.Tokens)})
+	}
+	f.placer.Heard(now, in.Address, placed, sent)
+	for _, h := range in.Holds {
+		f.placer.Hold(h.Endpoint, now+time.Duration(h.Milliseconds)*time.Millisecond)
+	}
+	for _, feed := range in.Feeds {
+		f.heardRecords(now, feed)
+	}
+	f.heardRollouts(now, in)
+}
+
+// heardRecords takes in records that another VM has read from the log.
+func (f *Fleet) heardRecords(now time.Duration, in *sycgossippb.Feed) {
+	own := f.feeds[in.Name]
+	if own == nil || len(in.Records) == 0 {
+		return
+	}
+	records := make([]sycfeed.Record, 0, len(in.Records))
+	for _, r := range in.Records {
+		records = append(records, sycfeed.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+	}
+	f.changed(now, in.Name, own.Apply(now, records, in.Next))
+}
--- /dev/null
+++ b/internal/operate/sycfleet/serve.go
@@ -0,0 +1,115 @@
+package sycfleet
+
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
+)
+
+// workStep is the weight of a new observation of how long a route's requests take.
+const workStep = 0.1
+
+// loads holds what is measured of requests and what is announced of endpoints.
+type loads struct {
+	// work is how long requests take, by route.
+	work map[string]time.Duration
+	// holds names the endpoints that this VM has announced to be held.
+	holds map[string]time.Duration
+	// ordering names the engines that are being brought to new weights.
+	ordering map[string]bool
+	// failed holds the end of the pause after an order that failed.
+	failed map[string]time.Duration
+}
+
+func newLoads() *loads {
+	return &loads{
+		work:     map[string]time.Duration{},
+		holds:    map[string]time.Duration{},
+		ordering: map[string]bool{},
+		failed:   map[string]time.Duration{},
+	}
+}
+
+// Admission asks for a first attempt of a request.
+type Admission struct {
+	Customer string
+	Cost     float64
+	Route    string
+	Request  *sycplace.Request
+}
+
+// Verdict is the answer: Target, Refusal or LimitedFor is set.
+type Verdict struct {
+	Target  *sycplace.Target
+	Refusal *sycplace.Refusal
+	// LimitedFor is the time until the customer's limit allows the request.
+	LimitedFor time.Duration
+}
+
+// NewID returns a number that no other attempt of this VM has.
+func (f *Fleet) NewID() uint64 { return f.requests.Add(1) }
+
+// Admit places a request and charges it to its customer.
+func (f *Fleet) Admit(a Admission) Verdict {
+	var v Verdict
+	f.loop.Do(func(time.Duration) {
+		now := sycclock.Now()
+		a.Request.Work = f.loads.work[a.Route]
+		f.retries.Get(now, a.Request.Service).Request(now)
+		after, ok := f.quota.Admit(now, a.Customer, a.Cost)
+		if !ok {
+			v.LimitedFor = after
+			return
+		}
+		v.Target, v.Refusal = f.placer.Place(now, a.Request)
+		if v.Refusal != nil {
+			f.quota.Refund(a.Customer, a.Cost)
+		}
+	})
+	return v
+}
+
+// Again places one more attempt of a request, within the budget of retries. It
+// returns nil if there is none.
+func (f *Fleet) Again(r *sycplace.Request, arrived bool) *sycplace.Target {
+	var target *sycplace.Target
+	f.loop.Do(func(time.Duration) {
+		now := sycclock.Now()
+		budget := f.retries.Get(now, r.Service)
+		if arrived && !budget.Allows(now) {
+			return
+		}
+		target, _ = f.placer.Place(now, r)
+		if target != nil && arrived {
+			budget.Spend(now)
+		}
+	})
+	return target
+}
+
+// Refund takes back the charge of a request that has not run.
+func (f *Fleet) Refund(customer string, cost float64) {
+	f.loop.Post(func(time.Duration) { f.quota.Refund(customer, cost) })
+}
+
+// Answered tells that the first byte of an answer has come.
+func (f *Fleet) Answered(id uint64) {
+	f.loop.Post(func(time.Duration) { f.placer.Answered(sycclock.Now(), id) })
+}
+
+// Finished tells how an attempt ended, and how long the request took if it was
+// answered whole.
+func (f *Fleet) Finished(id uint64, o sycplace.Outcome, route string, took time.Duration) {
+	f.loop.Post(func(time.Duration) {
+		f.placer.Finish(sycclock.Now(), id, o)
+		if o != sycplace.Served {
+			return
+		}
+		old, ok := f.loads.work[route]
+		if !ok {
+			old = took
+		}
+		f.loads.work[route] = old + time.Duration(workStep*float64(took-old))
+	})
+}
--- a/internal/operate/sycsetting/parse.go
+++ b/internal/operate/sycsetting/parse.go
@@ -101,3 +101,37 @@
 		return err == nil && !math.IsNaN(x) && x >= 0 && x <= 1
 	}
 }
+
+func addresses(to *[]string) parser {
+	return func(v string) bool {
+		*to = nil
+		for _, part := range strings.Split(v, ",") {
+			part = strings.TrimSpace(part)
+			if part == "" {
+				continue
+			}
+			if _, err := netip.ParseAddrPort(part); err != nil {
+				return false
+			}
+			*to = append(*to, part)
+		}
+		return true
+	}
+}
+
+// milliseconds reads a whole or broken number of milliseconds.
+func milliseconds(to *time.Duration, low, high time.Duration) parser {
+	return func(v string) bool {
+		ms, err := strconv.ParseFloat(v, 64)
+		*to = time.Duration(ms * float64(time.Millisecond))
+		return err == nil && *to >= low && *to <= high
+	}
+}
+
+func number(to *float64, low, high float64) parser {
+	return func(v string) bool {
+		x, err := strconv.ParseFloat(v, 64)
+		*to = x
+		return err == nil && x >= low && x <= high
+	}
+}
--- a/internal/operate/sycsetting/read.go
+++ b/internal/operate/sycsetting/read.go
@@ -74,7 +74,16 @@
 func check(name string, source *ini.File) (*Settings, error) {
 	s := &Settings{}
 	faults := &Faults{file: name}
-	list := entries(s)
+	faults.each(source, entries(s))
+	faults.together(s)
+	if len(faults.list) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+// each reads the entries and notes those that are wrong or unknown.
+func (f *Faults) each(source *ini.File, list []entry) {
 	for _, e := range list {
 		value := e.initial
 		section := source.Section(e.section)
@@ -82,15 +91,10 @@
 			value = section.Key(e.key).String()
 		}
 		if !e.parse(value) {
-			faults.add(e.section, e.key, value, e.allowed)
+			f.add(e.section, e.key, value, e.allowed)
 		}
 	}
-	faults.unknown(source, list)
-	faults.together(s)
-	if len(faults.list) > 0 {
-		return nil, faults
-	}
-	return s, nil
+	f.unknown(source, list)
 }
 
 func (f *Faults) add(section, key, value, allowed string) {
--- /dev/null
+++ b/internal/traffic/sycrelay/answer.go
@@ -0,0 +1,147 @@
+package sycrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
+)
+
+// wholeLimit bounds the answers that are read whole before they are passed on.
+const wholeLimit = 256 << 10
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// HopHeader reports whether a header of that canonical name concerns one
+// connection only.
+func HopHeader(name string) bool { return slices.Contains(hopHeaders, name) }
+
+// whole passes on an answer that is not streamed. It is read whole first, so
+// that a request that may be repeated is, if its answer is broken off.
+func (x *exchange) whole(ctx context.Context, answer *sycwire.Answer, started time.Time) result {
+	body, err := io.ReadAll(io.LimitReader(answer, wholeLimit))
+	if err != nil {
+		return x.brokenOff(ctx, err, started)
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		x.finished(sycplace.Failed, started)
+		if x.mayRepeat(ctx) {
+			x.place()
+			if target := x.relay.fleet.Again(x.request, true); target != nil {
+				x.target = target
+				return x.attempt(ctx)
+			}
+		}
+	} else {
+		x.relay.fleet.Answered(x.request.ID)
+		x.finished(sycplace.Served, started)
+	}
+	x.firstByte = time.Since(x.arrived)
+	x.head(answer)
+	if len(body) < wholeLimit {
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	x.writer.WriteHeader(answer.Status)
+	x.started = true
+	if _, err := x.writer.Write(body); err != nil {
+		x.finish("caller_gone", answer.Status)
+		panic(http.ErrAbortHandler)
+	}
+	if len(body) == wholeLimit {
+		if _, err := io.Copy(x.writer, answer); err != nil {
+			x.finish("broken_off", answer.Status)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	x.finish("answered", answer.Status)
+	return result{done: true}
+}
+
+func (x *exchange) mayRepeat(ctx context.Context) bool {
+	return ctx.Err() == nil && x.route.Repeats() && x.attempts < x.route.Attempts
+}
+
+// brokenOff tells how an answer ended that did not end well.
+func (x *exchange) brokenOff(ctx context.Context, err error, started time.Time) result {
+	if x.ctx.Err() != nil || errors.Is(ctx.Err(), context.Canceled) {
+		x.finished(sycplace.Cancelled, started)
+		return result{arrived: true, reason: "caller_gone"}
+	}
+	x.finished(sycplace.Failed, started)
+	x.relay.log.WithError(err).WithFields(logrus.Fields{
+		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "events": x.events,
+	}).Info("relay: answer broken off")
+	return result{arrived: true, reason: "answer_broken_off"}
+}
+
+// head copies the head of an endpoint's answer.
+func (x *exchange) head(answer *sycwire.Answer) {
+	h := x.writer.Header()
+	for name, values := range answer.Header {
+		if !HopHeader(name) && name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	if _, named := answer.Header["Content-Type"]; !named {
+		// Keeps the library from adding a guess.
+		h["Content-Type"] = nil
+	}
+}
+
+// refuse answers that the request has not run and never will.
+func (x *exchange) refuse(status int, reason string, after time.Duration) {
+	x.relay.codec.Refuse(x.writer.Header(), after)
+	x.fail(status, reason)
+}
+
+func (x *exchange) fail(status int, reason string) {
+	h := x.writer.Header()
+	h.Set("Content-Type", "application/json")
+	body := fmt.Sprintf("{\"error\":%q}\n", reason)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, body)
+	x.finish(reason, status)
+}
+
+// finish logs and counts how a request ended.
+func (x *exchange) finish(outcome string, status int) {
+	took := time.Since(x.arrived)
+	route, kind := "none", "none"
+	if x.route != nil {
+		route, kind = x.route.Name, x.route.Kind.String()
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_requests_total{route=%q,kind=%q,outcome=%q,status="%d"}`, route, kind, outcome, status)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`sycamorecart_request_seconds{route=%q}`, route)).Update(took.Seconds())
+	fields := logrus.Fields{
+		"id": x.call.ID, "route": route, "kind": kind, "customer": x.customer, "outcome": outcome, "status": status,
+		"took": took.Round(time.Millisecond).String(), "attempts": x.attempts, "ran": x.ran,
+	}
+	if x.config != nil {
+		fields["config"] = x.config.Version()
+	}
+	if x.target != nil {
+		fields["endpoints"] = x.tried
+		fields["held"] = x.target.Held
+		fields["tokens"] = x.call.Tokens
+		fields["load"] = x.target.Load.Requests
+		fields["waiting"] = x.target.Load.Tokens
+		fields["expected"] = x.target.Expected.Round(time.Millisecond).String()
+		fields["first"] = x.firstByte.Round(time.Millisecond).String()
+		fields["events"] = x.events
+	}
+	x.relay.log.WithFields(fields).Info("relay: request ended")
+}
--- /dev/null
+++ b/internal/traffic/sycrelay/call.go
@@ -0,0 +1,103 @@
+// Package sycrelay takes callers' requests, has them placed, passes them on to
+// endpoints and passes the answers back, unchanged and whole or visibly broken.
+package sycrelay
+
+import (
+	"net/http"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
+	"sycamorecart.example/sycamorecart/internal/operate/sycfleet"
+)
+
+// Piece is a part of a prompt as the caller names it.
+type Piece struct {
+	Name   string
+	Tokens int
+}
+
+// Call is a caller's request.
+type Call struct {
+	// ID is the caller's, new for each of its attempts.
+	ID     string
+	Method string
+	// Host is without a port.
+	Host string
+	Path string
+	// Target is the raw path and query.
+	Target string
+	// Header holds what is passed on.
+	Header http.Header
+	Key    string
+	Model  string
+	Pieces []Piece
+	// Tokens is the size of the prompt and OutputTokens the most of the answer.
+	Tokens       int
+	OutputTokens int
+	// Sized reports whether the caller has told the two.
+	Sized bool
+	// Patience is how long the caller waits; 0 if it doesn't tell.
+	Patience time.Duration
+	// LastEvent is the id of the last event that the caller has.
+	LastEvent string
+}
+
+// Forward is what the system adds to a request that it passes on.
+type Forward struct {
+	Endpoint string
+	Customer string
+	// Salt keeps the cached prompts of customers apart.
+	Salt string
+	// Priority is from 0, the most urgent, to 9.
+	Priority int
+	// Left is the time for the answer.
+	Left time.Duration
+	// LastEvent is the id of the last event of a stream that goes on.
+	LastEvent string
+}
+
+// Disposition is what an answer's head says of the request.
+type Disposition int
+
+// Dispositions of answers.
+const (
+	// Answered is an answer to the request.
+	Answered Disposition = iota
+	// NotRun means that the endpoint has no room and has not run the request.
+	NotRun
+	// Moved means that another endpoint has the address.
+	Moved
+)
+
+// Codec translates between what callers and endpoints speak and the relay.
+type Codec interface {
+	// Parse reads a request's head. It fails with *BadRequestError.
+	Parse(r *http.Request) (*Call, error)
+	// Outgoing returns the header of a request to an endpoint.
+	Outgoing(c *Call, f Forward) http.Header
+	// Own tells whether an answer belongs to a call.
+	Own(c *Call, answer http.Header) bool
+	Disposition(status int, answer http.Header) Disposition
+	// Refuse adds to the header of a refusal when the caller may come back.
+	Refuse(h http.Header, after time.Duration)
+}
+
+// BadRequestError is a request that breaks the protocol.
+type BadRequestError struct {
+	Reason string
+}
+
+// Error gives the reason.
+func (e *BadRequestError) Error() string { return "bad request: " + e.Reason }
+
+// Fleet places requests and keeps the limits over all VMs.
+type Fleet interface {
+	Config() *sycsite.Config
+	NewID() uint64
+	Admit(a sycfleet.Admission) sycfleet.Verdict
+	Again(r *sycplace.Request, arrived bool) *sycplace.Target
+	Refund(customer string, cost float64)
+	Answered(id uint64)
+	Finished(id uint64, o sycplace.Outcome, route string, took time.Duration)
+}
