--- a/internal/operate/sycfleet/duty.go
+++ b/internal/operate/sycfleet/duty.go
@@ -1,9 +1,11 @@
 package sycfleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -100,7 +102,9 @@
 
 // orderWeights starts to bring engines to the newest weights, a few at a time.
 func (f *Fleet) orderWeights(now time.Duration) {
-	for _, e := range f.placer.Endpoints() {
+	endpoints := f.placer.Endpoints()
+	slices.SortStableFunc(endpoints, func(a, b sycplace.Endpoint) int { return cmp.Compare(f.behind(b), f.behind(a)) })
+	for _, e := range endpoints {
 		if len(f.loads.ordering) >= ordersAtOnce {
 			return
 		}
@@ -116,6 +120,15 @@
 	}
 }
 
+// behind is how many versions an engine's weights are behind the newest.
+func (f *Fleet) behind(e sycplace.Endpoint) int64 {
+	most := int64(0)
+	for model, version := range e.Weights {
+		most = max(most, f.weights[model]-version)
+	}
+	return most
+}
+
 func (f *Fleet) orderFor(e sycplace.Endpoint) (Weights, bool) {
 	if e.Leaving {
 		return Weights{}, false
