Plan the loads of weights, fetch kept parts, let few VMs read the log

Causes: (1) engines were ordered while runs went on there, two at a time, so that a version took 6 to 8 s to all; sycreload keeps requests off a few engines first and orders those that have run empty.

--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -17,23 +17,36 @@
 
 const (
 	// rereadPrice is the price of reading shared parts again that another engine
-	// keeps, as a part of the time that it takes.
-	rereadPrice = 0.5
+	// keeps, in times of what it takes. It is high since the time is taken from
+	// other requests, and the parts displace others.
+	rereadPrice = 5.0
+	// easyPart is the part of the objective within which a first token is surely
+	// in time; what goes beyond it is priced latePrice times.
+	easyPart  = 0.6
+	latePrice = 2.0
+	// fetchLeast is the least number of tokens that are fetched from another
+	// engine, fetchSetup and fetchPerToken the time that it takes.
+	fetchLeast    = 128
+	fetchSetup    = 6 * time.Millisecond
+	fetchPerToken = 4 * time.Microsecond
+	// fetchAway is the factor between failure domains.
+	fetchAway = 2
 	// awayPenalty is the disadvantage of endpoints in other failure domains.
 	awayPenalty = 4 * time.Millisecond
 	// stepPenalty is what each running request adds to the time of an engine's step.
 	stepPenalty = 300 * time.Microsecond
 	// homeBonus is the advantage of the engine that all VMs would choose for a
 	// prompt that none keeps.
-	homeBonus = 60 * time.Millisecond
+	homeBonus = 200 * time.Millisecond
 	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
 	suspectPenalty = 250 * time.Millisecond
 	// oldAfter is the age of newer weights from which on engines with older ones
 	// are at a disadvantage, and oldNever that from which on they get no requests
 	// while others can.
-	oldAfter   = 1200 * time.Millisecond
-	oldNever   = 5 * time.Second
-	oldPenalty = 150 * time.Millisecond
+	oldAfter = 1300 * time.Millisecond
+	oldNever = 6 * time.Second
+	// oldPart is the disadvantage as a part of the objective.
+	oldPart = 0.2
 	// fullPause is how long an endpoint that was full is left alone.
 	fullPause = 60 * time.Millisecond
 	// waitingPerSlot is how many requests may wait at a plain service's endpoint
@@ -56,6 +69,8 @@
 	Exclude []string
 	// Left is the time to the request's deadline.
 	Left time.Duration
+	// Objective is the time to the first byte that callers hope for.
+	Objective time.Duration
 	// Work is how long a request to the plain service takes, 0 if unknown.
 	Work time.Duration
 }
@@ -67,6 +82,10 @@
 	Weights int64
 	// Held is the number of prompt tokens that are believed to be kept there.
 	Held int
+	// Fetch is the address of an engine that keeps more of the prompt, if the
+	// endpoint should fetch it from there, and Fetched the tokens that it keeps more.
+	Fetch   string
+	Fetched int
 	// Load is what was under way there.
 	Load Load
 	// Expected is the time to the first byte of the answer.
@@ -201,12 +220,39 @@
 		p.reorder()
 		return
 	}
+	record.Weights = newest(e.record.Weights, record.Weights)
 	if !maps.Equal(e.record.Weights, record.Weights) {
 		e.cache.clear()
 	}
 	e.record = record
 }
 
+// newest merges the weights of an endpoint, which never fall while it runs: a
+// record may be older than what the endpoint has said itself.
+func newest(old, said map[string]int64) map[string]int64 {
+	out := maps.Clone(said)
+	for model, version := range old {
+		if _, named := out[model]; named {
+			out[model] = max(out[model], version)
+		}
+	}
+	return out
+}
+
+// Learn takes in which weights an endpoint has, as it said itself.
+func (p *Placer) Learn(id string, born int64, weights map[string]int64) {
+	e := p.endpoints[id]
+	if e == nil || e.record.Born != born || len(weights) == 0 {
+		return
+	}
+	record := e.record
+	record.Weights = maps.Clone(e.record.Weights)
+	for model, version := range weights {
+		record.Weights[model] = version
+	}
+	p.Put(record)
+}
+
 // Drop removes an endpoint.
 func (p *Placer) Drop(id string) {
 	delete(p.endpoints, id)
@@ -240,10 +286,10 @@
 // Hold keeps requests off an endpoint until a time, while others can take them.
 func (p *Placer) Hold(id string, until time.Duration) { p.held[id] = until }
 
-// Requests returns how many of this VM's requests an endpoint has.
-func (p *Placer) Requests(id string) int {
+// Requests returns how many requests of all VMs an endpoint has.
+func (p *Placer) Requests(now time.Duration, id string) int {
 	if e := p.endpoints[id]; e != nil {
-		return len(e.attempts)
+		return e.load(now).Requests
 	}
 	return 0
 }
@@ -254,33 +300,66 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	p.match(r)
 	var best *endpoint
-	var bestScore, bestExpected time.Duration
+	var bestOffer offer
 	for _, e := range candidates {
-		score, expected := p.score(now, r, e, candidates)
-		if best == nil || score < bestScore {
-			best, bestScore, bestExpected = e, score, expected
+		o := p.offer(now, r, e)
+		if best == nil || o.score < bestOffer.score {
+			best, bestOffer = e, o
 		}
 	}
 	load := best.load(now)
-	if after, full := p.full(r, best, load, bestExpected); full {
+	if after, full := p.full(r, best, load, bestOffer.expected); full {
 		return nil, &Refusal{Reason: Full, After: after, Endpoints: len(candidates)}
 	}
-	held := best.cache.held(r.Parts)
-	a := &attempt{endpoint: best, request: r, started: now, missing: max(r.Tokens-held, 0), expected: bestExpected}
+	target := &Target{
+		Endpoint: best.record,
+		Weights:  best.record.Weights[r.Model],
+		Held:     best.held,
+		Load:     load,
+		Expected: bestOffer.expected,
+	}
+	if bestOffer.source != nil {
+		target.Fetch, target.Fetched = bestOffer.source.record.Address, bestOffer.fetched
+	}
+	a := &attempt{
+		endpoint: best,
+		request:  r,
+		started:  now,
+		missing:  max(r.Tokens-best.held-bestOffer.fetched, 0),
+		expected: bestOffer.expected,
+	}
 	best.attempts[r.ID] = a
 	p.attempts[r.ID] = a
 	if len(r.Parts) > 0 {
 		best.cache.add(r.Parts)
 		p.sent = append(p.sent, Sent{Endpoint: best.record.ID, Parts: r.Parts})
 	}
-	return &Target{
-		Endpoint: best.record,
-		Weights:  best.record.Weights[r.Model],
-		Held:     held,
-		Load:     load,
-		Expected: bestExpected,
-	}, nil
+	return target, nil
+}
+
+// match notes how much of the prompt each engine of the service keeps.
+func (p *Placer) match(r *Request) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	for _, e := range p.order {
+		if e.record.Service == r.Service {
+			e.held = e.cache.held(r.Parts)
+		}
+	}
+}
+
+// offer is what an endpoint offers a request.
+type offer struct {
+	// score is the cost as a time.
+	score time.Duration
+	// expected is the time to the first byte.
+	expected time.Duration
+	// source is the engine to fetch from, if any.
+	source  *endpoint
+	fetched int
 }
 
 // candidates lists the endpoints that may get the request, the better ones only
@@ -329,33 +408,79 @@
 	return ok && e.record.Weights[model] < n.version && now-n.at >= age
 }
 
-// score is the cost of the request at an endpoint as a time, and the expected
-// time to the first byte.
-func (p *Placer) score(now time.Duration, r *Request, e *endpoint, all []*endpoint) (score, expected time.Duration) {
+// offer returns what the request costs at an endpoint.
+func (p *Placer) offer(now time.Duration, r *Request, e *endpoint) offer {
+	var o offer
 	load := e.load(now)
 	if r.Model == "" {
-		expected = p.plainTime(r, e, load)
-		score = expected
+		o.expected = p.plainTime(r, e, load)
+		o.score = o.expected
 	} else {
-		held := e.cache.held(r.Parts)
-		missing := max(r.Tokens-held, 0)
-		read := p.readTime(load.Tokens + missing)
-		expected = time.Duration(e.pace * float64(p.settings.FirstToken+read+time.Duration(load.Requests)*stepPenalty))
-		shared := sharedTokens(r.Parts)
-		again := max(min(shared, p.mostHeld(r, all))-held, 0)
-		score = expected + time.Duration(rereadPrice*float64(p.readTime(again)))
-		if p.outdated(now, r.Model, e, oldAfter) {
-			score += oldPenalty
-		}
-		score -= homeBonusFor(r, e, held)
+		o = p.engineOffer(now, r, e, load)
+	}
+	if easy := time.Duration(easyPart * float64(r.Objective)); r.Objective > 0 && o.expected > easy {
+		o.score += time.Duration(latePrice * float64(o.expected-easy))
 	}
 	if e.record.FailureDomain != p.settings.FailureDomain {
-		score += awayPenalty
+		o.score += awayPenalty
 	}
 	if e.health.State() == sychealth.Suspect {
-		score += suspectPenalty
+		o.score += suspectPenalty
+	}
+	return o
+}
+
+func (p *Placer) engineOffer(now time.Duration, r *Request, e *endpoint, load Load) offer {
+	var o offer
+	shared := sharedTokens(r.Parts)
+	source := p.source(now, r, e)
+	again, transfer := 0, time.Duration(0)
+	if source != nil {
+		more := min(source.held, shared) - e.held
+		if more >= fetchLeast && e.record.Weights[r.Model] > 0 {
+			o.source, o.fetched = source, more
+			transfer = fetchTime(more, source.record.FailureDomain != e.record.FailureDomain)
+		} else {
+			again = max(more, 0)
+		}
 	}
-	return score, expected
+	missing := max(r.Tokens-e.held-o.fetched, 0)
+	read := p.readTime(load.Tokens + missing)
+	o.expected = transfer + time.Duration(e.pace*float64(p.settings.FirstToken+read+time.Duration(load.Requests)*stepPenalty))
+	o.score = o.expected + time.Duration(rereadPrice*float64(p.readTime(again)))
+	if p.outdated(now, r.Model, e, oldAfter) {
+		o.score += time.Duration(oldPart * float64(r.Objective))
+	}
+	if source == nil && e.held < shared {
+		o.score -= homeBonusFor(r, e)
+	}
+	return o
+}
+
+// source returns the engine with the same weights that keeps most of the prompt,
+// nil if none keeps more than the endpoint.
+func (p *Placer) source(now time.Duration, r *Request, e *endpoint) *endpoint {
+	var best *endpoint
+	for _, s := range p.order {
+		if s == e || s.record.Service != r.Service || s.held <= e.held {
+			continue
+		}
+		if s.record.Weights[r.Model] != e.record.Weights[r.Model] || s.health.State() == sychealth.Out {
+			continue
+		}
+		if best == nil || s.held > best.held || s.held == best.held && s.record.FailureDomain == e.record.FailureDomain {
+			best = s
+		}
+	}
+	return best
+}
+
+func fetchTime(tokens int, away bool) time.Duration {
+	transfer := time.Duration(tokens) * fetchPerToken
+	if away {
+		transfer *= fetchAway
+	}
+	return fetchSetup + transfer
 }
 
 // plainTime is the expected time of a request to a plain service.
@@ -381,17 +506,9 @@
 	return tokens
 }
 
-func (p *Placer) mostHeld(r *Request, all []*endpoint) int {
-	most := 0
-	for _, e := range all {
-		most = max(most, e.cache.held(r.Parts))
-	}
-	return most
-}
-
 // homeBonusFor makes VMs agree on an engine for a prompt that none keeps yet.
-func homeBonusFor(r *Request, e *endpoint, held int) time.Duration {
-	if len(r.Parts) < 2 || held >= sharedTokens(r.Parts) {
+func homeBonusFor(r *Request, e *endpoint) time.Duration {
+	if len(r.Parts) < 2 {
 		return 0
 	}
 	deepest := r.Parts[len(r.Parts)-2].Hash
--- a/internal/operate/sycfleet/duty.go
+++ b/internal/operate/sycfleet/duty.go
@@ -1,37 +1,41 @@
 package sycfleet
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
+	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
 const (
-	// ordersAtOnce is how many engines load weights at the same time.
-	ordersAtOnce = 2
 	// announceTime is what it takes until the other VMs send nothing more to an
 	// engine that is to load weights.
 	announceTime = 60 * time.Millisecond
-	// holdTime is how long requests are kept off such an engine.
-	holdTime = 2 * time.Second
+	// holdTime is how long requests are kept off such an engine unless that is
+	// said again.
+	holdTime = 600 * time.Millisecond
 	// loadTime is how long a load takes at least, pollPause the time between the
 	// looks at it after that.
-	loadTime  = 450 * time.Millisecond
-	pollPause = 150 * time.Millisecond
+	loadTime  = 430 * time.Millisecond
+	pollPause = 130 * time.Millisecond
 	// loadPolls is how often an engine is looked at before it is ordered again.
-	loadPolls = 10
+	loadPolls = 14
 	// engineTimeout bounds a call to an engine.
 	engineTimeout = 700 * time.Millisecond
-	// failedPause is how long an engine that can't be reached is left alone.
-	failedPause = time.Second
+	// tellTime is how long the weights of an engine are told after a load.
+	tellTime = 2500 * time.Millisecond
+	// holderSilence is how long the holder of the duties may be unheard until a VM
+	// reads the duty log itself.
+	holderSilence = 1500 * time.Millisecond
+	// dutyWait is how long a read of the duty log waits for records.
+	dutyWait = 900 * time.Millisecond
 )
 
 // followDuty reads the duty log for as long as the VM runs.
@@ -39,9 +43,18 @@
 	ctx := f.tomb.Context(context.Background())
 	for f.tomb.Alive() {
 		var from int64
-		f.loop.Do(func(time.Duration) { from = f.lease.End() })
-		call, cancel := context.WithTimeout(ctx, readWait+readGrace)
-		records, first, end, err := f.options.Log.ReadDuty(call, from, readWait)
+		heard := false
+		f.loop.Do(func(time.Duration) {
+			now := sycclock.Now()
+			_, holds := f.lease.Holds(now)
+			from, heard = f.lease.End(), holds || now-f.loads.holderHeard < holderSilence
+		})
+		if heard {
+			f.pause(retryPause)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, dutyWait+readGrace)
+		records, first, end, err := f.options.Log.ReadDuty(call, from, dutyWait)
 		cancel()
 		if err != nil {
 			f.pause(retryPause)
@@ -78,6 +91,7 @@
 		})
 	}
 	if _, holds := f.lease.Holds(now); !holds {
+		f.plan.Stop()
 		return
 	}
 	f.orderWeights(now)
@@ -100,23 +114,35 @@
 	f.loop.Do(func(time.Duration) { f.dutyRead(sycclock.Now(), [][]byte{data}, at, at+1) })
 }
 
-// orderWeights starts to bring engines to the newest weights, a few at a time.
+// orderWeights brings engines to the newest weights as planned.
 func (f *Fleet) orderWeights(now time.Duration) {
-	endpoints := f.placer.Endpoints()
-	slices.SortStableFunc(endpoints, func(a, b sycplace.Endpoint) int { return cmp.Compare(f.behind(b), f.behind(a)) })
-	for _, e := range endpoints {
-		if len(f.loads.ordering) >= ordersAtOnce {
-			return
-		}
-		order, ok := f.orderFor(e)
-		if !ok || f.loads.ordering[e.ID] || now < f.loads.failed[e.ID] {
+	var engines []sycreload.Engine
+	records := map[string]sycplace.Endpoint{}
+	for _, e := range f.placer.Endpoints() {
+		if e.Leaving || len(e.Weights) == 0 {
 			continue
 		}
-		f.loads.ordering[e.ID] = true
-		f.tomb.Go(func() error {
-			f.load(e, order)
-			return nil
-		})
+		records[e.ID] = e
+		engines = append(engines, sycreload.Engine{ID: e.ID, Behind: f.behind(e), Requests: f.placer.Requests(now, e.ID)})
+	}
+	actions := f.plan.Next(now, announceTime, engines)
+	for _, a := range actions {
+		if a.Order {
+			e := records[a.ID]
+			f.tomb.Go(func() error {
+				f.load(e)
+				return nil
+			})
+		}
+	}
+	for id := range records {
+		if f.plan.Held(id) {
+			f.placer.Hold(id, now+holdTime)
+			f.loads.holds[id] = now + holdTime
+		}
+	}
+	if len(actions) > 0 {
+		f.mesh.Kick()
 	}
 }
 
@@ -129,10 +155,8 @@
 	return most
 }
 
-func (f *Fleet) orderFor(e sycplace.Endpoint) (Weights, bool) {
-	if e.Leaving {
-		return Weights{}, false
-	}
+// newest returns the newest weights of the models that are behind at an engine.
+func (f *Fleet) newest(e sycplace.Endpoint) (Weights, bool) {
 	for model, version := range e.Weights {
 		if newest := f.weights[model]; newest > version {
 			return Weights{Model: model, Version: newest}, true
@@ -141,39 +165,27 @@
 	return Weights{}, false
 }
 
-// load brings one engine to a version.
-func (f *Fleet) load(e sycplace.Endpoint, w Weights) {
-	f.hold(e.ID, holdTime)
-	f.mesh.Kick()
-	f.pause(announceTime)
-	err := f.order(e, w)
+// load brings one engine to the newest weights.
+func (f *Fleet) load(e sycplace.Endpoint) {
+	var w Weights
+	behind := false
+	f.loop.Do(func(time.Duration) { w, behind = f.newest(e) })
+	var err error
+	if behind {
+		err = f.order(e, w)
+	}
 	f.loop.Do(func(time.Duration) {
 		now := sycclock.Now()
-		delete(f.loads.ordering, e.ID)
-		if err != nil {
-			f.loads.failed[e.ID] = now + failedPause
-		}
+		f.plan.Done(now, e.ID, err == nil)
+		f.placer.Hold(e.ID, now)
+		f.loads.holds[e.ID] = now
 	})
-	f.hold(e.ID, 0)
 	f.mesh.Kick()
 	if err != nil {
 		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": e.ID, "model": w.Model, "version": w.Version}).Warn("fleet: weights not loaded")
 	}
 }
 
-// hold keeps requests off an endpoint, on this VM and on those that hear of it.
-func (f *Fleet) hold(id string, d time.Duration) {
-	f.loop.Do(func(time.Duration) {
-		now := sycclock.Now()
-		f.placer.Hold(id, now+d)
-		f.loads.holds[id] = now + d
-		if d == 0 {
-			// Told once more with the next exchange, so that the others end it too.
-			f.loads.holds[id] = now + tickPeriod
-		}
-	})
-}
-
 var (
 	errNotHolder = errors.New("lease is over")
 	errSilent    = errors.New("engine did not take the order in time")
@@ -235,10 +247,40 @@
 // learnWeights takes in what an engine says before its record in the log does.
 func (f *Fleet) learnWeights(e sycplace.Endpoint, r EngineReport) {
 	f.loop.Do(func(time.Duration) {
-		record, known := f.placer.Endpoint(e.ID)
-		if known && record.Born == e.Born && len(r.Weights) > 0 {
-			record.Weights = r.Weights
-			f.placer.Put(record)
-		}
+		now := sycclock.Now()
+		f.placer.Learn(e.ID, e.Born, r.Weights)
+		f.loads.told[e.ID] = toldWeights{born: e.Born, weights: r.Weights, until: now + tellTime}
 	})
 }
+
+// addDuty tells which engines are held, what was learned of them, and of the
+// lease if it is this VM's.
+func (f *Fleet) addDuty(now time.Duration, out *sycgossippb.State) {
+	if _, holds := f.lease.Holds(now); holds {
+		out.Duty = &sycgossippb.Duty{Offset: f.lease.End() - 1, Holder: f.options.Incarnation}
+	}
+	for id, until := range f.loads.holds {
+		if now > until+tellTime {
+			delete(f.loads.holds, id)
+			continue
+		}
+		hold := &sycgossippb.Hold{Endpoint: id, Milliseconds: max(until-now, 0).Milliseconds()}
+		if told, ok := f.loads.told[id]; ok {
+			hold.Born, hold.Weights = told.born, told.weights
+		}
+		out.Holds = append(out.Holds, hold)
+	}
+}
+
+// heardDuty takes in what the holder of the duties tells.
+func (f *Fleet) heardDuty(now time.Duration, in *sycgossippb.State) {
+	for _, h := range in.Holds {
+		f.placer.Hold(h.Endpoint, now+time.Duration(h.Milliseconds)*time.Millisecond)
+		f.placer.Learn(h.Endpoint, h.Born, h.Weights)
+	}
+	if in.Duty == nil {
+		return
+	}
+	f.loads.holderHeard = now
+	f.lease.Read(now, in.Duty.Offset, sycduty.Record{Holder: in.Duty.Holder})
+}
--- a/internal/operate/sycfleet/fleet.go
+++ b/internal/operate/sycfleet/fleet.go
@@ -16,6 +16,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
@@ -25,9 +26,6 @@
 const (
 	// gossipPeriod is the time between two exchanges of a pair of VMs.
 	gossipPeriod = 250 * time.Millisecond
-	// dropHold is how long endpoints that the log dropped in an outage may take
-	// to come back.
-	dropHold = 2300 * time.Millisecond
 	// tickPeriod is how often due work is looked for.
 	tickPeriod = 100 * time.Millisecond
 	// goneAfter is how long a VM is unheard before its record is dropped.
@@ -73,32 +71,28 @@
 	quota   *sycquota.Fleet
 	retries *sycattempt.Budgets
 	lease   *sycduty.Lease
-	feeds   map[string]*sycfeed.Feed
+	feeds   map[string]*feed
 	peers   *peers
+	plan    *sycreload.Plan
 	weights map[string]int64
 	loads   *loads
 	// rollouts holds the rollouts that operators asked for, by service.
 	rollouts map[string]*rollout
 	// registered is when this VM last wrote its own record.
 	registered time.Duration
-	// readable is true once a feed of the operator's was read from the log or a peer.
-	readable bool
 }
 
 // New starts to follow the log and to talk to other VMs.
 func New(o Options) (*Fleet, error) {
 	f := &Fleet{
-		options: o,
-		log:     logrus.WithField("part", "fleet"),
-		loop:    sycloop.New(),
-		placer:  sycplace.New(o.Place),
-		quota:   sycquota.New(o.FirstStart),
-		lease:   sycduty.New(o.Incarnation, o.Lease),
-		feeds: map[string]*sycfeed.Feed{
-			FeedOperator:  sycfeed.New(0),
-			FeedEndpoints: sycfeed.New(dropHold),
-			FeedVMs:       sycfeed.New(0),
-		},
+		options:  o,
+		log:      logrus.WithField("part", "fleet"),
+		loop:     sycloop.New(),
+		placer:   sycplace.New(o.Place),
+		quota:    sycquota.New(o.FirstStart),
+		lease:    sycduty.New(o.Incarnation, o.Lease),
+		feeds:    newFeeds(),
+		plan:     sycreload.New(),
 		weights:  map[string]int64{},
 		loads:    newLoads(),
 		rollouts: map[string]*rollout{},
@@ -145,8 +139,8 @@
 // Close ends all activity and waits for it.
 func (f *Fleet) Close() error {
 	f.tomb.Kill(nil)
-	err := f.mesh.Close()
-	return errors.Join(err, f.tomb.Wait(), f.loop.Close())
+	// The loop goes first, since its tasks start goroutines.
+	return errors.Join(f.loop.Close(), f.mesh.Close(), f.tomb.Wait())
 }
 
 func (f *Fleet) tick(now time.Duration) {
@@ -157,95 +151,6 @@
 	f.dutyTick(now)
 }
 
-// follow reads one feed of the log for as long as the VM runs.
-func (f *Fleet) follow(name string) error {
-	ctx := f.tomb.Context(context.Background())
-	healthy, whole := true, true
-	for f.tomb.Alive() {
-		var next int64
-		f.loop.Do(func(time.Duration) { next = f.feeds[name].Next() })
-		var records []sycfeed.Record
-		var err error
-		if whole {
-			records, next, err = f.newest(ctx, name)
-		} else {
-			records, next, err = f.read(ctx, name, next)
-		}
-		if errors.Is(err, ErrDropped) {
-			whole = true
-			continue
-		}
-		if err != nil {
-			if healthy {
-				f.log.WithError(err).WithField("feed", name).Warn("fleet: log lost")
-			}
-			healthy = false
-			f.pause(retryPause)
-			continue
-		}
-		returned := !healthy
-		if returned {
-			f.log.WithField("feed", name).Info("fleet: log answers again")
-		}
-		healthy = true
-		f.loop.Do(func(time.Duration) {
-			now := sycclock.Now()
-			feed := f.feeds[name]
-			if returned {
-				feed.Returned(now)
-			}
-			f.readable = true
-			if whole {
-				f.changed(now, name, feed.Replace(now, records, next))
-				return
-			}
-			f.changed(now, name, feed.Apply(now, records, next))
-		})
-		whole = false
-		f.pause(followPause[name])
-	}
-	return nil
-}
-
-const (
-	// readWait is how long a read waits for records; the operator's bounds need
-	// a silent connection to be found within it and readGrace.
-	readWait  = 900 * time.Millisecond
-	readGrace = 700 * time.Millisecond
-	// retryPause is the time between reads of a log that does not answer.
-	retryPause = 200 * time.Millisecond
-)
-
-// followPause is the time between two reads of a feed. The records of endpoints
-// come several times a second, so that they are read in batches.
-var followPause = map[string]time.Duration{
-	FeedOperator:  20 * time.Millisecond,
-	FeedEndpoints: 400 * time.Millisecond,
-	FeedVMs:       500 * time.Millisecond,
-}
-
-func (f *Fleet) newest(ctx context.Context, name string) ([]sycfeed.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
-	defer cancel()
-	return f.options.Log.Newest(ctx, name)
-}
-
-func (f *Fleet) read(ctx context.Context, name string, from int64) ([]sycfeed.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readGrace)
-	defer cancel()
-	return f.options.Log.Read(ctx, name, from, readWait)
-}
-
-func (f *Fleet) pause(d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-f.tomb.Dying():
-	case <-time.After(d):
-	}
-}
-
 // changed takes in what has changed in a feed.
 func (f *Fleet) changed(now time.Duration, name string, changes []sycfeed.Change) {
 	for _, c := range changes {
--- /dev/null
+++ b/internal/operate/sycfleet/follow.go
@@ -0,0 +1,163 @@
+package sycfleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
+)
+
+const (
+	// dropHold is how long endpoints that the log dropped in an outage may take
+	// to come back.
+	dropHold = 2300 * time.Millisecond
+	// outage is how long a feed is unknown until that counts as one.
+	outage = 1500 * time.Millisecond
+	// readGrace is how long a read may take beyond its wait for records.
+	readGrace = 700 * time.Millisecond
+	// retryPause is the time between reads of a log that does not answer.
+	retryPause = 200 * time.Millisecond
+	// readers is how many VMs read the log for the others.
+	readers = 2
+	// heardLately is how long ago a VM was heard that counts as running.
+	heardLately = time.Second
+)
+
+// feed is a log that all VMs follow. Few of them read it; the others hear of it.
+type feed struct {
+	*sycfeed.Feed
+	// wait is how long a read waits for records.
+	wait time.Duration
+	// pause is the time between two reads, so that records come in batches.
+	pause time.Duration
+	// stale is the age from which on every VM reads the log itself.
+	stale time.Duration
+	// fresh is when the state was last known to be that of the log.
+	fresh time.Duration
+}
+
+func newFeeds() map[string]*feed {
+	return map[string]*feed{
+		FeedOperator: {
+			Feed:  sycfeed.New(0),
+			wait:  900 * time.Millisecond,
+			pause: 20 * time.Millisecond,
+			stale: 1400 * time.Millisecond,
+		},
+		FeedEndpoints: {
+			Feed:  sycfeed.New(dropHold),
+			wait:  900 * time.Millisecond,
+			pause: 400 * time.Millisecond,
+			stale: 1100 * time.Millisecond,
+		},
+		FeedVMs: {
+			Feed:  sycfeed.New(0),
+			wait:  3 * time.Second,
+			pause: 500 * time.Millisecond,
+			stale: 5 * time.Second,
+		},
+	}
+}
+
+// refreshed tells that a feed's state was the log's at some time, which comes
+// before the records of that time are applied.
+func (d *feed) refreshed(now, at time.Duration) {
+	if at <= d.fresh {
+		return
+	}
+	if now-d.fresh > max(outage, d.stale) && d.fresh > 0 {
+		d.Returned(now)
+	}
+	d.fresh = at
+}
+
+// follow follows one feed for as long as the VM runs.
+func (f *Fleet) follow(name string) error {
+	ctx := f.tomb.Context(context.Background())
+	healthy, whole := true, true
+	for f.tomb.Alive() {
+		var next int64
+		read := false
+		f.loop.Do(func(time.Duration) {
+			next = f.feeds[name].Next()
+			read = f.reads(sycclock.Now(), name)
+		})
+		if !read && !whole {
+			f.pause(retryPause / 2)
+			continue
+		}
+		records, next, err := f.read(ctx, name, next, whole)
+		if errors.Is(err, ErrDropped) {
+			whole = true
+			continue
+		}
+		if err != nil {
+			if healthy && f.tomb.Alive() {
+				f.log.WithError(err).WithField("feed", name).Warn("fleet: log lost")
+			}
+			healthy = false
+			f.pause(retryPause)
+			continue
+		}
+		if !healthy {
+			f.log.WithField("feed", name).Info("fleet: log answers again")
+		}
+		healthy = true
+		f.loop.Do(func(time.Duration) { f.wasRead(name, records, next, whole) })
+		whole = false
+		f.pause(f.feeds[name].pause)
+	}
+	return nil
+}
+
+// reads reports whether this VM should read the feed from the log itself.
+func (f *Fleet) reads(now time.Duration, name string) bool {
+	if now-f.feeds[name].fresh > f.feeds[name].stale {
+		return true
+	}
+	lower := 0
+	for address, vm := range f.peers.vms {
+		if address < f.options.Address && !vm.leaving && now-vm.heard < heardLately {
+			lower++
+		}
+	}
+	return lower < readers
+}
+
+func (f *Fleet) read(ctx context.Context, name string, from int64, whole bool) ([]sycfeed.Record, int64, error) {
+	wait := f.feeds[name].wait
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	if whole {
+		return f.options.Log.Newest(ctx, name)
+	}
+	return f.options.Log.Read(ctx, name, from, wait)
+}
+
+func (f *Fleet) wasRead(name string, records []sycfeed.Record, next int64, whole bool) {
+	now := sycclock.Now()
+	d := f.feeds[name]
+	d.refreshed(now, now)
+	var changes []sycfeed.Change
+	if whole {
+		changes = d.Replace(now, records, next)
+	} else {
+		changes = d.Apply(now, records, next)
+	}
+	f.changed(now, name, changes)
+	if len(changes) > 0 && name == FeedOperator {
+		f.mesh.Kick()
+	}
+}
+
+func (f *Fleet) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-f.tomb.Dying():
+	case <-time.After(d):
+	}
+}
--- a/internal/operate/sycfleet/peers.go
+++ b/internal/operate/sycfleet/peers.go
@@ -39,6 +39,9 @@
 	outbox      []sycplace.Sent
 	// listed reports whether the VM's record lies in the log.
 	listed bool
+	// next is how far the VM has followed each feed, once it has told.
+	next map[string]int64
+	told bool
 }
 
 // peers holds what is known of the other VMs.
@@ -57,7 +60,7 @@
 func (p *peers) get(now time.Duration, address string) *peerVM {
 	vm := p.vms[address]
 	if vm == nil {
-		vm = &peerVM{heard: now}
+		vm = &peerVM{heard: now, next: map[string]int64{}}
 		p.vms[address] = vm
 	}
 	return vm
@@ -151,36 +154,25 @@
 }
 
 // Answer implements sycgossip.Node.
-func (f *Fleet) Answer(in *sycgossippb.State) *sycgossippb.State {
-	var out *sycgossippb.State
-	f.loop.Do(func(time.Duration) {
-		out = f.state(sycclock.Now(), in.Address)
-		for _, feed := range in.Feeds {
-			own := f.feeds[feed.Name]
-			if own == nil || own.Next() <= feed.Next {
-				continue
-			}
-			f.addRecords(out, feed)
-		}
-	})
-	return out
-}
+func (f *Fleet) Answer(in *sycgossippb.State) *sycgossippb.State { return f.State(in.Address) }
 
-// addRecords adds the records that the caller lacks to an answer.
-func (f *Fleet) addRecords(out *sycgossippb.State, lacks *sycgossippb.Feed) {
-	for _, feed := range out.Feeds {
-		if feed.Name != lacks.Name {
-			continue
-		}
-		records := f.feeds[lacks.Name].Since(lacks.Next)
-		if len(records) > recordsPerAnswer {
-			records = records[:recordsPerAnswer]
-			feed.Next = records[len(records)-1].Offset + 1
-		}
-		for _, r := range records {
-			feed.Records = append(feed.Records, &sycgossippb.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
-		}
+// feedState returns a feed's position and the records that a VM lacks as far as
+// it has told.
+func (f *Fleet) feedState(now time.Duration, name string, vm *peerVM) *sycgossippb.Feed {
+	d := f.feeds[name]
+	out := &sycgossippb.Feed{Name: name, Next: d.Next(), AgeMilliseconds: (now - d.fresh).Milliseconds()}
+	if vm == nil || !vm.told || vm.next[name] >= d.Next() {
+		return out
 	}
+	records := d.Since(vm.next[name])
+	if len(records) > recordsPerAnswer {
+		records = records[:recordsPerAnswer]
+		out.Next = records[len(records)-1].Offset + 1
+	}
+	for _, r := range records {
+		out.Records = append(out.Records, &sycgossippb.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+	}
+	return out
 }
 
 func (f *Fleet) state(now time.Duration, peer string) *sycgossippb.State {
@@ -205,13 +197,9 @@
 		vm.outbox = nil
 	}
 	for _, name := range []string{FeedOperator, FeedEndpoints, FeedVMs} {
-		out.Feeds = append(out.Feeds, &sycgossippb.Feed{Name: name, Next: f.feeds[name].Next()})
-	}
-	for id, until := range f.loads.holds {
-		if until > now {
-			out.Holds = append(out.Holds, &sycgossippb.Hold{Endpoint: id, Milliseconds: (until - now).Milliseconds()})
-		}
+		out.Feeds = append(out.Feeds, f.feedState(now, name, f.peers.vms[peer]))
 	}
+	f.addDuty(now, out)
 	f.addRollouts(now, out)
 	return out
 }
@@ -262,7 +250,7 @@
 	vm := f.peers.get(now, in.Address)
 	changed := !known || vm.leaving != in.Leaving
 	vm.heard, vm.leaving, vm.incarnation = now, in.Leaving, in.Incarnation
-	if len(f.peers.vms) == 1 || !f.readable {
+	if f.feeds[FeedVMs].fresh == 0 {
 		for _, address := range in.Known {
 			if address != f.options.Address && f.peers.vms[address] == nil {
 				f.peers.get(now, address)
@@ -287,19 +275,26 @@
 		placed = append(placed, sycplace.Load{Endpoint: l.Endpoint, Requests: int(l.Requests), Tokens: int(l.Tokens)})
 	}
 	f.placer.Heard(now, in.Address, placed, sent)
-	for _, h := range in.Holds {
-		f.placer.Hold(h.Endpoint, now+time.Duration(h.Milliseconds)*time.Millisecond)
-	}
+	f.heardDuty(now, in)
 	for _, feed := range in.Feeds {
+		vm.next[feed.Name] = feed.Next
 		f.heardRecords(now, feed)
 	}
+	vm.told = true
 	f.heardRollouts(now, in)
 }
 
-// heardRecords takes in records that another VM has read from the log.
+// heardRecords takes in what another VM knows of a feed.
 func (f *Fleet) heardRecords(now time.Duration, in *sycgossippb.Feed) {
 	own := f.feeds[in.Name]
-	if own == nil || len(in.Records) == 0 {
+	if own == nil {
+		return
+	}
+	// A state is as fresh as the sender's only if no record of it is missing.
+	if in.Next >= own.Next() && (len(in.Records) > 0 || in.Next == own.Next()) {
+		own.refreshed(now, now-time.Duration(in.AgeMilliseconds)*time.Millisecond)
+	}
+	if len(in.Records) == 0 {
 		return
 	}
 	records := make([]sycfeed.Record, 0, len(in.Records))
--- a/internal/operate/sycfleet/serve.go
+++ b/internal/operate/sycfleet/serve.go
@@ -16,18 +16,25 @@
 	work map[string]time.Duration
 	// holds names the endpoints that this VM has announced to be held.
 	holds map[string]time.Duration
-	// ordering names the engines that are being brought to new weights.
-	ordering map[string]bool
-	// failed holds the end of the pause after an order that failed.
-	failed map[string]time.Duration
+	// told holds what engines have said of their weights lately.
+	told map[string]toldWeights
+	// holderHeard is when the holder of the duties was last heard.
+	holderHeard time.Duration
+}
+
+// toldWeights is what an engine has said of its weights.
+type toldWeights struct {
+	born    int64
+	weights map[string]int64
+	until   time.Duration
 }
 
 func newLoads() *loads {
 	return &loads{
-		work:     map[string]time.Duration{},
-		holds:    map[string]time.Duration{},
-		ordering: map[string]bool{},
-		failed:   map[string]time.Duration{},
+		work:        map[string]time.Duration{},
+		holds:       map[string]time.Duration{},
+		told:        map[string]toldWeights{},
+		holderHeard: -holderSilence,
 	}
 }
 
@@ -88,6 +95,11 @@
 	return target
 }
 
+// Learned tells which version of a model's weights an endpoint has.
+func (f *Fleet) Learned(endpoint string, born int64, model string, version int64) {
+	f.loop.Post(func(time.Duration) { f.placer.Learn(endpoint, born, map[string]int64{model: version}) })
+}
+
 // Refund takes back the charge of a request that has not run.
 func (f *Fleet) Refund(customer string, cost float64) {
 	f.loop.Post(func(time.Duration) { f.quota.Refund(customer, cost) })
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -136,6 +136,8 @@
 	if x.target != nil {
 		fields["endpoints"] = x.tried
 		fields["held"] = x.target.Held
+		fields["fetched"] = x.target.Fetched
+		fields["weights"] = x.target.Weights
 		fields["tokens"] = x.call.Tokens
 		fields["load"] = x.target.Load.Requests
 		fields["waiting"] = x.target.Load.Tokens
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -49,6 +49,10 @@
 	Customer string
 	// Salt keeps the cached prompts of customers apart.
 	Salt string
+	// Weights is the version of the model's weights that the request must run on.
+	Weights int64
+	// Fetch is the address of an engine that keeps parts of the prompt, if any.
+	Fetch string
 	// Priority is from 0, the most urgent, to 9.
 	Priority int
 	// Left is the time for the answer.
@@ -68,6 +72,8 @@
 	NotRun
 	// Moved means that another endpoint has the address.
 	Moved
+	// OtherWeights means that the endpoint has other weights than were asked for.
+	OtherWeights
 )
 
 // Codec translates between what callers and endpoints speak and the relay.
@@ -78,7 +84,10 @@
 	Outgoing(c *Call, f Forward) http.Header
 	// Own tells whether an answer belongs to a call.
 	Own(c *Call, answer http.Header) bool
-	Disposition(status int, answer http.Header) Disposition
+	// Disposition tells what an endpoint has done with a request.
+	Disposition(endpoint string, status int, answer http.Header) Disposition
+	// Weights returns the version of the weights that an answer names, or 0.
+	Weights(answer http.Header) int64
 	// Refuse adds to the header of a refusal when the caller may come back.
 	Refuse(h http.Header, after time.Duration)
 }
@@ -97,6 +106,7 @@
 	NewID() uint64
 	Admit(a sycfleet.Admission) sycfleet.Verdict
 	Again(r *sycplace.Request, arrived bool) *sycplace.Target
+	Learned(endpoint string, born int64, model string, version int64)
 	Refund(customer string, cost float64)
 	Answered(id uint64)
 	Finished(id uint64, o sycplace.Outcome, route string, took time.Duration)
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -73,6 +73,8 @@
 	// attempts counts the endpoints that the request was sent to.
 	attempts int
 	tried    []string
+	// corrections counts the tries after a wrong belief about weights.
+	corrections int
 	// ran is true once an endpoint may have run the request.
 	ran bool
 	// started is true once bytes of an answer have gone to the caller.
@@ -216,13 +218,14 @@
 // place prepares the next attempt's placement.
 func (x *exchange) place() {
 	x.request = &sycplace.Request{
-		ID:      x.relay.fleet.NewID(),
-		Service: x.service,
-		Model:   x.call.Model,
-		Parts:   x.parts(),
-		Tokens:  x.call.Tokens,
-		Exclude: x.tried,
-		Left:    time.Until(x.until),
+		ID:        x.relay.fleet.NewID(),
+		Service:   x.service,
+		Model:     x.call.Model,
+		Parts:     x.parts(),
+		Tokens:    x.call.Tokens,
+		Exclude:   x.tried,
+		Left:      time.Until(x.until),
+		Objective: x.route.Objective - time.Since(x.arrived),
 	}
 }
 
@@ -256,7 +259,10 @@
 	done bool
 	// arrived reports whether the request reached the endpoint.
 	arrived bool
-	reason  string
+	// sameEndpoint means that the endpoint may be tried again, which counts as no
+	// further endpoint.
+	sameEndpoint bool
+	reason       string
 }
 
 // attempt sends the request to the target once.
@@ -278,7 +284,9 @@
 		Header: x.relay.codec.Outgoing(x.call, Forward{
 			Endpoint:  target.Endpoint.ID,
 			Customer:  x.customer,
-			Salt:      x.salt(),
+			Salt:      x.salt() + "." + strconv.FormatInt(target.Weights, 10),
+			Weights:   target.Weights,
+			Fetch:     target.Fetch,
 			Priority:  min(x.priority, 9),
 			Left:      left,
 			LastEvent: x.lastEvent,
@@ -290,7 +298,7 @@
 		return x.unanswered(ctx, err, started)
 	}
 	defer func() { _ = answer.Close() }()
-	switch x.relay.codec.Disposition(answer.Status, answer.Header) {
+	switch x.relay.codec.Disposition(target.Endpoint.ID, answer.Status, answer.Header) {
 	case NotRun:
 		_, _ = io.Copy(io.Discard, answer)
 		x.finished(sycplace.WasFull, started)
@@ -299,6 +307,8 @@
 		x.finished(sycplace.Moved, started)
 		x.relay.client.Forget(target.Endpoint.Address)
 		return result{arrived: true, reason: "endpoint_moved"}
+	case OtherWeights:
+		return x.otherWeights(answer, started)
 	}
 	x.ran = true
 	if x.started && answer.Status != http.StatusOK {
@@ -311,6 +321,22 @@
 	return x.whole(ctx, answer, started)
 }
 
+// otherWeights has the same endpoint tried again with the weights that it has;
+// it has not run the request.
+func (x *exchange) otherWeights(answer *sycwire.Answer, started time.Time) result {
+	_, _ = io.Copy(io.Discard, answer)
+	x.finished(sycplace.Cancelled, started)
+	e := x.target.Endpoint
+	version := x.relay.codec.Weights(answer.Header)
+	x.relay.log.WithFields(logrus.Fields{
+		"id": x.call.ID, "endpoint": e.ID, "expected": x.target.Weights, "has": version,
+	}).Info("relay: endpoint has other weights")
+	if version > 0 {
+		x.relay.fleet.Learned(e.ID, e.Born, x.call.Model, version)
+	}
+	return result{arrived: true, sameEndpoint: version > 0, reason: "other_weights"}
+}
+
 func (x *exchange) unanswered(ctx context.Context, err error, started time.Time) result {
 	var send *sycwire.SendError
 	sent := !errors.As(err, &send) || send.Sent
@@ -341,7 +367,11 @@
 	if x.ran && !x.route.Repeats() {
 		return false
 	}
-	if x.attempts >= x.route.Attempts && last.arrived {
+	if last.sameEndpoint && x.corrections < maxCorrections {
+		x.corrections++
+		x.attempts--
+		x.tried = x.tried[:len(x.tried)-1]
+	} else if x.attempts >= x.route.Attempts && last.arrived {
 		return false
 	}
 	if !last.arrived {
@@ -360,6 +390,9 @@
 	return true
 }
 
+// maxCorrections bounds how often an endpoint is tried again with other weights.
+const maxCorrections = 2
+
 // maxUnreachable bounds the endpoints tried without reaching one.
 const maxUnreachable = 4
 
