Release duties at SIGTERM, and break off for new weights what can go on elsewhere

Causes: runs of four seconds kept a loading place each while the engine waited for them; a successor waited out the whole lease of a VM that had stopped; an engine two versions behind counted from the newest name.

--- a/internal/decide/sycattempt/budget.go
+++ b/internal/decide/sycattempt/budget.go
@@ -17,7 +17,8 @@
 
 // Budget counts the requests and retries of one endpoint or customer.
 type Budget struct {
-	allowance Allowance
+	// allowance is shared by the budgets of one owner.
+	allowance *Allowance
 	// newest is the number of the bucket last written, counted from time zero.
 	newest   int64
 	requests [bucketCount]uint32
@@ -64,7 +65,7 @@
 
 // Budgets holds a budget for each name in recent use.
 type Budgets struct {
-	allowance Allowance
+	allowance *Allowance
 	budgets   map[string]*Budget
 	// swept is when idle budgets were last dropped.
 	swept time.Duration
@@ -72,9 +73,12 @@
 
 // NewBudgets returns budgets that all have the same allowance.
 func NewBudgets(a Allowance) *Budgets {
-	return &Budgets{allowance: a, budgets: map[string]*Budget{}}
+	return &Budgets{allowance: &a, budgets: map[string]*Budget{}}
 }
 
+// Allow changes the allowance of all budgets.
+func (b *Budgets) Allow(a Allowance) { *b.allowance = a }
+
 // Get returns the budget of a name.
 func (b *Budgets) Get(now time.Duration, name string) *Budget {
 	b.sweep(now)
--- a/internal/decide/sycduty/duty.go
+++ b/internal/decide/sycduty/duty.go
@@ -46,11 +46,14 @@
 	grantedAt time.Duration
 	pending   bool
 	resigned  bool
+	// delay is this VM's place among those that ask for a free lease.
+	delay time.Duration
 }
 
-// New returns the lease of the VM with that incarnation.
-func New(self string, duration time.Duration) *Lease {
-	return &Lease{self: self, duration: duration, proposedEnd: -1}
+// New returns the lease of the VM with that incarnation, which asks for a free
+// lease after a delay, so that not all VMs ask at once.
+func New(self string, duration, delay time.Duration) *Lease {
+	return &Lease{self: self, duration: duration, delay: delay, proposedEnd: -1}
 }
 
 // End is the offset from which on the log is to be read.
@@ -103,9 +106,12 @@
 	if _, ok := l.Holds(now); ok {
 		return now >= l.grantedAt+l.duration/renewalDivisor
 	}
-	// The former holder may have acted until the end of its lease, also when it
-	// has released it, and a new VM knows nothing of what came before.
-	return now >= l.readAt+l.duration+l.duration*marginPercent/100
+	if l.newest.Released {
+		return now >= l.readAt+l.delay
+	}
+	// The former holder may act until the end of its lease, and a new VM knows
+	// nothing of what came before.
+	return now >= l.readAt+l.duration+l.duration*marginPercent/100+l.delay
 }
 
 // Propose returns the record to append and the offset at which it is expected.
@@ -121,8 +127,16 @@
 // Settled tells that the last append was answered or given up.
 func (l *Lease) Settled() { l.pending = false }
 
-// Resign ends this VM's holding for good.
-func (l *Lease) Resign() { l.resigned = true }
+// Resign ends this VM's holding for good. It returns the record to append once
+// the VM has nothing under way, if the VM held the lease.
+func (l *Lease) Resign(now time.Duration) (r Record, at int64, held bool) {
+	_, held = l.Holds(now)
+	l.resigned = true
+	return Record{Holder: l.self, Released: true}, l.end, held
+}
 
 // Holder is the newest holder of the lease.
 func (l *Lease) Holder() string { return l.newest.Holder }
+
+// Released reports whether this VM's newest record gave the lease up.
+func (l *Lease) Released() bool { return l.newest.Holder == l.self && l.newest.Released }
--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -43,6 +43,8 @@
 type Load struct {
 	Endpoint string
 	Requests int
+	// Fixed is how many of the requests can't go on at another endpoint.
+	Fixed int
 	// Tokens is the number of prompt tokens still to be read.
 	Tokens int
 }
@@ -105,6 +107,7 @@
 			continue
 		}
 		l.Requests += p.Requests
+		l.Fixed += p.Fixed
 		l.Tokens += p.Tokens
 	}
 	return l
@@ -115,6 +118,9 @@
 	l := Load{Endpoint: e.record.ID}
 	for _, a := range e.attempts {
 		l.Requests++
+		if !a.request.Resumable {
+			l.Fixed++
+		}
 		if !a.answered {
 			l.Tokens += a.missing
 		}
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -52,6 +52,10 @@
 	// waitingPerSlot is how many requests may wait at a plain service's endpoint
 	// for each that runs.
 	waitingPerSlot = 2
+	// namesKept is how many versions of a model's weights are remembered.
+	namesKept = 8
+	// heldGrace is how long after a hold broken answers are still put down to it.
+	heldGrace = 500 * time.Millisecond
 	// noneRetry is the time after which a request that found no endpoint may come again.
 	noneRetry = 500 * time.Millisecond
 )
@@ -69,6 +73,8 @@
 	Exclude []string
 	// Left is the time to the request's deadline.
 	Left time.Duration
+	// Resumable requests may go on at another endpoint.
+	Resumable bool
 	// Objective is the time to the first byte that callers hope for.
 	Objective time.Duration
 	// Work is how long a request to the plain service takes, 0 if unknown.
@@ -162,8 +168,8 @@
 	cacheTokens map[string]int
 	// held names endpoints that are about to take an order, and until when.
 	held map[string]time.Duration
-	// named holds the newest version of each model's weights.
-	named map[string]naming
+	// named holds the newest versions of each model's weights, oldest first.
+	named map[string][]naming
 	sent  []Sent
 	split splitter
 }
@@ -181,7 +187,7 @@
 		attempts:    map[uint64]*attempt{},
 		cacheTokens: map[string]int{},
 		held:        map[string]time.Duration{},
-		named:       map[string]naming{},
+		named:       map[string][]naming{},
 	}
 }
 
@@ -200,9 +206,12 @@
 
 // Name sets the newest version of a model's weights.
 func (p *Placer) Name(now time.Duration, model string, version int64) {
-	if p.named[model].version < version {
-		p.named[model] = naming{version: version, at: now}
+	names := p.named[model]
+	if len(names) > 0 && names[len(names)-1].version >= version {
+		return
 	}
+	names = append(names, naming{version: version, at: now})
+	p.named[model] = names[max(len(names)-namesKept, 0):]
 }
 
 // Put takes in an endpoint's record.
@@ -286,12 +295,12 @@
 // Hold keeps requests off an endpoint until a time, while others can take them.
 func (p *Placer) Hold(id string, until time.Duration) { p.held[id] = until }
 
-// Requests returns how many requests of all VMs an endpoint has.
-func (p *Placer) Requests(now time.Duration, id string) int {
+// Load returns what all VMs have under way at an endpoint.
+func (p *Placer) Load(now time.Duration, id string) Load {
 	if e := p.endpoints[id]; e != nil {
-		return e.load(now).Requests
+		return e.load(now)
 	}
-	return 0
+	return Load{}
 }
 
 // Place chooses an endpoint and begins an attempt there.
@@ -401,11 +410,15 @@
 	return out
 }
 
-// outdated reports whether an engine has older weights than were named that
-// long ago.
+// outdated reports whether an engine has older weights than some that were named
+// that long ago.
 func (p *Placer) outdated(now time.Duration, model string, e *endpoint, age time.Duration) bool {
-	n, ok := p.named[model]
-	return ok && e.record.Weights[model] < n.version && now-n.at >= age
+	for _, n := range p.named[model] {
+		if n.version > e.record.Weights[model] {
+			return now-n.at >= age
+		}
+	}
+	return false
 }
 
 // offer returns what the request costs at an endpoint.
@@ -558,6 +571,10 @@
 	case Served:
 		a.endpoint.health.Observe(now, sychealth.Success)
 	case Failed:
+		if now < p.held[a.endpoint.record.ID]+heldGrace {
+			// Broken off by an order.
+			return
+		}
 		a.endpoint.health.Observe(now, sychealth.Failure)
 	case Unreachable:
 		a.endpoint.health.Observe(now, sychealth.Unreachable)
--- a/internal/decide/sycreload/plan.go
+++ b/internal/decide/sycreload/plan.go
@@ -18,9 +18,12 @@
 	loadsAtOnce = 2
 	// heldPart is the part of the engines that may be out of service at a time.
 	heldPart = 0.34
-	// patience is how long an engine's runs may take to end before it is ordered
-	// all the same; it then waits for them itself.
-	patience = 800 * time.Millisecond
+	// patience is how long an engine's runs may take to end before those that can
+	// go on elsewhere are broken off.
+	patience = 700 * time.Millisecond
+	// longPatience is how long the others may take; the engine is then ordered all
+	// the same, and waits for them itself.
+	longPatience = 1600 * time.Millisecond
 	// failedPause is how long an engine that could not be ordered is left alone.
 	failedPause = 700 * time.Millisecond
 )
@@ -32,6 +35,8 @@
 	Behind int64
 	// Requests is what all VMs have under way there.
 	Requests int
+	// Fixed is how many of them can't go on elsewhere.
+	Fixed int
 }
 
 // Action is something to be done with an engine.
@@ -39,6 +44,8 @@
 	ID string
 	// Order asks to order the engine now; else requests are to be kept off it.
 	Order bool
+	// Interrupt asks to break off the engine's runs.
+	Interrupt bool
 }
 
 // Plan follows the engines of one fleet.
@@ -87,11 +94,12 @@
 		if !held || len(p.loading) >= loadsAtOnce || now < since+announced {
 			continue
 		}
-		if e.Requests > 0 && now < since+patience {
+		interrupt := e.Requests > 0 && e.Fixed == 0
+		if interrupt && now < since+patience || e.Fixed > 0 && now < since+longPatience {
 			continue
 		}
 		p.loading[e.ID] = true
-		out = append(out, Action{ID: e.ID, Order: true})
+		out = append(out, Action{ID: e.ID, Order: true, Interrupt: interrupt})
 	}
 	return out
 }
--- a/internal/operate/sycfleet/duty.go
+++ b/internal/operate/sycfleet/duty.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
@@ -98,6 +99,26 @@
 	f.rolloutTick(now)
 }
 
+// askSpread is the time over which VMs ask one after the other for a free lease.
+const askSpread = 400 * time.Millisecond
+
+func askDelay(incarnation string) time.Duration {
+	return time.Duration(xxhash.Sum64String(incarnation) % uint64(askSpread))
+}
+
+// resign gives the lease up, once no order of this VM is under way any more.
+func (f *Fleet) resign() {
+	var record sycduty.Record
+	var at int64
+	held := false
+	f.loop.Do(func(time.Duration) { record, at, held = f.lease.Resign(sycclock.Now()) })
+	if !held {
+		return
+	}
+	f.orders.Wait()
+	f.appendDuty(record, at)
+}
+
 func (f *Fleet) appendDuty(record sycduty.Record, at int64) {
 	defer f.loop.Post(func(time.Duration) { f.lease.Settled() })
 	data, err := json.Marshal(record)
@@ -123,14 +144,15 @@
 			continue
 		}
 		records[e.ID] = e
-		engines = append(engines, sycreload.Engine{ID: e.ID, Behind: f.behind(e), Requests: f.placer.Requests(now, e.ID)})
+		load := f.placer.Load(now, e.ID)
+		engines = append(engines, sycreload.Engine{ID: e.ID, Behind: f.behind(e), Requests: load.Requests, Fixed: load.Fixed})
 	}
 	actions := f.plan.Next(now, announceTime, engines)
 	for _, a := range actions {
 		if a.Order {
 			e := records[a.ID]
 			f.tomb.Go(func() error {
-				f.load(e)
+				f.load(e, a.Interrupt)
 				return nil
 			})
 		}
@@ -166,13 +188,13 @@
 }
 
 // load brings one engine to the newest weights.
-func (f *Fleet) load(e sycplace.Endpoint) {
+func (f *Fleet) load(e sycplace.Endpoint, interrupt bool) {
 	var w Weights
 	behind := false
 	f.loop.Do(func(time.Duration) { w, behind = f.newest(e) })
 	var err error
 	if behind {
-		err = f.order(e, w)
+		err = f.order(e, w, interrupt)
 	}
 	f.loop.Do(func(time.Duration) {
 		now := sycclock.Now()
@@ -191,13 +213,13 @@
 	errSilent    = errors.New("engine did not take the order in time")
 )
 
-func (f *Fleet) order(e sycplace.Endpoint, w Weights) error {
+func (f *Fleet) order(e sycplace.Endpoint, w Weights, interrupt bool) error {
 	report, err := f.engineReport(e)
 	if err != nil {
 		return err
 	}
 	if report.Weights[w.Model] < w.Version && !report.Busy {
-		if err := f.giveOrder(e, w, report.Orders); err != nil {
+		if err := f.giveOrder(e, Order{Weights: w, Orders: report.Orders, Interrupt: interrupt}); err != nil {
 			return err
 		}
 		f.pause(loadTime)
@@ -223,23 +245,26 @@
 }
 
 // giveOrder sends an order if the lease surely lasts until it has arrived.
-func (f *Fleet) giveOrder(e sycplace.Endpoint, w Weights, orders int64) error {
+func (f *Fleet) giveOrder(e sycplace.Endpoint, o Order) error {
 	var token int64
 	var holds bool
-	f.loop.Do(func(time.Duration) { token, holds = f.lease.Holds(sycclock.Now() + engineTimeout/2) })
+	f.loop.Do(func(time.Duration) {
+		token, holds = f.lease.Holds(sycclock.Now() + engineTimeout/2)
+		if holds {
+			f.orders.Add(1)
+		}
+	})
 	if !holds {
 		return errNotHolder
 	}
+	defer f.orders.Done()
 	ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), engineTimeout/2)
 	defer cancel()
-	taken, err := f.options.Engines.Order(ctx, e, Order{
-		Weights: w,
-		Holder:  f.options.Incarnation,
-		Token:   token + 1,
-		Orders:  orders,
-	})
+	o.Holder, o.Token = f.options.Incarnation, token+1
+	taken, err := f.options.Engines.Order(ctx, e, o)
 	f.log.WithFields(logrus.Fields{
-		"endpoint": e.ID, "model": w.Model, "version": w.Version, "orders": orders, "taken": taken, "token": token + 1,
+		"endpoint": e.ID, "model": o.Model, "version": o.Version, "orders": o.Orders, "taken": taken, "token": o.Token,
+		"interrupt": o.Interrupt,
 	}).Info("fleet: order given")
 	return err
 }
@@ -258,6 +283,8 @@
 func (f *Fleet) addDuty(now time.Duration, out *sycgossippb.State) {
 	if _, holds := f.lease.Holds(now); holds {
 		out.Duty = &sycgossippb.Duty{Offset: f.lease.End() - 1, Holder: f.options.Incarnation}
+	} else if f.leaving.Load() && f.lease.Released() {
+		out.Duty = &sycgossippb.Duty{Offset: f.lease.End() - 1, Holder: f.options.Incarnation, Released: true}
 	}
 	for id, until := range f.loads.holds {
 		if now > until+tellTime {
@@ -281,6 +308,8 @@
 	if in.Duty == nil {
 		return
 	}
-	f.loads.holderHeard = now
-	f.lease.Read(now, in.Duty.Offset, sycduty.Record{Holder: in.Duty.Holder})
+	if !in.Duty.Released {
+		f.loads.holderHeard = now
+	}
+	f.lease.Read(now, in.Duty.Offset, sycduty.Record{Holder: in.Duty.Holder, Released: in.Duty.Released})
 }
--- a/internal/operate/sycfleet/fleet.go
+++ b/internal/operate/sycfleet/fleet.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,8 @@
 	feeds   map[string]*feed
 	peers   *peers
 	plan    *sycreload.Plan
+	// orders counts the orders under way; it is added to on the loop only.
+	orders  sync.WaitGroup
 	weights map[string]int64
 	loads   *loads
 	// rollouts holds the rollouts that operators asked for, by service.
@@ -90,7 +93,7 @@
 		loop:     sycloop.New(),
 		placer:   sycplace.New(o.Place),
 		quota:    sycquota.New(o.FirstStart),
-		lease:    sycduty.New(o.Incarnation, o.Lease),
+		lease:    sycduty.New(o.Incarnation, o.Lease, askDelay(o.Incarnation)),
 		feeds:    newFeeds(),
 		plan:     sycreload.New(),
 		weights:  map[string]int64{},
@@ -127,7 +130,7 @@
 // Leave gives up the VM's duties and tells the others that it goes.
 func (f *Fleet) Leave() {
 	f.leaving.Store(true)
-	f.loop.Do(func(time.Duration) { f.lease.Resign() })
+	f.resign()
 	f.mesh.Kick()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/internal/operate/sycfleet/peers.go
+++ b/internal/operate/sycfleet/peers.go
@@ -96,6 +96,9 @@
 		}
 	}
 	f.quota.Members(now, names)
+	allowance := f.options.Retries
+	allowance.Floor /= float64(len(names) + 1)
+	f.retries.Allow(allowance)
 }
 
 // register writes this VM's own record if it is missing, and lets the holder of
@@ -188,7 +191,7 @@
 		out.Usage = append(out.Usage, &sycgossippb.Usage{Customer: u.Customer, Spent: u.Spent, Level: u.Level})
 	}
 	for _, l := range f.placer.Loads() {
-		out.Loads = append(out.Loads, &sycgossippb.Load{Endpoint: l.Endpoint, Requests: int64(l.Requests), Tokens: int64(l.Tokens)})
+		out.Loads = append(out.Loads, &sycgossippb.Load{Endpoint: l.Endpoint, Requests: int64(l.Requests), Fixed: int64(l.Fixed), Tokens: int64(l.Tokens)})
 	}
 	if vm := f.peers.vms[peer]; vm != nil {
 		for _, s := range vm.outbox {
@@ -272,7 +275,7 @@
 	}
 	placed := make([]sycplace.Load, 0, len(in.Loads))
 	for _, l := range in.Loads {
-		placed = append(placed, sycplace.Load{Endpoint: l.Endpoint, Requests: int(l.Requests), Tokens: int(l.Tokens)})
+		placed = append(placed, sycplace.Load{Endpoint: l.Endpoint, Requests: int(l.Requests), Fixed: int(l.Fixed), Tokens: int(l.Tokens)})
 	}
 	f.placer.Heard(now, in.Address, placed, sent)
 	f.heardDuty(now, in)
--- a/internal/operate/sycfleet/port.go
+++ b/internal/operate/sycfleet/port.go
@@ -97,6 +97,8 @@
 	Token  int64
 	// Orders is the number of orders that the engine must have accepted before.
 	Orders int64
+	// Interrupt breaks off the runs that are under way; else they end first.
+	Interrupt bool
 }
 
 // Engines gives orders to engines.
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -225,6 +225,7 @@
 		Tokens:    x.call.Tokens,
 		Exclude:   x.tried,
 		Left:      time.Until(x.until),
+		Resumable: x.route.Repeats(),
 		Objective: x.route.Objective - time.Since(x.arrived),
 	}
 }
