--- a/cmd/sycamorecart/join.go
+++ b/cmd/sycamorecart/join.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/operate/sycfleet"
 	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycnode"
@@ -98,6 +99,7 @@
 		Seeds:         settings.Seeds,
 		FirstStart:    settings.FirstStart,
 		Lease:         settings.Lease,
+		Headroom:      sycquota.Headroom{Window: settings.QuotaWindow, Slack: settings.QuotaSlack},
 		Retries:       sycattempt.Allowance{Share: settings.RetryShare, Floor: settings.RetryFloor},
 		Place: sycplace.Settings{
 			FailureDomain:   settings.FailureDomain,
--- a/internal/decide/sycquota/quota.go
+++ b/internal/decide/sycquota/quota.go
@@ -26,6 +26,31 @@
 	Burst float64
 }
 
+// Headroom is what a customer may use beyond its limit in a window.
+type Headroom struct {
+	Window time.Duration
+	// Slack is beyond the rate and the burst in each window.
+	Slack float64
+}
+
+const (
+	// slackSpent is the part of the slack that is given to customers; the rest
+	// is for what VMs admit before they hear of each other.
+	slackSpent = 0.6
+	// unheard is the time for which such admissions are reckoned with.
+	unheard = 300 * time.Millisecond
+)
+
+// widen returns the limit with the headroom that can be given.
+func (h Headroom) widen(l Limit) Limit {
+	spare := slackSpent*h.Slack - l.Rate*unheard.Seconds()
+	if h.Window <= 0 || spare <= 0 || l.Rate <= 0 {
+		return l
+	}
+	l.Rate += spare / h.Window.Seconds()
+	return l
+}
+
 // Usage is what a VM tells of a customer.
 type Usage struct {
 	Customer string
@@ -60,8 +85,9 @@
 
 // Fleet holds the buckets of one VM.
 type Fleet struct {
-	buckets map[string]*bucket
-	members map[string]*member
+	buckets  map[string]*bucket
+	members  map[string]*member
+	headroom Headroom
 	// learned is false until the VM knows what customers have left: at the first
 	// start of a deployment, or when another VM has told it.
 	learned bool
@@ -69,11 +95,12 @@
 
 // New returns a fleet without customers. At the first start of a deployment
 // buckets are full, else they are empty until another VM tells of its own.
-func New(firstStart bool) *Fleet {
+func New(firstStart bool, h Headroom) *Fleet {
 	return &Fleet{
-		buckets: map[string]*bucket{},
-		members: map[string]*member{},
-		learned: firstStart,
+		buckets:  map[string]*bucket{},
+		members:  map[string]*member{},
+		learned:  firstStart,
+		headroom: h,
 	}
 }
 
@@ -82,6 +109,7 @@
 	known := map[string]bool{}
 	for _, l := range limits {
 		known[l.Customer] = true
+		l = f.headroom.widen(l)
 		b := f.buckets[l.Customer]
 		if b == nil {
 			b = &bucket{at: now}
@@ -136,6 +164,15 @@
 	return 0, true
 }
 
+// State returns a customer's limit and what is left of it here, for logs.
+func (f *Fleet) State(customer string) (limit Limit, level float64, reach int) {
+	reach = 1 + len(f.members)
+	if b := f.buckets[customer]; b != nil {
+		limit, level = b.limit, b.level
+	}
+	return limit, level, reach
+}
+
 // Refund takes back the charge of a request that has not run.
 func (f *Fleet) Refund(customer string, cost float64) {
 	b := f.buckets[customer]
--- a/internal/operate/sycfleet/duty.go
+++ b/internal/operate/sycfleet/duty.go
@@ -34,7 +34,7 @@
 	tellTime = 2500 * time.Millisecond
 	// holderSilence is how long the holder of the duties may be unheard until a VM
 	// reads the duty log itself.
-	holderSilence = 1500 * time.Millisecond
+	holderSilence = 600 * time.Millisecond
 	// dutyWait is how long a read of the duty log waits for records.
 	dutyWait = 900 * time.Millisecond
 )
--- a/internal/operate/sycfleet/fleet.go
+++ b/internal/operate/sycfleet/fleet.go
@@ -29,6 +29,8 @@
 	gossipPeriod = 250 * time.Millisecond
 	// tickPeriod is how often due work is looked for.
 	tickPeriod = 100 * time.Millisecond
+	// longAgo is the age of what happened before a VM started.
+	longAgo = time.Hour
 	// goneAfter is how long a VM is unheard before its record is dropped.
 	goneAfter = 20 * time.Second
 )
@@ -49,6 +51,8 @@
 	// FirstStart is set when the whole deployment starts for the first time.
 	FirstStart bool
 	Lease      time.Duration
+	// Headroom is what customers may use beyond their limits.
+	Headroom sycquota.Headroom
 	// Retries bounds the arrivals beyond the first of each request, over all VMs.
 	Retries sycattempt.Allowance
 	Place   sycplace.Settings
@@ -92,7 +96,7 @@
 		log:      logrus.WithField("part", "fleet"),
 		loop:     sycloop.New(),
 		placer:   sycplace.New(o.Place),
-		quota:    sycquota.New(o.FirstStart),
+		quota:    sycquota.New(o.FirstStart, o.Headroom),
 		lease:    sycduty.New(o.Incarnation, o.Lease, askDelay(o.Incarnation)),
 		feeds:    newFeeds(),
 		plan:     sycreload.New(),
@@ -183,7 +187,12 @@
 	case Weights:
 		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: weights named")
 		f.weights[r.Model] = max(f.weights[r.Model], r.Version)
-		f.placer.Name(now, r.Model, r.Version)
+		at := now
+		if !f.feeds[FeedOperator].started {
+			// Named before this VM started, nobody knows how long.
+			at = now - longAgo
+		}
+		f.placer.Name(at, r.Model, r.Version)
 	case Rollout:
 		f.rolloutAsked(now, r, c.Offset)
 	}
--- a/internal/operate/sycfleet/follow.go
+++ b/internal/operate/sycfleet/follow.go
@@ -34,6 +34,8 @@
 	pause time.Duration
 	// stale is the age from which on every VM reads the log itself.
 	stale time.Duration
+	// started is false until a state of the log was taken in once.
+	started bool
 	// fresh is when the state was last known to be that of the log.
 	fresh time.Duration
 }
@@ -147,6 +149,7 @@
 		changes = d.Apply(now, records, next)
 	}
 	f.changed(now, name, changes)
+	d.started = true
 	if len(changes) > 0 && name == FeedOperator {
 		f.mesh.Kick()
 	}
--- a/internal/operate/sycfleet/peers.go
+++ b/internal/operate/sycfleet/peers.go
@@ -305,4 +305,5 @@
 		records = append(records, sycfeed.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
 	}
 	f.changed(now, in.Name, own.Apply(now, records, in.Next))
+	own.started = true
 }
--- a/internal/operate/sycfleet/serve.go
+++ b/internal/operate/sycfleet/serve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 )
 
@@ -52,6 +53,9 @@
 	Refusal *sycplace.Refusal
 	// LimitedFor is the time until the customer's limit allows the request.
 	LimitedFor time.Duration
+	// Limit is the customer's limit, Level what is left of it.
+	Limit sycquota.Limit
+	Level float64
 }
 
 // NewID returns a number that no other attempt of this VM has.
@@ -67,6 +71,7 @@
 		after, ok := f.quota.Admit(now, a.Customer, a.Cost)
 		if !ok {
 			v.LimitedFor = after
+			v.Limit, v.Level, _ = f.quota.State(a.Customer)
 			return
 		}
 		v.Target, v.Refusal = f.placer.Place(now, a.Request)
--- a/internal/operate/sycsetting/node.go
+++ b/internal/operate/sycsetting/node.go
@@ -36,6 +36,9 @@
 	// that a release may get before it has proved itself.
 	RolloutShare float64
 	RolloutFloor float64
+	// QuotaWindow and QuotaSlack bound what a customer may use beyond its limit.
+	QuotaWindow time.Duration
+	QuotaSlack  float64
 	// TokensPerSecond is how fast engines read prompts.
 	TokensPerSecond float64
 	// FirstToken is the time to the first token of an empty prompt.
@@ -63,6 +66,8 @@
 		{"bounds", "retry_floor", "10", "must be a number from 0 to 1000000", number(&n.RetryFloor, 0, 1e6)},
 		{"bounds", "rollout_share", "0.1", "must be a number from 0 to 1", fraction(&n.RolloutShare)},
 		{"bounds", "rollout_floor", "50", "must be a number from 0 to 1000000", number(&n.RolloutFloor, 0, 1e6)},
+		{"bounds", "quota_window_ms", "8000", "must be from 100 to 3600000", milliseconds(&n.QuotaWindow, 100*time.Millisecond, time.Hour)},
+		{"bounds", "quota_slack", "0", "must be a number from 0 to 1000000000", number(&n.QuotaSlack, 0, 1e9)},
 		{"engines", "tokens_per_second", "50000", "must be a number from 1 to 1000000000", number(&n.TokensPerSecond, 1, 1e9)},
 		{"engines", "first_token_ms", "30", "must be from 0 to 60000", milliseconds(&n.FirstToken, 0, time.Minute)},
 		{"log", "level", "info", "must be debug, info, warn or error", oneOf(&n.LogLevel, "debug", "info", "warn", "error")},
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -145,5 +146,6 @@
 		fields["first"] = x.firstByte.Round(time.Millisecond).String()
 		fields["events"] = x.events
 	}
+	maps.Copy(fields, x.note)
 	x.relay.log.WithFields(fields).Info("relay: request ended")
 }
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -84,6 +84,8 @@
 	events    int
 	firstByte time.Duration
 	target    *sycplace.Target
+	// note holds what decided a refusal.
+	note logrus.Fields
 }
 
 // ServeHTTP answers a caller's request.
@@ -196,9 +198,14 @@
 	})
 	switch {
 	case verdict.LimitedFor > 0:
+		x.note = logrus.Fields{
+			"cost": x.cost, "rate": verdict.Limit.Rate, "burst": verdict.Limit.Burst, "level": int(verdict.Level),
+			"retry_after": verdict.LimitedFor.String(),
+		}
 		x.refuse(http.StatusTooManyRequests, "limit", verdict.LimitedFor)
 		return
 	case verdict.Refusal != nil:
+		x.note = logrus.Fields{"endpoints": verdict.Refusal.Endpoints, "retry_after": verdict.Refusal.After.String()}
 		x.refuse(http.StatusServiceUnavailable, string(verdict.Refusal.Reason), verdict.Refusal.After)
 		return
 	}
