--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -92,6 +92,8 @@
 	// endpoint should fetch it from there, and Fetched the tokens that it keeps more.
 	Fetch   string
 	Fetched int
+	// Shared is the number of prompt tokens that other requests may share.
+	Shared int
 	// Load is what was under way there.
 	Load Load
 	// Expected is the time to the first byte of the answer.
@@ -326,6 +328,7 @@
 		Endpoint: best.record,
 		Weights:  best.record.Weights[r.Model],
 		Held:     best.held,
+		Shared:   sharedTokens(r.Parts),
 		Load:     load,
 		Expected: bestOffer.expected,
 	}
--- a/internal/decide/sycquota/quota.go
+++ b/internal/decide/sycquota/quota.go
@@ -189,6 +189,7 @@
 	if m == nil {
 		return
 	}
+	first := m.incarnation == ""
 	if m.incarnation != incarnation {
 		m.incarnation = incarnation
 		m.spent = map[string]float64{}
@@ -204,6 +205,10 @@
 		}
 		delta := u.Spent - m.spent[u.Customer]
 		m.spent[u.Customer] = u.Spent
+		if first {
+			// What was spent before this VM knew the other is in the other's level.
+			delta = 0
+		}
 		b.level = min(b.level-delta, b.limit.Burst)
 		if delta > 0 {
 			b.active = now
--- a/internal/operate/sycfleet/fleet.go
+++ b/internal/operate/sycfleet/fleet.go
@@ -26,7 +26,7 @@
 
 const (
 	// gossipPeriod is the time between two exchanges of a pair of VMs.
-	gossipPeriod = 250 * time.Millisecond
+	gossipPeriod = 150 * time.Millisecond
 	// tickPeriod is how often due work is looked for.
 	tickPeriod = 100 * time.Millisecond
 	// longAgo is the age of what happened before a VM started.
--- a/internal/operate/sycfleet/serve.go
+++ b/internal/operate/sycfleet/serve.go
@@ -11,6 +11,10 @@
 // workStep is the weight of a new observation of how long a route's requests take.
 const workStep = 0.1
 
+// longRead is the number of prompt tokens to be read that other VMs are told of
+// at once.
+const longRead = 3000
+
 // loads holds what is measured of requests and what is announced of endpoints.
 type loads struct {
 	// work is how long requests take, by route.
@@ -78,6 +82,7 @@
 		if v.Refusal != nil {
 			f.quota.Refund(a.Customer, a.Cost)
 		}
+		f.tellLongRead(v.Target, a.Request)
 	})
 	return v
 }
@@ -96,10 +101,19 @@
 		if target != nil && arrived {
 			budget.Spend(now)
 		}
+		f.tellLongRead(target, r)
 	})
 	return target
 }
 
+// tellLongRead tells the other VMs at once of a prompt that keeps an engine busy,
+// so that they don't send theirs to the same one.
+func (f *Fleet) tellLongRead(t *sycplace.Target, r *sycplace.Request) {
+	if t != nil && r.Tokens-t.Held-t.Fetched >= longRead {
+		f.mesh.Kick()
+	}
+}
+
 // Learned tells which version of a model's weights an endpoint has.
 func (f *Fleet) Learned(endpoint string, born int64, model string, version int64) {
 	f.loop.Post(func(time.Duration) { f.placer.Learn(endpoint, born, map[string]int64{model: version}) })
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -137,6 +137,7 @@
 	if x.target != nil {
 		fields["endpoints"] = x.tried
 		fields["held"] = x.target.Held
+		fields["shared"] = x.target.Shared
 		fields["fetched"] = x.target.Fetched
 		fields["weights"] = x.target.Weights
 		fields["tokens"] = x.call.Tokens
