--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -16,7 +16,7 @@
 	slowest = 8.0
 	// usedCache is the part of an engine's memory that cached parts get; running
 	// requests take the rest.
-	usedCache = 0.75
+	usedCache = 1.1
 )
 
 // Endpoint is what the registry says of an endpoint.
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -26,7 +26,7 @@
 	latePrice = 2.0
 	// fetchLeast is the least number of tokens that are fetched from another
 	// engine, fetchSetup and fetchPerToken the time that it takes.
-	fetchLeast    = 128
+	fetchLeast    = 32
 	fetchSetup    = 6 * time.Millisecond
 	fetchPerToken = 4 * time.Microsecond
 	// fetchAway is the factor between failure domains.
@@ -37,7 +37,7 @@
 	stepPenalty = 300 * time.Microsecond
 	// homeBonus is the advantage of the engine that all VMs would choose for a
 	// prompt that none keeps.
-	homeBonus = 200 * time.Millisecond
+	homeBonus = 300 * time.Millisecond
 	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
 	suspectPenalty = 250 * time.Millisecond
 	// oldAfter is the age of newer weights from which on engines with older ones
