--- a/cmd/sycamorebench/demo.go
+++ b/cmd/sycamorebench/demo.go
@@ -14,7 +14,7 @@
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 	"sycamorecart.example/sycamorecart/internal/standin/sycreport"
--- a/cmd/sycamorecart/operator.go
+++ b/cmd/sycamorecart/operator.go
@@ -10,7 +10,7 @@
 	"strings"
 
 	"github.com/google/subcommands"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 )
 
--- a/cmd/sycamorecart/publish.go
+++ b/cmd/sycamorecart/publish.go
@@ -13,7 +13,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 const publishUsage = `publish (-log URL | -settings FILE) [-wait -vm URL ...] [RECORDS]
--- a/cmd/sycamorecart/serve.go
+++ b/cmd/sycamorecart/serve.go
@@ -10,9 +10,9 @@
 	"syscall"
 
 	"github.com/google/subcommands"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/syctrace"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
-	"sycamorecart.example/sycamorecart/internal/operate/syctrace"
 	"sycamorecart.example/sycamorecart/internal/operate/sycvm"
 )
 
--- a/cmd/sycamorecart/status.go
+++ b/cmd/sycamorecart/status.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/subcommands"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 )
 
 const statusUsage = `status [-json] [-token-file FILE] URL ...
--- a/cmd/sycamorecart/watch.go
+++ b/cmd/sycamorecart/watch.go
@@ -13,7 +13,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 )
 
 const watchUsage = `watch (-log URL | -settings FILE) [-all] [-for DURATION]
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -449,7 +449,7 @@
 func (p *Placer) engineOffer(now time.Duration, r *Request, e *endpoint, load Load) offer {
 	var o offer
 	shared := sharedTokens(r.Parts)
-	source := p.source(now, r, e)
+	source := p.source(r, e)
 	again, transfer := 0, time.Duration(0)
 	if source != nil {
 		more := min(source.held, shared) - e.held
@@ -475,7 +475,7 @@
 
 // source returns the engine with the same weights that keeps most of the prompt,
 // nil if none keeps more than the endpoint.
-func (p *Placer) source(now time.Duration, r *Request, e *endpoint) *endpoint {
+func (p *Placer) source(r *Request, e *endpoint) *endpoint {
 	var best *endpoint
 	for _, s := range p.order {
 		if s == e || s.record.Service != r.Service || s.held <= e.held {
--- a/internal/operate/sycdial/dial_test.go
+++ b/internal/ground/sycdial/dial_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
 )
 
 func TestConnectionsComeFromTheSource(t *testing.T) {
--- a/internal/operate/sycloop/loop_test.go
+++ b/internal/ground/sycloop/loop_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 )
 
 func TestLoopRunsInOrder(t *testing.T) {
--- a/internal/operate/sycpause/pause_test.go
+++ b/internal/ground/sycpause/pause_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 func TestFor(t *testing.T) {
--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -16,8 +16,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
-	"sycamorecart.example/sycamorecart/internal/operate/sycfleet"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
+	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycrelay"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
--- a/internal/operate/sycpublish/session.go
+++ b/internal/operate/sycpublish/session.go
@@ -7,9 +7,9 @@
 	"github.com/google/uuid"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // Bounds of publishing.
--- a/internal/operate/sycpublish/status.go
+++ b/internal/operate/sycpublish/status.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 )
 
 // Bounds of questions to VMs.
--- a/internal/operate/sycvm/mesh.go
+++ b/internal/operate/sycvm/mesh.go
@@ -9,12 +9,12 @@
 	"sycamorecart.example/sycamorecart/internal/decide/syclimit"
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
 	"sycamorecart.example/sycamorecart/internal/peer/sycmesh"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
+	"sycamorecart.example/sycamorecart/internal/port/syclist"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycadmit"
 )
 
--- a/internal/operate/sycvm/status.go
+++ b/internal/operate/sycvm/status.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycadmit"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycversion"
 )
--- a/internal/operate/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -20,7 +20,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossip"
 )
 
--- a/internal/peer/sycmesh/mesh.go
+++ b/internal/peer/sycmesh/mesh.go
@@ -11,11 +11,11 @@
 	"golang.org/x/sync/errgroup"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+	"sycamorecart.example/sycamorecart/internal/port/syclist"
 )
 
 const (
--- a/internal/operate/sycstate/archive.go
+++ b/internal/peer/sycstate/archive.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // SnapshotStream is the stream that VMs append snapshots to.
--- a/internal/operate/sycstate/follower.go
+++ b/internal/peer/sycstate/follower.go
@@ -8,7 +8,7 @@
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // Bounds of reads.
--- a/internal/operate/sycstate/propose.go
+++ b/internal/peer/sycstate/propose.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // proofPoll is the pause between looks at the proof of a stream's end.
--- a/internal/operate/sycstate/rig_test.go
+++ b/internal/peer/sycstate/rig_test.go
@@ -14,11 +14,11 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/operate/sycstate/serve.go
+++ b/internal/peer/sycstate/serve.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // maxServed bounds the records in one answer to a peer, maxServedBytes their data.
--- a/internal/operate/sycstate/start_bench_test.go
+++ b/internal/peer/sycstate/start_bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/operate/sycstate/store.go
+++ b/internal/peer/sycstate/store.go
@@ -13,11 +13,11 @@
 
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeer"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 var log = syclogging.New("state")
--- a/internal/operate/sycstate/store_test.go
+++ b/internal/peer/sycstate/store_test.go
@@ -12,8 +12,8 @@
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/platform/syclist/client_test.go
+++ b/internal/port/syclist/client_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"sycamorecart.example/sycamorecart/internal/platform/syclist"
+	"sycamorecart.example/sycamorecart/internal/port/syclist"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/platform/syclog/client.go
+++ b/internal/port/syclog/client.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 // MaxRecord is the largest record that the log takes, in bytes.
--- a/internal/platform/syclog/client_test.go
+++ b/internal/port/syclog/client_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 )
 
--- a/internal/standin/sycengine/batch.go
+++ b/internal/standin/sycengine/batch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 // runBatch computes steps until the life ends.
--- a/internal/standin/sycengine/completion.go
+++ b/internal/standin/sycengine/completion.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/uptrace/bunrouter"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 const defaultMaxTokens = 16
--- a/internal/standin/sycengine/engine.go
+++ b/internal/standin/sycengine/engine.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/syccache"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
--- a/internal/standin/sycengine/kv.go
+++ b/internal/standin/sycengine/kv.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uptrace/bunrouter"
 	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
--- a/internal/standin/sycengine/load.go
+++ b/internal/standin/sycengine/load.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 const (
--- a/internal/standin/sycload/resume.go
+++ b/internal/standin/sycload/resume.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 const (
--- a/internal/standin/sycload/run.go
+++ b/internal/standin/sycload/run.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 )
 
--- a/internal/standin/sycplatform/faults.go
+++ b/internal/standin/sycplatform/faults.go
@@ -7,7 +7,7 @@
 
 	"github.com/uptrace/bunrouter"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycserver"
 )
 
--- a/internal/standin/sycscenario/outage.go
+++ b/internal/standin/sycscenario/outage.go
@@ -9,7 +9,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/operate/sycpublish"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
--- a/internal/standin/sycscenario/pause.go
+++ b/internal/standin/sycscenario/pause.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
--- a/internal/standin/sycscenario/probe.go
+++ b/internal/standin/sycscenario/probe.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
 )
--- a/internal/standin/sycscenario/sample.go
+++ b/internal/standin/sycscenario/sample.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycoracle"
 )
--- a/internal/standin/sycscenario/scenario.go
+++ b/internal/standin/sycscenario/scenario.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/standin/sycdeploy"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/sycload"
--- a/internal/traffic/sycadmit/doc.go
+++ b/internal/traffic/sycadmit/doc.go
@@ -13,8 +13,8 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycmember"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycslot"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 )
 
--- a/internal/traffic/sycchoose/choose.go
+++ b/internal/traffic/sycchoose/choose.go
@@ -11,7 +11,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 )
 
 // TickPeriod is the time between looks at deadlines and at the configuration
--- a/internal/traffic/sycchoose/choose_test.go
+++ b/internal/traffic/sycchoose/choose_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
 )
 
--- a/internal/traffic/sycchoose/site_test.go
+++ b/internal/traffic/sycchoose/site_test.go
@@ -17,7 +17,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/standin/syckvstore"
--- a/internal/traffic/sycclaims/bench_test.go
+++ b/internal/traffic/sycclaims/bench_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
 )
 
--- a/internal/traffic/sycclaims/driver.go
+++ b/internal/traffic/sycclaims/driver.go
@@ -9,8 +9,8 @@
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 var (
--- a/internal/traffic/sycclaims/driver_test.go
+++ b/internal/traffic/sycclaims/driver_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 	"sycamorecart.example/sycamorecart/internal/standin/sycplatform"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycclaims"
 )
--- a/internal/traffic/sycclaims/outcome.go
+++ b/internal/traffic/sycclaims/outcome.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 )
 
--- a/internal/traffic/sycclaims/record.go
+++ b/internal/traffic/sycclaims/record.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // entries encodes records for the log. The ids of a claim's records differ by
--- a/internal/traffic/sycclaims/settings.go
+++ b/internal/traffic/sycclaims/settings.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
-	"sycamorecart.example/sycamorecart/internal/platform/syclog"
+	"sycamorecart.example/sycamorecart/internal/port/syclog"
 )
 
 // Stream is the name of the log's stream.
--- a/internal/traffic/sycdrain/drain.go
+++ b/internal/traffic/sycdrain/drain.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 )
 
 // Drain follows the requests under way and closes the servers once there are none.
--- a/internal/traffic/sycfeed/feed.go
+++ b/internal/traffic/sycfeed/feed.go
@@ -14,7 +14,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sycpoll"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 )
 
 const (
--- a/internal/traffic/sycfeed/feed_test.go
+++ b/internal/traffic/sycfeed/feed_test.go
@@ -11,7 +11,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycdispatch"
 	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/standin/sycengine"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycchoose"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycfeed"
--- a/internal/traffic/sycgateway/cancel.go
+++ b/internal/traffic/sycgateway/cancel.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
 )
 
--- a/internal/traffic/sycgateway/gateway.go
+++ b/internal/traffic/sycgateway/gateway.go
@@ -22,7 +22,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycclaim"
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycproxy"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
--- a/internal/traffic/sycgateway/generate.go
+++ b/internal/traffic/sycgateway/generate.go
@@ -7,7 +7,7 @@
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycpause"
+	"sycamorecart.example/sycamorecart/internal/ground/sycpause"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycapi"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycstream"
 )
--- a/internal/traffic/sycorder/client.go
+++ b/internal/traffic/sycorder/client.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
 )
 
 // Timeout bounds each call to an engine.
--- a/internal/traffic/sycproxy/client.go
+++ b/internal/traffic/sycproxy/client.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
 )
 
 // Settings bounds the connections to endpoints.
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -8,7 +8,7 @@
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
-	"sycamorecart.example/sycamorecart/internal/operate/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
 )
 
 // Piece is a part of a prompt as the caller names it.
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
-	"sycamorecart.example/sycamorecart/internal/operate/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -13,7 +13,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycconfig"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
-	"sycamorecart.example/sycamorecart/internal/operate/sycstate"
+	"sycamorecart.example/sycamorecart/internal/peer/sycstate"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
 )
 
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -15,9 +15,9 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycrecord"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
-	"sycamorecart.example/sycamorecart/internal/operate/sycdial"
-	"sycamorecart.example/sycamorecart/internal/operate/syclogging"
-	"sycamorecart.example/sycamorecart/internal/operate/sycloop"
+	"sycamorecart.example/sycamorecart/internal/ground/sycdial"
+	"sycamorecart.example/sycamorecart/internal/ground/syclogging"
+	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
 )
 
