Move services to new releases by the product's own evidence

op/rollout was read and left alone: duties missed, and nothing kept a bad release's share small. sycrelease holds a release at eight tenths of the granted share until shortly before the deadline, since a fault may show late; every VM leaves a release that the shared evidence (sycrollout's ledger, told by gossip) shows to be bad, and the holder of the duties decides and publishes. First try: numbers of requests modulo 1000 gave a release whole runs of requests or none; they are spread now.

--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -147,6 +147,22 @@
 	missing  int
 	expected time.Duration
 	answered bool
+	// load is what was under way at the endpoint when the attempt began.
+	load  Load
+	first time.Duration
+}
+
+// Ended is an attempt that has ended, as evidence about its endpoint.
+type Ended struct {
+	Service string
+	Release string
+	Outcome Outcome
+	// Requests and Tokens are what was under way at the endpoint when the attempt
+	// began, its own prompt included.
+	Requests int
+	Tokens   int
+	// FirstToken is the time to the first byte of the answer, 0 if none came.
+	FirstToken time.Duration
 }
 
 // Settings describes the deployment's engines.
@@ -341,6 +357,7 @@
 		started:  now,
 		missing:  max(r.Tokens-best.held-bestOffer.fetched, 0),
 		expected: bestOffer.expected,
+		load:     load,
 	}
 	best.attempts[r.ID] = a
 	p.attempts[r.ID] = a
@@ -559,14 +576,23 @@
 		return
 	}
 	a.answered = true
+	a.first = now - a.started
 	a.endpoint.learn(now-a.started, a.expected)
 }
 
-// Finish ends an attempt.
-func (p *Placer) Finish(now time.Duration, id uint64, o Outcome) {
+// Finish ends an attempt, and returns what it says about its endpoint.
+func (p *Placer) Finish(now time.Duration, id uint64, o Outcome) Ended {
 	a := p.attempts[id]
 	if a == nil {
-		return
+		return Ended{Outcome: Cancelled}
+	}
+	ended := Ended{
+		Service:    a.request.Service,
+		Release:    a.endpoint.record.Release,
+		Outcome:    o,
+		Requests:   a.load.Requests,
+		Tokens:     a.load.Tokens + a.missing,
+		FirstToken: a.first,
 	}
 	delete(p.attempts, id)
 	delete(a.endpoint.attempts, id)
@@ -576,7 +602,8 @@
 	case Failed:
 		if now < p.held[a.endpoint.record.ID]+heldGrace {
 			// Broken off by an order.
-			return
+			ended.Outcome = Cancelled
+			return ended
 		}
 		a.endpoint.health.Observe(now, sychealth.Failure)
 	case Unreachable:
@@ -587,6 +614,18 @@
 		a.endpoint.health.Observe(now, sychealth.Unreachable)
 	case Cancelled:
 	}
+	return ended
+}
+
+// Releases returns how many endpoints of a service have a release and may get work.
+func (p *Placer) Releases(service, release string) int {
+	n := 0
+	for _, e := range p.order {
+		if e.record.Service == service && e.record.Release == release && !e.record.Leaving {
+			n++
+		}
+	}
+	return n
 }
 
 // Loads returns what this VM has under way, for its peers.
--- /dev/null
+++ b/internal/decide/sycplace/place_test.go
@@ -0,0 +1,219 @@
+package sycplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+)
+
+const model = "m"
+
+func newPlacer(engines int) *sycplace.Placer {
+	p := sycplace.New(sycplace.Settings{
+		FailureDomain:   "z0",
+		Seed:            1,
+		TokensPerSecond: 60000,
+		FirstToken:      20 * time.Millisecond,
+	})
+	p.CacheTokens("llm", 100000)
+	for i := range engines {
+		p.Put(engine(i, 1))
+	}
+	return p
+}
+
+func engine(i int, weights int64) sycplace.Endpoint {
+	return sycplace.Endpoint{
+		ID:            fmt.Sprint("e", i),
+		Service:       "llm",
+		Address:       fmt.Sprintf("10.0.0.%d:80", i),
+		FailureDomain: "z0",
+		Release:       "v1",
+		Slots:         64,
+		Weights:       map[string]int64{model: weights},
+	}
+}
+
+func request(id uint64, subject uint64) *sycplace.Request {
+	return &sycplace.Request{
+		ID:        id,
+		Service:   "llm",
+		Model:     model,
+		Parts:     []sycplace.Part{{Hash: 1, Tokens: 500}, {Hash: 100 + subject, Tokens: 4000}, {Hash: 10000 + id, Tokens: 1000}},
+		Tokens:    5500,
+		Left:      5 * time.Second,
+		Objective: 800 * time.Millisecond,
+	}
+}
+
+func place(t *testing.T, p *sycplace.Placer, now time.Duration, r *sycplace.Request) *sycplace.Target {
+	t.Helper()
+	target, refusal := p.Place(now, r)
+	must.Nil(t, refusal)
+	return target
+}
+
+func TestPromptGoesWhereItIsKept(t *testing.T) {
+	p := newPlacer(8)
+	first := place(t, p, 0, request(1, 7))
+	must.Eq(t, 0, first.Held)
+	p.Finish(time.Second, 1, sycplace.Served)
+	second := place(t, p, time.Second, request(2, 7))
+	must.Eq(t, first.Endpoint.ID, second.Endpoint.ID)
+	must.Eq(t, 4500, second.Held)
+}
+
+func TestVMsAgreeOnTheHomeOfANewPrompt(t *testing.T) {
+	for subject := range uint64(20) {
+		a, b := newPlacer(8), newPlacer(8)
+		must.Eq(t, place(t, a, 0, request(1, subject)).Endpoint.ID, place(t, b, 0, request(2, subject)).Endpoint.ID)
+	}
+}
+
+func TestBusyHomeIsLeftAndItsPartsFetched(t *testing.T) {
+	p := newPlacer(4)
+	home := place(t, p, 0, request(1, 7)).Endpoint
+	for id := range uint64(40) {
+		target := place(t, p, 0, request(10+id, 7))
+		if target.Endpoint.ID == home.ID {
+			continue
+		}
+		must.Eq(t, home.Address, target.Fetch)
+		must.Eq(t, 4500, target.Fetched)
+		return
+	}
+	t.Fatal("all went to one engine")
+}
+
+func TestNothingIsFetchedFromOtherWeights(t *testing.T) {
+	p := newPlacer(2)
+	home := place(t, p, 0, request(1, 7)).Endpoint
+	p.Learn(home.ID, 0, map[string]int64{model: 2})
+	for id := range uint64(20) {
+		must.Eq(t, "", place(t, p, 0, request(10+id, uint64(id))).Fetch)
+	}
+}
+
+func TestNewWeightsForgetWhatWasKept(t *testing.T) {
+	p := newPlacer(1)
+	place(t, p, 0, request(1, 7))
+	p.Put(engine(0, 2))
+	must.Eq(t, 0, place(t, p, 0, request(2, 7)).Held)
+	p.Put(engine(0, 1))
+	must.Eq(t, 2, place(t, p, 0, request(3, 7)).Weights, must.Sprint("an older record changes nothing"))
+}
+
+func TestOldWeightsAreLeftInTime(t *testing.T) {
+	tests := []struct {
+		name  string
+		names map[int64]time.Duration
+		at    time.Duration
+		old   bool
+	}{
+		{"just named", map[int64]time.Duration{2: 0}, 100 * time.Millisecond, true},
+		{"long named", map[int64]time.Duration{2: 0}, 7 * time.Second, false},
+		{"named again lately", map[int64]time.Duration{2: 0, 3: 6 * time.Second}, 7 * time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlacer(2)
+			for version := int64(2); version < 4; version++ {
+				if at, named := tt.names[version]; named {
+					p.Name(at, model, version)
+				}
+			}
+			p.Put(engine(0, 3))
+			old := false
+			for id := range uint64(40) {
+				old = old || place(t, p, tt.at, request(id, id)).Endpoint.ID == "e1"
+			}
+			must.Eq(t, tt.old, old)
+		})
+	}
+}
+
+func TestHeldAndLeavingEndpoints(t *testing.T) {
+	p := newPlacer(3)
+	p.Hold("e0", time.Second)
+	leaving := engine(1, 1)
+	leaving.Leaving = true
+	p.Put(leaving)
+	for id := range uint64(20) {
+		must.Eq(t, "e2", place(t, p, 0, request(id, id)).Endpoint.ID)
+	}
+	p.Drop("e2")
+	must.Eq(t, "e0", place(t, p, 0, request(99, 1)).Endpoint.ID, must.Sprint("a held endpoint is better than none"))
+	p.Drop("e0")
+	_, refusal := p.Place(0, request(100, 1))
+	must.Eq(t, sycplace.NoEndpoint, refusal.Reason)
+}
+
+func TestUnreachableEndpointIsLeft(t *testing.T) {
+	p := newPlacer(2)
+	bad := place(t, p, 0, request(1, 7)).Endpoint.ID
+	p.Finish(0, 1, sycplace.Unreachable)
+	for id := range uint64(10) {
+		must.NotEq(t, bad, place(t, p, 0, request(10+id, 7)).Endpoint.ID)
+	}
+}
+
+func TestBreakOffByAnOrderIsNoFault(t *testing.T) {
+	p := newPlacer(1)
+	for id := range uint64(10) {
+		place(t, p, 0, request(id, 7))
+	}
+	p.Hold("e0", time.Second)
+	for id := range uint64(10) {
+		must.Eq(t, sycplace.Cancelled, p.Finish(time.Second, id, sycplace.Failed).Outcome)
+	}
+	must.Eq(t, "healthy", p.State("e0"))
+}
+
+func TestLoadOfOtherVMsCounts(t *testing.T) {
+	p := newPlacer(2)
+	p.Heard(0, "vm2", []sycplace.Load{{Endpoint: "e0", Requests: 30, Tokens: 100000}}, nil)
+	for id := range uint64(5) {
+		must.Eq(t, "e1", place(t, p, 0, request(id, 50+id)).Endpoint.ID)
+	}
+	must.Eq(t, 30, p.Load(0, "e0").Requests)
+	must.Eq(t, 0, p.Load(2*time.Second, "e0").Requests, must.Sprint("old news counts no more"))
+}
+
+func TestPlainServiceIsRefusedWhenFull(t *testing.T) {
+	p := newPlacer(0)
+	p.Put(sycplace.Endpoint{ID: "a", Service: "app", Slots: 2})
+	var refusal *sycplace.Refusal
+	for id := uint64(0); refusal == nil; id++ {
+		must.Less(t, 10, id)
+		_, refusal = p.Place(0, &sycplace.Request{ID: id, Service: "app", Left: time.Second, Work: 50 * time.Millisecond})
+	}
+	must.Eq(t, sycplace.Full, refusal.Reason)
+	must.Positive(t, refusal.After)
+}
+
+func TestSplit(t *testing.T) {
+	tests := []struct {
+		share    float64
+		min, max int
+	}{{0, 0, 0}, {0.08, 60, 100}, {0.5, 450, 550}, {1, 1000, 1000}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.share), func(t *testing.T) {
+			p := newPlacer(2)
+			fresh := engine(1, 1)
+			fresh.Release = "v2"
+			p.Put(fresh)
+			p.Split("llm", "v2", tt.share)
+			got := 0
+			for id := range uint64(1000) {
+				if place(t, p, 0, request(5000+id, 1)).Endpoint.ID == "e1" {
+					got++
+				}
+				p.Finish(0, 5000+id, sycplace.Served)
+			}
+			must.Between(t, tt.min, got, tt.max)
+		})
+	}
+}
--- a/internal/decide/sycplace/split.go
+++ b/internal/decide/sycplace/split.go
@@ -1,5 +1,9 @@
 package sycplace
 
+// spread is an odd number whose multiples are spread evenly, so that of any ids in
+// a row the same part goes to a release.
+const spread = 0x9E3779B97F4A7C15
+
 // splitter divides a service's requests between two releases of its endpoints
 // while a rollout is under way.
 type splitter struct {
@@ -39,7 +43,7 @@
 			others = append(others, e)
 		}
 	}
-	forTarget := float64(r.ID%1000)/1000 < rollout.share
+	forTarget := float64((r.ID*spread)>>11)/(1<<53) < rollout.share
 	switch {
 	case forTarget && len(target) > 0:
 		return target
--- /dev/null
+++ b/internal/decide/sycrelease/release.go
@@ -0,0 +1,123 @@
+// Package sycrelease decides how a service moves to the endpoints of another
+// release by a deadline.
+//
+// The release gets a small share of the requests for almost the whole time, since
+// a fault may show late, and all of them in the last seconds if it has proved
+// itself; the former endpoints are left before the move is reported as done,
+// because they are stopped then.
+package sycrelease
+
+import "time"
+
+// State is the state of a move.
+type State string
+
+// States of moves.
+const (
+	Running    State = "running"
+	Completed  State = "completed"
+	RolledBack State = "rolled_back"
+)
+
+const (
+	// trialPart is the part of the granted share that a release gets on trial; the
+	// rest is for requests that are counted otherwise.
+	trialPart = 0.8
+	// halfBefore, allBefore and doneBefore are the times before the deadline at
+	// which a proved release gets half and all of the requests, and at which the
+	// move is done. Between the last two the former endpoints finish what they have.
+	halfBefore = 6500 * time.Millisecond
+	allBefore  = 5500 * time.Millisecond
+	doneBefore = 1200 * time.Millisecond
+	// shortest is the part of the time that is left to the trial when the deadline
+	// is near.
+	shortest = 0.4
+	// leastProof is the least number of requests that prove a release.
+	leastProof = 8
+)
+
+// Evidence is what is known of a release.
+type Evidence struct {
+	// Endpoints is how many endpoints of the release may get requests.
+	Endpoints int
+	// Requests is how many requests of it have ended.
+	Requests uint64
+	// Bad says why the release is bad; empty if it is not known to be.
+	Bad string
+}
+
+// Move is one service's move.
+type Move struct {
+	asked  time.Duration
+	within time.Duration
+	// granted is the part of the requests that an unproved release may get.
+	granted float64
+	state   State
+	reason  string
+}
+
+// New returns a move that was asked for at a time and is to end within another.
+func New(asked, within time.Duration, granted float64) *Move {
+	return &Move{asked: asked, within: within, granted: granted, state: Running}
+}
+
+// State is the move's state.
+func (m *Move) State() State { return m.state }
+
+// Reason says why the move was taken back.
+func (m *Move) Reason() string { return m.reason }
+
+// Decided sets the state that another VM has decided.
+func (m *Move) Decided(s State) {
+	if m.state == Running {
+		m.state = s
+	}
+}
+
+// Trial is the share of the requests that a release gets on trial.
+func (m *Move) Trial() float64 { return trialPart * m.granted }
+
+// Next decides from the evidence, and returns the release's share of the requests.
+func (m *Move) Next(now time.Duration, e Evidence) float64 {
+	if m.state == Running && e.Bad != "" {
+		m.state, m.reason = RolledBack, e.Bad
+	}
+	switch m.state {
+	case RolledBack:
+		return 0
+	case Completed:
+		return 1
+	}
+	left := m.asked + m.within - now
+	proved := e.Endpoints > 0 && e.Requests >= leastProof
+	switch {
+	case left <= m.before(doneBefore):
+		m.end(proved)
+		return m.Next(now, e)
+	case e.Endpoints == 0:
+		return 0
+	case proved && left <= m.before(allBefore):
+		return 1
+	case proved && left <= m.before(halfBefore):
+		return 0.5
+	default:
+		return m.Trial()
+	}
+}
+
+func (m *Move) end(proved bool) {
+	if proved {
+		m.state = Completed
+		return
+	}
+	m.state, m.reason = RolledBack, "the release had no endpoints or too few requests to prove itself"
+}
+
+// before shortens the last stages of a move whose deadline is near.
+func (m *Move) before(d time.Duration) time.Duration {
+	most := time.Duration((1 - shortest) * float64(m.within))
+	if most < halfBefore {
+		return time.Duration(float64(d) * float64(most) / float64(halfBefore))
+	}
+	return d
+}
--- /dev/null
+++ b/internal/peer/sycevidence/evidence.go
@@ -0,0 +1,44 @@
+// Package sycevidence tells VMs' evidence about versions to each other.
+package sycevidence
+
+import (
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
+)
+
+// Encode returns the message that tells of the counts in a cell.
+func Encode(cell sycrollout.Cell, c sycrollout.Counts) *sycpeerpb.VersionEvidence {
+	return &sycpeerpb.VersionEvidence{
+		Version:       cell.Version,
+		Generation:    cell.Generation,
+		Route:         cell.Route,
+		Load:          cell.Class(),
+		Requests:      c.Requests,
+		Failures:      c.Failures,
+		FirstToken:    trim(c.FirstToken[:]),
+		BetweenTokens: trim(c.BetweenTokens[:]),
+	}
+}
+
+// Decode returns the counts of a message, and false if they make no sense.
+func Decode(e *sycpeerpb.VersionEvidence) (sycrollout.Cell, sycrollout.Counts, bool) {
+	cell := sycrollout.Cell{Version: e.GetVersion(), Generation: e.GetGeneration(), Route: e.GetRoute()}
+	counts := sycrollout.Counts{Requests: e.GetRequests(), Failures: e.GetFailures()}
+	if !cell.SetClass(e.GetLoad()) {
+		return cell, counts, false
+	}
+	if len(e.GetFirstToken()) > sycrollout.BucketCount || len(e.GetBetweenTokens()) > sycrollout.BucketCount {
+		return cell, counts, false
+	}
+	copy(counts.FirstToken[:], e.GetFirstToken())
+	copy(counts.BetweenTokens[:], e.GetBetweenTokens())
+	return cell, counts, true
+}
+
+// trim drops the empty buckets at the end.
+func trim(buckets []uint64) []uint64 {
+	for len(buckets) > 0 && buckets[len(buckets)-1] == 0 {
+		buckets = buckets[:len(buckets)-1]
+	}
+	return buckets
+}
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -91,12 +91,13 @@
 			return nil
 		})
 	}
-	if _, holds := f.lease.Holds(now); !holds {
+	_, holds := f.lease.Holds(now)
+	f.rolloutTick(now, holds)
+	if !holds {
 		f.plan.Stop()
 		return
 	}
 	f.orderWeights(now)
-	f.rolloutTick(now)
 }
 
 // askSpread is the time over which VMs ask one after the other for a free lease.
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -51,6 +51,9 @@
 	// FirstStart is set when the whole deployment starts for the first time.
 	FirstStart bool
 	Lease      time.Duration
+	// RolloutShare is the part of its service's requests that a release gets before
+	// it has proved itself.
+	RolloutShare float64
 	// Headroom is what customers may use beyond their limits.
 	Headroom sycquota.Headroom
 	// Retries bounds the arrivals beyond the first of each request, over all VMs.
@@ -85,6 +88,8 @@
 	loads   *loads
 	// rollouts holds the rollouts that operators asked for, by service.
 	rollouts map[string]*rollout
+	// statuses holds the newest states of rollouts that lie in the log, by service.
+	statuses map[string]RolloutReport
 	// registered is when this VM last wrote its own record.
 	registered time.Duration
 }
@@ -103,6 +108,7 @@
 		weights:  map[string]int64{},
 		loads:    newLoads(),
 		rollouts: map[string]*rollout{},
+		statuses: map[string]RolloutReport{},
 	}
 	f.view.Store(&view{})
 	f.peers = newPeers(o.Address, o.Seeds)
@@ -168,6 +174,8 @@
 			f.endpointChanged(c)
 		case FeedVMs:
 			f.vmChanged(now, c)
+		case FeedStatus:
+			f.statusChanged(c)
 		}
 	}
 }
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -54,6 +54,12 @@
 			pause: 400 * time.Millisecond,
 			stale: 1100 * time.Millisecond,
 		},
+		FeedStatus: {
+			Feed:  sycfeed.New(0),
+			wait:  3 * time.Second,
+			pause: 500 * time.Millisecond,
+			stale: 5 * time.Second,
+		},
 		FeedVMs: {
 			Feed:  sycfeed.New(0),
 			wait:  3 * time.Second,
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -21,6 +21,8 @@
 	FeedEndpoints = "endpoints"
 	// FeedVMs holds the addresses of VMs, which they write themselves.
 	FeedVMs = "vms"
+	// FeedStatus holds the states of rollouts, which the holder of the duties writes.
+	FeedStatus = "status"
 )
 
 // Log is the shared log.
@@ -78,6 +80,7 @@
 	// record that says nothing to VMs.
 	Operator(key string, value []byte) (any, error)
 	Endpoint(key string, value []byte) (sycplace.Endpoint, error)
+	Status(key string, value []byte) (RolloutReport, error)
 }
 
 // EngineReport is what an engine says of itself.
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -1,24 +1,211 @@
 package sycfleet
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrelease"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/peer/sycevidence"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
-// rollout is a service's move to another release.
+const (
+	// formerReleases stands for all releases but the one that is moved to.
+	formerReleases = "before"
+	// reportAgain is the time between two tries to publish a move's state.
+	reportAgain = 700 * time.Millisecond
+)
+
+// rollout is a service's move to another release, as one VM sees it.
 type rollout struct {
 	Rollout
-	asked  time.Duration
-	offset int64
+	// asked is the offset of the operator's record.
+	asked  int64
+	move   *sycrelease.Move
+	ledger *sycrollout.Ledger
+	stage  *sycrollout.Stage
+	// share is the release's part of the requests here.
+	share float64
+	// published is the state that is known to lie in the log, and tried when this
+	// VM last tried to publish one.
+	published RolloutState
+	tried     time.Duration
 }
 
-func (f *Fleet) rolloutAsked(now time.Duration, r Rollout, offset int64) {
-	f.rollouts[r.Service] = &rollout{Rollout: r, asked: now, offset: offset}
+func (r *rollout) subjects() (candidate, former sycrollout.Subject) {
+	generation := uint64(r.asked)
+	return sycrollout.Subject{Version: r.Release, Generation: generation},
+		sycrollout.Subject{Version: formerReleases, Generation: generation}
 }
 
-func (f *Fleet) rolloutTick(time.Duration) {}
+func (f *Fleet) rolloutAsked(now time.Duration, asked Rollout, offset int64) {
+	if old := f.rollouts[asked.Service]; old != nil && old.asked >= offset {
+		return
+	}
+	r := &rollout{
+		Rollout: asked,
+		asked:   offset,
+		move:    sycrelease.New(now, asked.Within, f.options.RolloutShare),
+		ledger:  sycrollout.NewLedger(),
+	}
+	candidate, former := r.subjects()
+	r.stage = sycrollout.NewStage(candidate, former, r.move.Trial(), nil)
+	f.rollouts[asked.Service] = r
+	f.setShare(r, r.move.Trial(), "asked for")
+	if status, ok := f.statuses[asked.Service]; ok && status.Release == asked.Release {
+		f.statusKnown(status)
+	}
+}
 
-func (f *Fleet) addRollouts(time.Duration, *sycgossippb.State) {}
+// statusChanged takes in a state that lies in the log.
+func (f *Fleet) statusChanged(c sycfeed.Change) {
+	if c.Dropped {
+		return
+	}
+	status, err := f.options.Decoder.Status(c.Key, c.Value)
+	if err != nil {
+		f.log.WithError(err).WithField("key", c.Key).Warn("fleet: status can't be read")
+		return
+	}
+	f.statuses[status.Service] = status
+	f.statusKnown(status)
+}
 
-func (f *Fleet) heardRollouts(time.Duration, *sycgossippb.State) {}
+func (f *Fleet) statusKnown(s RolloutReport) {
+	r := f.rollouts[s.Service]
+	if r == nil || r.Release != s.Release {
+		return
+	}
+	r.published = s.State
+	if s.State != RolloutRunning {
+		r.move.Decided(sycrelease.State(s.State))
+	}
+}
+
+// evidence counts how a request ended for the rollout of its service.
+func (f *Fleet) evidence(route string, e sycplace.Ended) {
+	r := f.rollouts[e.Service]
+	if r == nil || r.move.State() != sycrelease.Running || e.Outcome != sycplace.Served && e.Outcome != sycplace.Failed {
+		return
+	}
+	version := formerReleases
+	if e.Release == r.Release {
+		version = r.Release
+	}
+	r.ledger.Record(sycrollout.Cell{
+		Version:    version,
+		Generation: uint64(r.asked),
+		Route:      route,
+		Load:       sycrollout.LoadClass(e.Requests),
+		Size:       sycrollout.SizeClass(e.Tokens),
+	}, sycrollout.Sample{Failed: e.Outcome == sycplace.Failed, FirstToken: e.FirstToken})
+}
+
+// rolloutTick judges the releases that are moved to. Every VM leaves a release
+// that it finds bad at once; the holder of the duties decides for all.
+func (f *Fleet) rolloutTick(now time.Duration, holder bool) {
+	for _, service := range slices.Sorted(maps.Keys(f.rollouts)) {
+		r := f.rollouts[service]
+		state := r.move.State()
+		whole, lately := r.stage.Judge(now, r.ledger)
+		bad := whole.Reason
+		if bad == "" {
+			bad = lately.Reason
+		}
+		switch {
+		case state == sycrelease.Running && bad != "" && !holder:
+			f.setShare(r, 0, bad)
+		case holder || state != sycrelease.Running:
+			share := r.move.Next(now, sycrelease.Evidence{
+				Endpoints: f.placer.Releases(service, r.Release),
+				Requests:  whole.Requests,
+				Bad:       bad,
+			})
+			f.setShare(r, share, string(r.move.State())+" "+r.move.Reason())
+		}
+		if holder {
+			f.publish(now, r)
+		}
+	}
+}
+
+// setShare sets the release's part of the requests on this VM.
+func (f *Fleet) setShare(r *rollout, share float64, why string) {
+	if share != r.share {
+		f.log.WithFields(logrus.Fields{
+			"service": r.Service, "release": r.Release, "share": share, "before": r.share, "why": why,
+		}).Info("fleet: rollout's share changes")
+		f.mesh.Kick()
+	}
+	r.share = share
+	f.placer.Split(r.Service, r.Release, share)
+}
+
+// publish writes a move's state into the log until it is known to lie there.
+func (f *Fleet) publish(now time.Duration, r *rollout) {
+	state := RolloutState(r.move.State())
+	if r.published == state || now-r.tried < reportAgain {
+		return
+	}
+	r.tried = now
+	report := RolloutReport{Service: r.Service, Release: r.Release, State: state}
+	f.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
+		defer cancel()
+		if err := f.options.Log.Report(ctx, report); err != nil {
+			f.log.WithError(err).WithField("service", report.Service).Warn("fleet: rollout's state not published")
+			return nil
+		}
+		f.loop.Do(func(time.Duration) { r.published = state })
+		f.log.WithFields(logrus.Fields{"service": report.Service, "release": report.Release, "state": state}).Info("fleet: rollout's state published")
+		return nil
+	})
+}
+
+// addRollouts tells the shares that this VM has decided, and its evidence.
+func (f *Fleet) addRollouts(now time.Duration, out *sycgossippb.State) {
+	_, holder := f.lease.Holds(now)
+	for _, r := range f.rollouts {
+		message := &sycgossippb.Rollout{
+			Service: r.Service,
+			Release: r.Release,
+			Asked:   r.asked,
+			Decided: holder,
+			Share:   r.share,
+			State:   string(r.move.State()),
+		}
+		if r.move.State() == sycrelease.Running {
+			for cell, counts := range r.ledger.Own() {
+				message.Evidence = append(message.Evidence, sycevidence.Encode(cell, counts))
+			}
+		}
+		out.Rollouts = append(out.Rollouts, message)
+	}
+}
+
+// heardRollouts takes in another VM's evidence, and what the holder has decided.
+func (f *Fleet) heardRollouts(_ time.Duration, in *sycgossippb.State) {
+	for _, m := range in.Rollouts {
+		r := f.rollouts[m.Service]
+		if r == nil || r.asked != m.Asked {
+			continue
+		}
+		for _, e := range m.Evidence {
+			if cell, counts, ok := sycevidence.Decode(e); ok {
+				r.ledger.Merge(in.Address+"/"+in.Incarnation, cell, counts)
+			}
+		}
+		if state := sycrelease.State(m.State); state != sycrelease.Running {
+			r.move.Decided(state)
+		}
+		if m.Decided {
+			f.setShare(r, m.Share, "the holder's word")
+		}
+	}
+}
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -133,7 +133,7 @@
 // answered whole.
 func (f *Fleet) Finished(id uint64, o sycplace.Outcome, route string, took time.Duration) {
 	f.loop.Post(func(time.Duration) {
-		f.placer.Finish(sycclock.Now(), id, o)
+		f.evidence(route, f.placer.Finish(sycclock.Now(), id, o))
 		if o != sycplace.Served {
 			return
 		}
--- a/internal/standin/sycfakeworker/worker.go
+++ b/internal/standin/sycfakeworker/worker.go
@@ -77,9 +77,9 @@
 
 // Worker is a running worker.
 type Worker struct {
-	id     string
-	server *httptest.Server
-	mu     sync.Mutex
+	id       string
+	server   *httptest.Server
+	mu       sync.Mutex
 	script   *script
 	arrivals []*Arrival
 	events   int
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -7,6 +7,7 @@
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
+	"sycamorecart.example/sycamorecart/internal/peer/sycevidence"
 	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 )
 
@@ -131,7 +132,7 @@
 			continue
 		}
 		m.shared.sent[cell] = counts.Requests
-		list = append(list, encode(cell, counts))
+		list = append(list, sycevidence.Encode(cell, counts))
 	}
 	return list
 }
@@ -154,43 +155,8 @@
 		m.veto(sycrollout.Subject{Version: e.GetVersion(), Generation: e.GetGeneration()}, e.GetReason())
 		return
 	}
-	cell, counts, ok := decode(e)
+	cell, counts, ok := sycevidence.Decode(e)
 	if ok {
 		m.ledger.Merge(source, cell, counts)
 	}
 }
-
-func encode(cell sycrollout.Cell, c sycrollout.Counts) *sycpeerpb.VersionEvidence {
-	return &sycpeerpb.VersionEvidence{
-		Version:       cell.Version,
-		Generation:    cell.Generation,
-		Route:         cell.Route,
-		Load:          cell.Class(),
-		Requests:      c.Requests,
-		Failures:      c.Failures,
-		FirstToken:    trim(c.FirstToken[:]),
-		BetweenTokens: trim(c.BetweenTokens[:]),
-	}
-}
-
-func decode(e *sycpeerpb.VersionEvidence) (sycrollout.Cell, sycrollout.Counts, bool) {
-	cell := sycrollout.Cell{Version: e.GetVersion(), Generation: e.GetGeneration(), Route: e.GetRoute()}
-	counts := sycrollout.Counts{Requests: e.GetRequests(), Failures: e.GetFailures()}
-	if !cell.SetClass(e.GetLoad()) {
-		return cell, counts, false
-	}
-	if len(e.GetFirstToken()) > sycrollout.BucketCount || len(e.GetBetweenTokens()) > sycrollout.BucketCount {
-		return cell, counts, false
-	}
-	copy(counts.FirstToken[:], e.GetFirstToken())
-	copy(counts.BetweenTokens[:], e.GetBetweenTokens())
-	return cell, counts, true
-}
-
-// trim drops the empty buckets at the end.
-func trim(buckets []uint64) []uint64 {
-	for len(buckets) > 0 && buckets[len(buckets)-1] == 0 {
-		buckets = buckets[:len(buckets)-1]
-	}
-	return buckets
-}
