--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -79,6 +79,8 @@
 	peers    map[string]peerLoad
 	// pace is the time that answers take against what is expected; at least 1.
 	pace float64
+	// heard is when an answer last began to come.
+	heard time.Duration
 	// held is how much of the prompt at hand the engine keeps, while it is placed.
 	held int
 	// fullUntil is the end of a pause after the endpoint was full.
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -52,6 +52,10 @@
 	// waitingPerSlot is how many requests may wait at a plain service's endpoint
 	// for each that runs.
 	waitingPerSlot = 2
+	// overdueTimes and overdueMore say when an answer is overdue: so many times what
+	// was expected, and this much more.
+	overdueTimes = 3
+	overdueMore  = 500 * time.Millisecond
 	// namesKept is how many versions of a model's weights are remembered.
 	namesKept = 8
 	// heldGrace is how long after a hold broken answers are still put down to it.
@@ -150,6 +154,8 @@
 	// load is what was under way at the endpoint when the attempt began.
 	load  Load
 	first time.Duration
+	// overdue is set once the answer is overdue.
+	overdue bool
 }
 
 // Ended is an attempt that has ended, as evidence about its endpoint.
@@ -577,6 +583,7 @@
 	}
 	a.answered = true
 	a.first = now - a.started
+	a.endpoint.heard = now
 	a.endpoint.learn(now-a.started, a.expected)
 }
 
@@ -617,6 +624,28 @@
 	return ended
 }
 
+// Tick judges endpoints by the answers that are awaited: one from which nothing
+// has come since an overdue request was sent to it counts as unreachable.
+func (p *Placer) Tick(now time.Duration) {
+	for _, e := range p.order {
+		for _, a := range e.attempts {
+			if a.answered || a.overdue || now-a.started < overdueTimes*a.expected+overdueMore {
+				continue
+			}
+			a.overdue = true
+			if e.heard > a.started {
+				e.health.Observe(now, sychealth.Slow)
+				continue
+			}
+			e.health.Observe(now, sychealth.Unreachable)
+		}
+	}
+}
+
+// Patience is how long the first byte of an answer may take until the request, if
+// it may be repeated, is better sent elsewhere.
+func (t *Target) Patience() time.Duration { return overdueTimes*t.Expected + overdueMore }
+
 // Releases returns how many endpoints of a service have a release and may get work.
 func (p *Placer) Releases(service, release string) int {
 	n := 0
--- a/internal/decide/sycplace/place_test.go
+++ b/internal/decide/sycplace/place_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+func TestSilentEndpointIsLeftWhileAnswersAreAwaited(t *testing.T) {
+	p := newPlacer(2)
+	bad := place(t, p, 0, request(1, 7)).Endpoint.ID
+	p.Tick(300 * time.Millisecond)
+	must.Eq(t, "healthy", p.State(bad))
+	p.Tick(2 * time.Second)
+	must.Eq(t, "out", p.State(bad))
+	for id := range uint64(5) {
+		must.NotEq(t, bad, place(t, p, 2*time.Second, request(10+id, 7)).Endpoint.ID)
+	}
+}
+
+func TestSlowEndpointThatAnswersOthersIsNotSilent(t *testing.T) {
+	p := newPlacer(1)
+	place(t, p, 0, request(1, 7))
+	place(t, p, 0, request(2, 8))
+	p.Answered(time.Second, 2)
+	p.Tick(2 * time.Second)
+	must.Eq(t, "healthy", p.State("e0"))
+}
+
 func TestBreakOffByAnOrderIsNoFault(t *testing.T) {
 	p := newPlacer(1)
 	for id := range uint64(10) {
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -160,6 +160,7 @@
 	for _, name := range slices.Sorted(maps.Keys(f.feeds)) {
 		f.changed(now, name, f.feeds[name].Due(now))
 	}
+	f.placer.Tick(now)
 	f.register(now)
 	f.dutyTick(now)
 }
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -35,7 +34,7 @@
 func (x *exchange) whole(ctx context.Context, answer *sycwire.Answer, started time.Time) result {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeLimit))
 	if err != nil {
-		return x.brokenOff(ctx, err, started)
+		return x.brokenOff(err, started)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		x.finished(sycplace.Failed, started)
@@ -76,8 +75,8 @@
 }
 
 // brokenOff tells how an answer ended that did not end well.
-func (x *exchange) brokenOff(ctx context.Context, err error, started time.Time) result {
-	if x.ctx.Err() != nil || errors.Is(ctx.Err(), context.Canceled) {
+func (x *exchange) brokenOff(err error, started time.Time) result {
+	if x.ctx.Err() != nil {
 		x.finished(sycplace.Cancelled, started)
 		return result{arrived: true, reason: "caller_gone"}
 	}
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -284,6 +284,8 @@
 	}
 	x.attempts++
 	x.tried = append(x.tried, target.Endpoint.ID)
+	ctx, watch := x.watch(ctx)
+	defer watch.stop()
 	answer, err := x.relay.client.Do(ctx, &sycwire.Request{
 		Address: target.Endpoint.Address,
 		Method:  x.call.Method,
@@ -319,13 +321,15 @@
 		return x.otherWeights(answer, started)
 	}
 	x.ran = true
+	watch.heard()
 	if x.started && answer.Status != http.StatusOK {
 		x.finished(sycplace.Failed, started)
 		return result{arrived: true, reason: "resume_failed"}
 	}
 	if x.route.Kind == sycsite.Stream && answer.Status == http.StatusOK {
-		return x.stream(ctx, answer, started)
+		return x.stream(answer, watch, started)
 	}
+	watch.pause()
 	return x.whole(ctx, answer, started)
 }
 
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -70,7 +69,7 @@
 
 // stream passes on a stream, whole events at a time, so that another endpoint
 // can go on after any of them.
-func (x *exchange) stream(ctx context.Context, answer *sycwire.Answer, started time.Time) result {
+func (x *exchange) stream(answer *sycwire.Answer, watch *watch, started time.Time) result {
 	in := newEvents(answer)
 	flusher, _ := x.writer.(http.Flusher)
 	first := true
@@ -82,8 +81,9 @@
 			x.finish("answered", answer.Status)
 			return result{done: true}
 		}
+		watch.pause()
 		if err != nil {
-			return x.brokenOff(ctx, err, started)
+			return x.brokenOff(err, started)
 		}
 		if first {
 			first = false
@@ -102,6 +102,7 @@
 		if !in.more() {
 			flusher.Flush()
 		}
+		watch.heard()
 	}
 }
 
