Wait in the outage's test until the VM is ready

TestOutageRefusesAndLosesNothing failed once under -race at a load average of 25: the outage began before the VM had read the second stream, without which it is not ready yet. The test is about readiness that an outage must not take away, so it waits for it first; what it checks is the same. Five runs under -race pass.

--- a/internal/peer/sycstate/store_test.go
+++ b/internal/peer/sycstate/store_test.go
@@ -85,6 +85,8 @@
 	v := start(t, p.URL(), false)
 	_, err := v.store.Propose(t.Context(), sycstate.ConfigStream, customer(t, "c", 1))
 	must.NoError(t, err)
+	// A VM is ready once it has read both streams, of which the proposal needs one.
+	eventually(t, "ready", v.store.Ready)
 	p.SetFaults(sycplatform.Faults{Log: sycplatform.Fault{Out: true}})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
