Log each decision through a ring that never blocks, and count

One line for each request sent, failed attempt and end, with the inputs that decided it; lines wait in a ring, each message has a rate, and faults are kept before the rest. Gauges for what a VM believes.

--- a/cmd/sycamorecart/join.go
+++ b/cmd/sycamorecart/join.go
@@ -67,22 +67,28 @@
 		return subcommands.ExitUsageError
 	}
 	if err := c.run(settings); err != nil {
-		logrus.WithError(err).Error("node: ended with a fault")
+		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
 func (c *join) run(settings *sycsetting.Node) error {
-	if err := syclogging.Setup(os.Stdout, settings.LogLevel, settings.LogFormat); err != nil {
+	log, err := syclogging.SetupRing(os.Stdout, settings.LogLevel, settings.LogFormat)
+	if err != nil {
 		return err
 	}
 	vm, err := sycjoin.New(settings)
 	if err != nil {
-		return err
+		return errors.Join(err, log.Close())
 	}
 	c.wait()
-	return errors.Join(vm.Drain(), vm.Close())
+	err = errors.Join(vm.Drain(), vm.Close())
+	if err != nil {
+		logrus.WithError(err).Error("node: ended with a fault")
+	}
+	logrus.Info("node: stopped")
+	return errors.Join(err, log.Close())
 }
 
 // wait returns when the VM is to stop, and until then takes over settings that
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -90,6 +90,8 @@
 	rollouts map[string]*rollout
 	// statuses holds the newest states of rollouts that lie in the log, by service.
 	statuses map[string]RolloutReport
+	// measured is when the gauges were last updated.
+	measured time.Duration
 	// registered is when this VM last wrote its own record.
 	registered time.Duration
 }
@@ -163,6 +165,7 @@
 	f.placer.Tick(now)
 	f.register(now)
 	f.dutyTick(now)
+	f.measure(now)
 }
 
 // changed takes in what has changed in a feed.
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -95,11 +95,13 @@
 		now := sycclock.Now()
 		budget := f.retries.Get(now, r.Service)
 		if arrived && !budget.Allows(now) {
+			countRetry(r.Service, false)
 			return
 		}
 		target, _ = f.placer.Place(now, r)
 		if target != nil && arrived {
 			budget.Spend(now)
+			countRetry(r.Service, true)
 		}
 		f.tellLongRead(target, r)
 	})
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -135,17 +135,14 @@
 	}
 	if x.target != nil {
 		fields["endpoints"] = x.tried
-		fields["held"] = x.target.Held
-		fields["shared"] = x.target.Shared
-		fields["fetched"] = x.target.Fetched
-		fields["weights"] = x.target.Weights
-		fields["tokens"] = x.call.Tokens
-		fields["load"] = x.target.Load.Requests
-		fields["waiting"] = x.target.Load.Tokens
-		fields["expected"] = x.target.Expected.Round(time.Millisecond).String()
 		fields["first"] = x.firstByte.Round(time.Millisecond).String()
 		fields["events"] = x.events
 	}
 	maps.Copy(fields, x.note)
-	x.relay.log.WithFields(fields).Info("relay: request ended")
+	line := x.relay.log.WithFields(fields)
+	if outcome == "answered" && status < http.StatusInternalServerError {
+		line.Info("relay: request ended")
+		return
+	}
+	line.Warn("relay: request failed")
 }
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -215,6 +215,10 @@
 		if result.done {
 			return
 		}
+		x.relay.log.WithFields(logrus.Fields{
+			"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "reason": result.reason, "arrived": result.arrived,
+			"events": x.events, "attempt": x.attempts,
+		}).Warn("relay: attempt failed")
 		if !x.next(ctx, result) {
 			x.giveUp(ctx, result)
 			return
@@ -284,6 +288,7 @@
 	}
 	x.attempts++
 	x.tried = append(x.tried, target.Endpoint.ID)
+	x.logSent(left)
 	ctx, watch := x.watch(ctx)
 	defer watch.stop()
 	answer, err := x.relay.client.Do(ctx, &sycwire.Request{
@@ -333,6 +338,24 @@
 	return x.whole(ctx, answer, started)
 }
 
+// logSent logs what decided the present attempt.
+func (x *exchange) logSent(left time.Duration) {
+	t := x.target
+	fields := logrus.Fields{
+		"id": x.call.ID, "attempt": x.attempts, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
+		"endpoint": t.Endpoint.ID, "address": t.Endpoint.Address, "load": t.Load.Requests,
+		"expected": t.Expected.Round(time.Millisecond).String(), "left": left.Round(time.Millisecond).String(),
+	}
+	if x.call.Model != "" {
+		fields["weights"], fields["waiting"], fields["tokens"] = t.Weights, t.Load.Tokens, x.call.Tokens
+		fields["shared"], fields["held"], fields["fetched"] = t.Shared, t.Held, t.Fetched
+	}
+	if x.lastEvent != "" {
+		fields["after_event"] = x.lastEvent
+	}
+	x.relay.log.WithFields(fields).Info("relay: request sent")
+}
+
 // otherWeights has the same endpoint tried again with the weights that it has;
 // it has not run the request.
 func (x *exchange) otherWeights(answer *sycwire.Answer, started time.Time) result {
