--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -32,7 +32,7 @@
 	// fetchAway is the factor between failure domains.
 	fetchAway = 2
 	// awayPenalty is the disadvantage of endpoints in other failure domains.
-	awayPenalty = 4 * time.Millisecond
+	awayPenalty = 50 * time.Millisecond
 	// stepPenalty is what each running request adds to the time of an engine's step.
 	stepPenalty = 300 * time.Microsecond
 	// homeBonus is the advantage of the engine that all VMs would choose for a
