Let runs end for 1.2 s before they are broken off for new weights

A stream that is broken off reads its prompt again elsewhere and mostly pauses for longer than callers accept.

--- a/internal/decide/sycreload/plan.go
+++ b/internal/decide/sycreload/plan.go
@@ -20,7 +20,7 @@
 	heldPart = 0.34
 	// patience is how long an engine's runs may take to end before those that can
 	// go on elsewhere are broken off.
-	patience = 700 * time.Millisecond
+	patience = 1200 * time.Millisecond
 	// longPatience is how long the others may take; the engine is then ordered all
 	// the same, and waits for them itself.
 	longPatience = 1600 * time.Millisecond
