--- a/cmd/sycamorecart/check.go
+++ b/cmd/sycamorecart/check.go
@@ -11,9 +11,9 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 )
 
-const checkUsage = `check [-settings FILE] [RECORDS ...]
-  Checks a settings file and files of records without a platform, and lists all
-  faults. What depends on records that were published before, such as a key's
+const checkUsage = `check [-settings FILE] [-join FILE] [RECORDS ...]
+  Checks settings files of VMs that serve and of VMs that join a fleet, and files
+  of records, without a platform, and lists all faults. What depends on records that were published before, such as a key's
   customer, is judged when a record is published.
 
   Example:
@@ -25,6 +25,7 @@
 // check looks for faults in files.
 type check struct {
 	settings string
+	join     string
 }
 
 func newCheck() subcommands.Command { return &check{} }
@@ -41,11 +42,12 @@
 // SetFlags implements subcommands.Command.
 func (c *check) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings `file` of a VM")
+	f.StringVar(&c.join, "join", "", "settings `file` of a VM that joins a fleet")
 }
 
 // Execute implements subcommands.Command.
 func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" && f.NArg() == 0 {
+	if c.settings == "" && c.join == "" && f.NArg() == 0 {
 		fmt.Fprint(os.Stderr, checkUsage)
 		return subcommands.ExitUsageError
 	}
@@ -57,6 +59,13 @@
 			fmt.Printf("%s: settings are in order\n", c.settings)
 		}
 	}
+	if c.join != "" {
+		if _, err := sycsetting.ReadNode(c.join); err != nil {
+			status = fail(err, subcommands.ExitFailure)
+		} else {
+			fmt.Printf("%s: settings are in order\n", c.join)
+		}
+	}
 	for _, path := range f.Args() {
 		if err := checkRecords(path); err != nil {
 			status = fail(fmt.Errorf("%s:\n%w", path, err), subcommands.ExitFailure)
--- /dev/null
+++ b/internal/operate/sycsetting/node_test.go
@@ -0,0 +1,65 @@
+package sycsetting_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
+)
+
+const goodNode = `
+[vm]
+name = vm-1
+failure_domain = larisa
+first_start = true
+seeds = 10.0.0.1:80,10.0.0.2:80
+memory_mb = 134
+[listen]
+callers = 10.0.0.1:8606
+readiness = 10.0.0.1:8605
+peers = 10.0.0.1:8608
+[store]
+address = 10.0.0.9:8601
+[bounds]
+grace_ms = 8000
+retry_floor = 54
+quota_slack = 140000
+`
+
+func TestParseNodeGood(t *testing.T) {
+	n, err := sycsetting.ParseNode("good", []byte(goodNode))
+	must.NoError(t, err)
+	must.Eq(t, "larisa", n.FailureDomain)
+	must.Eq(t, []string{"10.0.0.1:80", "10.0.0.2:80"}, n.Seeds)
+	must.True(t, n.FirstStart)
+	must.Eq(t, 8*time.Second, n.Grace)
+	must.Eq(t, 54.0, n.RetryFloor)
+	must.Eq(t, "json", n.LogFormat)
+	must.False(t, n.Metrics.IsValid())
+}
+
+func TestParseNodeListsAllFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		extra string
+		keys  []string
+	}{
+		{"unknown key", "[vm]\ncolour = red\n", []string{"colour"}},
+		{"several at once", "[store]\naddress = store\n[vm]\nseeds = a:b\n[bounds]\nlease_ms = 1\n", []string{"seeds", "address", "lease_ms"}},
+		{"not a number", "[engines]\ntokens_per_second = fast\n", []string{"tokens_per_second"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := sycsetting.ParseNode("bad", []byte(goodNode+tt.extra))
+			var faults *sycsetting.Faults
+			must.True(t, errors.As(err, &faults))
+			var keys []string
+			for _, f := range faults.List() {
+				keys = append(keys, f.Key())
+			}
+			must.Eq(t, tt.keys, keys)
+		})
+	}
+}
