--- a/internal/decide/sycduty/duty.go
+++ b/internal/decide/sycduty/duty.go
@@ -15,6 +15,8 @@
 	marginPercent = 10
 	// renewalDivisor sets the time between renewals as a part of the lease.
 	renewalDivisor = 3
+	// failedPause is the time between a failed append and the next.
+	failedPause = 300 * time.Millisecond
 )
 
 // Record is one entry of the duty log.
@@ -45,7 +47,9 @@
 	// grantedAt is meaningful only while the newest record is this VM's.
 	grantedAt time.Duration
 	pending   bool
-	resigned  bool
+	// askAgain is the earliest time of the next append, after one that failed.
+	askAgain time.Duration
+	resigned bool
 	// delay is this VM's place among those that ask for a free lease.
 	delay time.Duration
 }
@@ -100,7 +104,7 @@
 
 // Due reports whether this VM should append a record now.
 func (l *Lease) Due(now time.Duration) bool {
-	if l.pending || l.resigned || !l.read {
+	if l.pending || l.resigned || !l.read || now < l.askAgain {
 		return false
 	}
 	if _, ok := l.Holds(now); ok {
@@ -124,8 +128,14 @@
 	return Record{Holder: l.self}, l.end
 }
 
-// Settled tells that the last append was answered or given up.
-func (l *Lease) Settled() { l.pending = false }
+// Settled tells that the last append was granted, or refused or given up; it is
+// then not tried again at once.
+func (l *Lease) Settled(now time.Duration, granted bool) {
+	l.pending = false
+	if !granted {
+		l.askAgain = now + failedPause
+	}
+}
 
 // Resign ends this VM's holding for good. It returns the record to append once
 // the VM has nothing under way, if the VM held the lease.
--- a/internal/decide/sycduty/duty_test.go
+++ b/internal/decide/sycduty/duty_test.go
@@ -39,7 +39,7 @@
 	must.True(t, a.Due(now))
 	r, at := a.Propose(now)
 	must.True(t, g.append(at, r))
-	a.Settled()
+	a.Settled(now, true)
 	g.read(now+50*time.Millisecond, a)
 	g.read(now+50*time.Millisecond, b)
 	_, ok := a.Holds(now + lease - 1)
@@ -57,7 +57,7 @@
 	g.read(0, b)
 	r, at := a.Propose(4 * time.Second)
 	must.True(t, g.append(at, r))
-	a.Settled()
+	a.Settled(4*time.Second, true)
 	g.read(4*time.Second, a)
 	r, at, held := a.Resign(5 * time.Second)
 	must.True(t, held)
@@ -76,12 +76,23 @@
 	must.Eq(t, at, token)
 }
 
+func TestFailedAppendIsNotRepeatedAtOnce(t *testing.T) {
+	g := &ledger{}
+	a := sycduty.New("a", lease, 0)
+	g.read(0, a)
+	must.True(t, a.Due(4*time.Second))
+	a.Propose(4 * time.Second)
+	a.Settled(4*time.Second, false)
+	must.False(t, a.Due(4200*time.Millisecond))
+	must.True(t, a.Due(4400*time.Millisecond))
+}
+
 func TestLateAppendGrantsNothing(t *testing.T) {
 	g := &ledger{}
 	a := sycduty.New("a", lease, 0)
 	g.read(0, a)
 	r, at := a.Propose(4 * time.Second)
-	a.Settled()
+	a.Settled(5*time.Second, false)
 	must.True(t, g.append(at, r))
 	g.read(9*time.Second, a)
 	_, ok := a.Holds(9 * time.Second)
@@ -133,7 +144,7 @@
 					continue
 				}
 				r, at := l.Propose(now)
-				l.Settled()
+				l.Settled(now, true)
 				if random.IntN(3) == 0 {
 					lates = append(lates, late{now + time.Duration(random.IntN(6000))*time.Millisecond, at, r})
 					continue
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -121,7 +121,10 @@
 }
 
 func (f *Fleet) appendDuty(record sycduty.Record, at int64) {
-	defer f.loop.Post(func(time.Duration) { f.lease.Settled() })
+	granted := false
+	defer func() {
+		f.loop.Post(func(time.Duration) { f.lease.Settled(sycclock.Now(), granted) })
+	}()
 	data, err := json.Marshal(record)
 	if err != nil {
 		f.log.WithError(err).Error("fleet: duty record can't be written")
@@ -133,6 +136,7 @@
 		f.log.WithError(err).WithField("offset", at).Info("fleet: lease not granted")
 		return
 	}
+	granted = true
 	f.loop.Do(func(time.Duration) { f.dutyRead(sycclock.Now(), [][]byte{data}, at, at+1) })
 }
 
