Refuse less urgent requests before the queue at the engines makes all late

Engines took up to 130,000 tokens each, two seconds of queue, and nearly every answer was late or given up. A request is refused, with the time to come back, when others' prompts would keep it waiting for more than 0.35 of its objective, the most urgent kind 1.0. The own prompt doesn't count, so long ones are refused no more often.

--- a/internal/decide/sycplace/offer.go
+++ b/internal/decide/sycplace/offer.go
@@ -30,6 +30,12 @@
 	// homeBonus is the advantage of the engine that all VMs would choose for a
 	// prompt that none keeps.
 	homeBonus = 300 * time.Millisecond
+	// queuePart is the part of its objective that a request may wait for others'
+	// prompts, urgentQueuePart that of the most urgent kind.
+	queuePart       = 0.35
+	urgentQueuePart = 1.0
+	// leastReturn is the least time after which a refused request may come again.
+	leastReturn = 100 * time.Millisecond
 	// suspectPenalty is the disadvantage of an endpoint in doubtful health.
 	suspectPenalty = 250 * time.Millisecond
 	// oldPart is the disadvantage of engines with older weights, as a part of the
@@ -168,6 +174,9 @@
 }
 
 // full reports whether the best endpoint can't answer in time, and when it may.
+// Under overload the less urgent kinds are refused before the queue at the engines
+// makes the others late too. What counts is the queue, not the request's own
+// prompt, so that long prompts are refused no more often than short ones.
 func (p *Placer) full(r *Request, e *endpoint, load Load, expected time.Duration) (time.Duration, bool) {
 	if r.Model == "" {
 		slots := max(e.record.Slots, 1)
@@ -176,5 +185,13 @@
 		}
 		return max(r.Work, 50*time.Millisecond), true
 	}
-	return max(expected-r.Left, 100*time.Millisecond), expected > r.Left
+	queue := time.Duration(e.pace * float64(p.readTime(load.Tokens)))
+	limit := time.Duration(queuePart * float64(r.Objective))
+	if r.Rank == 0 {
+		limit = time.Duration(urgentQueuePart * float64(r.Objective))
+	}
+	if r.Objective > 0 && queue > limit {
+		return queue - limit + leastReturn, true
+	}
+	return max(expected-r.Left, leastReturn), expected > r.Left
 }
--- a/internal/decide/sycplace/place_test.go
+++ b/internal/decide/sycplace/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,7 +94,8 @@
 	home := place(t, p, 0, request(1, 7)).Endpoint
 	p.Learn(home.ID, 0, map[string]int64{model: 2})
 	for id := range uint64(20) {
-		must.Eq(t, "", place(t, p, 0, request(10+id, uint64(id))).Fetch)
+		must.Eq(t, "", place(t, p, 0, request(10+id, id)).Fetch)
+		p.Finish(0, 10+id, sycplace.Cancelled)
 	}
 }
 
@@ -129,6 +131,7 @@
 			old := false
 			for id := range uint64(40) {
 				old = old || place(t, p, tt.at, request(id, id)).Endpoint.ID == "e1"
+				p.Finish(tt.at, id, sycplace.Cancelled)
 			}
 			must.Eq(t, tt.old, old)
 		})
@@ -143,6 +146,7 @@
 	p.Put(leaving)
 	for id := range uint64(20) {
 		must.Eq(t, "e2", place(t, p, 0, request(id, id)).Endpoint.ID)
+		p.Finish(0, id, sycplace.Cancelled)
 	}
 	p.Drop("e2")
 	must.Eq(t, "e0", place(t, p, 0, request(99, 1)).Endpoint.ID, must.Sprint("a held endpoint is better than none"))
@@ -215,6 +219,61 @@
 	must.Positive(t, refusal.After)
 }
 
+// TestOverloadRefusesTheLessUrgent plays twice the load that two engines can
+// read, and checks that the most urgent kind is served in time, that the other
+// fills what is left, and that long prompts are refused no more often than short
+// ones.
+func TestOverloadRefusesTheLessUrgent(t *testing.T) {
+	const step = 10 * time.Millisecond
+	p := newPlacer(2)
+	type run struct {
+		id  uint64
+		end time.Duration
+	}
+	var runs []run
+	free := map[string]time.Duration{}
+	served, asked := map[string]int{}, map[string]int{}
+	id := uint64(0)
+	for now := time.Duration(0); now < 20*time.Second; now += step {
+		for len(runs) > 0 && runs[0].end <= now {
+			p.Answered(now, runs[0].id)
+			p.Finish(now, runs[0].id, sycplace.Served)
+			runs = runs[1:]
+		}
+		id++
+		r := request(id, id)
+		kind := "short"
+		switch {
+		case id%4 == 0:
+			kind, r.Rank, r.Objective = "urgent", 0, 400*time.Millisecond
+			r.Parts, r.Tokens = nil, 1500
+		case id%8 == 1:
+			kind, r.Rank, r.Parts, r.Tokens = "long", 1, nil, 9000
+		default:
+			r.Rank, r.Parts, r.Tokens = 1, nil, 2000
+		}
+		asked[kind]++
+		target, refusal := p.Place(now, r)
+		if refusal != nil {
+			must.Positive(t, refusal.After)
+			continue
+		}
+		served[kind]++
+		start := max(free[target.Endpoint.ID], now)
+		end := start + time.Duration(float64(r.Tokens)/60000*float64(time.Second))
+		free[target.Endpoint.ID] = end
+		if kind == "urgent" {
+			must.Less(t, 500*time.Millisecond, end-now, must.Sprintf("request %d", id))
+		}
+		runs = append(runs, run{id, end})
+		slices.SortFunc(runs, func(a, b run) int { return int(a.end - b.end) })
+	}
+	part := func(kind string) float64 { return float64(served[kind]) / float64(asked[kind]) }
+	must.Greater(t, 0.95, part("urgent"), must.Sprint(served, asked))
+	must.Less(t, 0.9, part("short"), must.Sprint(served, asked))
+	must.Greater(t, part("short")/2, part("long"), must.Sprint(served, asked))
+}
+
 func TestSplit(t *testing.T) {
 	tests := []struct {
 		share    float64
--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -95,6 +95,7 @@
 		Parts:     x.parts(),
 		Tokens:    x.call.Tokens,
 		Exclude:   x.tried,
+		Rank:      x.route.Priority,
 		Left:      time.Until(x.until),
 		Resumable: x.route.Repeats(),
 		Objective: x.route.Objective - time.Since(x.arrived),
