--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -83,6 +83,8 @@
 	heard time.Duration
 	// held is how much of the prompt at hand the engine keeps, while it is placed.
 	held int
+	// sent counts this VM's requests.
+	sent int
 	// fullUntil is the end of a pause after the endpoint was full.
 	fullUntil time.Duration
 }
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -26,6 +26,7 @@
 	var bestOffer offer
 	for _, e := range candidates {
 		o := p.offer(now, r, e)
+		o.score = p.rate(now, r, e, o)
 		if best == nil || o.score < bestOffer.score {
 			best, bestOffer = e, o
 		}
@@ -53,6 +54,7 @@
 		expected: bestOffer.expected,
 		load:     load,
 	}
+	best.sent++
 	best.attempts[r.ID] = a
 	p.attempts[r.ID] = a
 	if len(r.Parts) > 0 {
--- a/internal/decide/sycplace/place_test.go
+++ b/internal/decide/sycplace/place_test.go
@@ -274,6 +274,29 @@
 	must.Greater(t, part("short")/2, part("long"), must.Sprint(served, asked))
 }
 
+func TestPolicies(t *testing.T) {
+	tests := []struct {
+		policy string
+		// engines is how many engines 12 requests on one prompt go to.
+		engines int
+	}{{sycplace.PolicyExpected, 1}, {sycplace.PolicyRendezvous, 1}, {sycplace.PolicyRoundRobin, 4}, {sycplace.PolicyLeastLoaded, 1}}
+	for _, tt := range tests {
+		t.Run(tt.policy, func(t *testing.T) {
+			p := sycplace.New(sycplace.Settings{FailureDomain: "z0", TokensPerSecond: 60000, Policy: tt.policy})
+			p.CacheTokens("llm", 100000)
+			for i := range 4 {
+				p.Put(engine(i, 1))
+			}
+			used := map[string]bool{}
+			for id := range uint64(12) {
+				used[place(t, p, 0, request(id, 7)).Endpoint.ID] = true
+				p.Finish(0, id, sycplace.Served)
+			}
+			must.MapLen(t, tt.engines, used)
+		})
+	}
+}
+
 func TestSplit(t *testing.T) {
 	tests := []struct {
 		share    float64
--- a/internal/decide/sycplace/placer.go
+++ b/internal/decide/sycplace/placer.go
@@ -21,6 +21,8 @@
 type Settings struct {
 	FailureDomain string
 	Seed          uint64
+	// Policy is one of the policies; empty is PolicyExpected.
+	Policy string
 	// TokensPerSecond is how fast an engine reads prompts.
 	TokensPerSecond float64
 	// FirstToken is the time to the first token of an empty prompt.
--- a/internal/operate/sycsetting/node.go
+++ b/internal/operate/sycsetting/node.go
@@ -39,6 +39,8 @@
 	// QuotaWindow and QuotaSlack bound what a customer may use beyond its limit.
 	QuotaWindow time.Duration
 	QuotaSlack  float64
+	// Policy chooses among engines.
+	Policy string
 	// TokensPerSecond is how fast engines read prompts.
 	TokensPerSecond float64
 	// FirstToken is the time to the first token of an empty prompt.
@@ -68,6 +70,7 @@
 		{"bounds", "rollout_floor", "50", "must be a number from 0 to 1000000", number(&n.RolloutFloor, 0, 1e6)},
 		{"bounds", "quota_window_ms", "8000", "must be from 100 to 3600000", milliseconds(&n.QuotaWindow, 100*time.Millisecond, time.Hour)},
 		{"bounds", "quota_slack", "0", "must be a number from 0 to 1000000000", number(&n.QuotaSlack, 0, 1e9)},
+		{"routing", "policy", "expected", "must be expected, rendezvous, least_loaded or round_robin", oneOf(&n.Policy, "expected", "rendezvous", "least_loaded", "round_robin")},
 		{"engines", "tokens_per_second", "50000", "must be a number from 1 to 1000000000", number(&n.TokensPerSecond, 1, 1e9)},
 		{"engines", "first_token_ms", "30", "must be from 0 to 60000", milliseconds(&n.FirstToken, 0, time.Minute)},
 		{"log", "level", "info", "must be debug, info, warn or error", oneOf(&n.LogLevel, "debug", "info", "warn", "error")},
