Tell the age of names that a VM meets at its start or when it wakes

Changes now count from when the feed was last known, also while messages from before the wake-up still arrive; where all engines are too old, those with the newest weights are taken.

--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -95,7 +95,7 @@
 	if len(all) == 0 {
 		return nil, &Refusal{Reason: NoEndpoint, After: noneRetry}
 	}
-	all = prefer(all, func(e *endpoint) bool { return !p.outdated(now, r.Model, e, oldNever) })
+	all = p.preferNewer(now, r.Model, all)
 	all = prefer(all, func(e *endpoint) bool { return now >= p.held[e.record.ID] })
 	all = prefer(all, func(e *endpoint) bool { return now >= e.fullUntil })
 	return all, nil
@@ -115,6 +115,19 @@
 	return out
 }
 
+// preferNewer leaves out engines whose weights were replaced too long ago. Where
+// that is all of them, as for a VM that has not seen the names come, it leaves
+// those with the newest weights.
+func (p *Placer) preferNewer(now time.Duration, model string, all []*endpoint) []*endpoint {
+	newest := int64(0)
+	for _, e := range all {
+		newest = max(newest, e.record.Weights[model])
+	}
+	return prefer(all, func(e *endpoint) bool {
+		return !p.outdated(now, model, e, oldNever) || e.record.Weights[model] == newest
+	})
+}
+
 // outdated reports whether an engine has older weights than some that were named
 // that long ago.
 func (p *Placer) outdated(now time.Duration, model string, e *endpoint, age time.Duration) bool {
--- a/internal/decide/sycplace/place_test.go
+++ b/internal/decide/sycplace/place_test.go
@@ -138,6 +138,16 @@
 	}
 }
 
+func TestRestartedVMTakesTheNewestThereAre(t *testing.T) {
+	p := newPlacer(3)
+	p.Put(engine(2, 2))
+	p.Name(-time.Hour, model, 3)
+	for id := range uint64(20) {
+		must.Eq(t, "e2", place(t, p, 0, request(id, id)).Endpoint.ID)
+		p.Finish(0, id, sycplace.Cancelled)
+	}
+}
+
 func TestHeldAndLeavingEndpoints(t *testing.T) {
 	p := newPlacer(3)
 	p.Hold("e0", time.Second)
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -199,12 +199,7 @@
 	case Weights:
 		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: weights named")
 		f.weights[r.Model] = max(f.weights[r.Model], r.Version)
-		at := now
-		if !f.feeds[FeedOperator].started {
-			// Named before this VM started, nobody knows how long.
-			at = now - longAgo
-		}
-		f.placer.Name(at, r.Model, r.Version)
+		f.placer.Name(f.feeds[FeedOperator].happened(now), r.Model, r.Version)
 	case Rollout:
 		f.rolloutAsked(now, r, c.Offset)
 	}
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -36,6 +36,11 @@
 	stale time.Duration
 	// started is false until a state of the log was taken in once.
 	started bool
+	// since is the earliest time at which what is being applied can have happened.
+	// After an outage that stays for a while, since news that were sent before its
+	// end may arrive after it.
+	since      time.Duration
+	sinceUntil time.Duration
 	// fresh is when the state was last known to be that of the log.
 	fresh time.Duration
 }
@@ -76,11 +81,23 @@
 		return
 	}
 	if now-d.fresh > max(outage, d.stale) && d.fresh > 0 {
+		d.since, d.sinceUntil = d.fresh, now+outage
 		d.Returned(now)
+	} else if now > d.sinceUntil {
+		d.since = now
 	}
 	d.fresh = at
 }
 
+// happened is the earliest time at which a change that is being applied can have
+// happened: a VM that starts, or wakes, meets changes of unknown age.
+func (d *feed) happened(now time.Duration) time.Duration {
+	if !d.started {
+		return now - longAgo
+	}
+	return min(now, d.since)
+}
+
 // follow follows one feed for as long as the VM runs.
 func (f *Fleet) follow(name string) error {
 	ctx := f.tomb.Context(context.Background())
