Pass an endpoint's failure on when no other answer came

A repeatable request whose second attempt was broken off got a 502 of our own in place of the first endpoint's 500, and retries stood in two places. Kept failures are passed on unchanged at the end; one place decides about the next attempt. Settings that nothing reads are gone, limits of attempts have names.

--- a/internal/decide/sycsite/site.go
+++ b/internal/decide/sycsite/site.go
@@ -119,7 +119,6 @@
 	// routes holds the routes of each host, the longest prefix first.
 	routes    map[string][]*Route
 	customers map[string]*Customer
-	named     map[string]*Customer
 	services  map[string]*Service
 }
 
@@ -138,7 +137,6 @@
 		fields:    f,
 		routes:    map[string][]*Route{},
 		customers: map[string]*Customer{},
-		named:     map[string]*Customer{},
 		services:  map[string]*Service{},
 	}
 	for i := range f.Services {
@@ -157,7 +155,6 @@
 	}
 	for i := range f.Customers {
 		customer := &f.Customers[i]
-		c.named[customer.Name] = customer
 		for _, key := range customer.Keys {
 			c.customers[key] = customer
 		}
@@ -207,9 +204,6 @@
 // Holder returns the customer that holds the key, or nil.
 func (c *Config) Holder(key string) *Customer { return c.customers[key] }
 
-// Customer returns the customer of that name, or nil.
-func (c *Config) Customer(name string) *Customer { return c.named[name] }
-
 // Service returns the service of that name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
--- a/internal/operate/sycsetting/node.go
+++ b/internal/operate/sycsetting/node.go
@@ -30,12 +30,9 @@
 	// RetryShare and RetryFloor bound the retries over all VMs.
 	RetryShare float64
 	RetryFloor float64
-	// Retire is how long an endpoint that leaves may still get requests.
-	Retire time.Duration
-	// RolloutShare is the part of requests, RolloutFloor the number beyond it,
-	// that a release may get before it has proved itself.
+	// RolloutShare is the part of requests that a release may get before it has
+	// proved itself.
 	RolloutShare float64
-	RolloutFloor float64
 	// QuotaWindow and QuotaSlack bound what a customer may use beyond its limit.
 	QuotaWindow time.Duration
 	QuotaSlack  float64
@@ -63,11 +60,9 @@
 		{"store", "address", "", "must be an IP address and port", address(&n.Store)},
 		{"bounds", "lease_ms", "3000", "must be from 500 to 600000", milliseconds(&n.Lease, 500*time.Millisecond, 10*time.Minute)},
 		{"bounds", "grace_ms", "8000", "must be from 1000 to 86400000", milliseconds(&n.Grace, time.Second, 24*time.Hour)},
-		{"bounds", "retire_ms", "2000", "must be from 100 to 600000", milliseconds(&n.Retire, 100*time.Millisecond, 10*time.Minute)},
 		{"bounds", "retry_share", "0.2", "must be a number from 0 to 1", fraction(&n.RetryShare)},
 		{"bounds", "retry_floor", "10", "must be a number from 0 to 1000000", number(&n.RetryFloor, 0, 1e6)},
 		{"bounds", "rollout_share", "0.1", "must be a number from 0 to 1", fraction(&n.RolloutShare)},
-		{"bounds", "rollout_floor", "50", "must be a number from 0 to 1000000", number(&n.RolloutFloor, 0, 1e6)},
 		{"bounds", "quota_window_ms", "8000", "must be from 100 to 3600000", milliseconds(&n.QuotaWindow, 100*time.Millisecond, time.Hour)},
 		{"bounds", "quota_slack", "0", "must be a number from 0 to 1000000000", number(&n.QuotaSlack, 0, 1e9)},
 		{"routing", "policy", "expected", "must be expected, rendezvous, least_loaded or round_robin", oneOf(&n.Policy, "expected", "rendezvous", "least_loaded", "round_robin")},
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -1,7 +1,6 @@
 package sycrelay
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -31,26 +30,20 @@
 
 // whole passes on an answer that is not streamed. It is read whole first, so
 // that a request that may be repeated is, if its answer is broken off.
-func (x *exchange) whole(ctx context.Context, answer *sycwire.Answer, started time.Time) result {
+func (x *exchange) whole(answer *sycwire.Answer, started time.Time) result {
 	body, err := io.ReadAll(io.LimitReader(answer, wholeLimit))
 	if err != nil {
 		return x.brokenOff(err, started)
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		x.finished(sycplace.Failed, started)
-		if x.mayRepeat(ctx) {
-			x.place()
-			if target := x.relay.fleet.Again(x.request, true); target != nil {
-				x.target = target
-				return x.attempt(ctx)
-			}
-		}
-	} else {
-		x.relay.fleet.Answered(x.request.ID)
-		x.finished(sycplace.Served, started)
+		x.failure = &failure{status: answer.Status, header: answer.Header, body: body}
+		return result{arrived: true, reason: "endpoint_failed"}
 	}
+	x.relay.fleet.Answered(x.request.ID)
+	x.finished(sycplace.Served, started)
 	x.firstByte = time.Since(x.arrived)
-	x.head(answer)
+	x.head(answer.Header)
 	if len(body) < wholeLimit {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -70,8 +63,20 @@
 	return result{done: true}
 }
 
-func (x *exchange) mayRepeat(ctx context.Context) bool {
-	return ctx.Err() == nil && x.route.Repeats() && x.attempts < x.route.Attempts
+// failure is an endpoint's answer that says that it failed.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// passOn answers with an endpoint's failure, unchanged.
+func (x *exchange) passOn(f *failure) {
+	x.head(f.header)
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
+	x.writer.WriteHeader(f.status)
+	_, _ = x.writer.Write(f.body)
+	x.finish("endpoint_failed", f.status)
 }
 
 // brokenOff tells how an answer ended that did not end well.
@@ -88,14 +93,14 @@
 }
 
 // head copies the head of an endpoint's answer.
-func (x *exchange) head(answer *sycwire.Answer) {
+func (x *exchange) head(answer http.Header) {
 	h := x.writer.Header()
-	for name, values := range answer.Header {
+	for name, values := range answer {
 		if !HopHeader(name) && name != "Content-Length" {
 			h[name] = values
 		}
 	}
-	if _, named := answer.Header["Content-Type"]; !named {
+	if _, named := answer["Content-Type"]; !named {
 		// Keeps the library from adding a guess.
 		h["Content-Type"] = nil
 	}
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -14,6 +14,19 @@
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
+const (
+	// leastLeft is the least time for which a request is sent.
+	leastLeft = 5 * time.Millisecond
+	// maxCorrections bounds how often an endpoint is tried again with other weights.
+	maxCorrections = 2
+	// maxUnreachable bounds the endpoints tried without reaching one.
+	maxUnreachable = 4
+	// refusedReturn is when a request may come back that endpoints have not run.
+	refusedReturn = 100 * time.Millisecond
+	// leastUrgent is the highest number of a priority.
+	leastUrgent = 9
+)
+
 // result is how an attempt ended that has not answered the caller.
 type result struct {
 	done bool
@@ -50,7 +63,7 @@
 			Salt:      x.salt() + "." + strconv.FormatInt(target.Weights, 10),
 			Weights:   target.Weights,
 			Fetch:     target.Fetch,
-			Priority:  min(x.priority, 9),
+			Priority:  min(x.priority, leastUrgent),
 			Left:      left,
 			LastEvent: x.lastEvent,
 		}),
@@ -83,7 +96,7 @@
 		return x.stream(answer, watch, started)
 	}
 	watch.pause()
-	return x.whole(ctx, answer, started)
+	return x.whole(answer, started)
 }
 
 // logSent logs what decided the present attempt.
@@ -173,12 +186,6 @@
 	return true
 }
 
-// maxCorrections bounds how often an endpoint is tried again with other weights.
-const maxCorrections = 2
-
-// maxUnreachable bounds the endpoints tried without reaching one.
-const maxUnreachable = 4
-
 // giveUp answers a request that no endpoint has answered.
 func (x *exchange) giveUp(ctx context.Context, last result) {
 	if x.ctx.Err() != nil {
@@ -191,7 +198,11 @@
 	}
 	if !x.ran {
 		x.relay.fleet.Refund(x.customer, x.cost)
-		x.refuse(http.StatusServiceUnavailable, last.reason, 100*time.Millisecond)
+		x.refuse(http.StatusServiceUnavailable, last.reason, refusedReturn)
+		return
+	}
+	if x.failure != nil {
+		x.passOn(x.failure)
 		return
 	}
 	if ctx.Err() != nil {
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -17,8 +17,6 @@
 	// unknownRetry is when a caller may come back to a VM that knows no
 	// configuration yet.
 	unknownRetry = 300 * time.Millisecond
-	// leastLeft is the least time for which a request is sent.
-	leastLeft = 5 * time.Millisecond
 	// defaultTimeout bounds requests whose route and caller name no time.
 	defaultTimeout = time.Minute
 )
@@ -80,6 +78,8 @@
 	events    int
 	firstByte time.Duration
 	target    *sycplace.Target
+	// failure is the last answer of an endpoint that says that it failed.
+	failure *failure
 	// note holds what decided a refusal.
 	note logrus.Fields
 }
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -113,6 +113,6 @@
 	}
 	x.started = true
 	x.firstByte = time.Since(x.arrived)
-	x.head(answer)
+	x.head(answer.Header)
 	x.writer.WriteHeader(answer.Status)
 }
