--- a/internal/decide/sycrelease/release_test.go
+++ b/internal/decide/sycrelease/release_test.go
@@ -36,7 +36,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			m := sycrelease.New(0, within, 0.1)
-			must.Eq(t, tt.share, m.Next(tt.at, tt.evidence))
+			must.InDelta(t, tt.share, m.Next(tt.at, tt.evidence), 1e-9)
 			must.Eq(t, tt.state, m.State())
 		})
 	}
@@ -46,7 +46,7 @@
 	m := sycrelease.New(0, within, 0.1)
 	m.Next(time.Second, sycrelease.Evidence{Bad: "fails"})
 	must.Eq(t, "fails", m.Reason())
-	must.Eq(t, 0, m.Next(15*time.Second, good(1000)))
+	must.Eq(t, 0.0, m.Next(15*time.Second, good(1000)))
 	m.Decided(sycrelease.Completed)
 	must.Eq(t, sycrelease.RolledBack, m.State())
 }
