Close the fleet's loop before its goroutines, forget endpoints that are gone

The loop's tasks start goroutines of the fleet's tomb, which must not happen once all of them have ended; found on reading. Holds and told weights of endpoints that are gone are dropped.

--- a/internal/decide/sycplace/placer.go
+++ b/internal/decide/sycplace/placer.go
@@ -137,6 +137,7 @@
 // Drop removes an endpoint.
 func (p *Placer) Drop(id string) {
 	delete(p.endpoints, id)
+	delete(p.held, id)
 	p.reorder()
 }
 
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -277,9 +277,8 @@
 // learnWeights takes in what an engine says before its record in the log does.
 func (f *Fleet) learnWeights(e sycplace.Endpoint, r EngineReport) {
 	f.loop.Do(func(time.Duration) {
-		now := sycclock.Now()
 		f.placer.Learn(e.ID, e.Born, r.Weights)
-		f.loads.told[e.ID] = toldWeights{born: e.Born, weights: r.Weights, until: now + tellTime}
+		f.loads.told[e.ID] = toldWeights{born: e.Born, weights: r.Weights}
 	})
 }
 
@@ -294,6 +293,7 @@
 	for id, until := range f.loads.holds {
 		if now > until+tellTime {
 			delete(f.loads.holds, id)
+			delete(f.loads.told, id)
 			continue
 		}
 		hold := &sycgossippb.Hold{Endpoint: id, Milliseconds: max(until-now, 0).Milliseconds()}
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -153,9 +153,10 @@
 
 // Close ends all activity and waits for it.
 func (f *Fleet) Close() error {
+	// The loop goes first, since its tasks start goroutines of the tomb.
+	err := f.loop.Close()
 	f.tomb.Kill(nil)
-	// The loop goes first, since its tasks start goroutines.
-	return errors.Join(f.loop.Close(), f.mesh.Close(), f.tomb.Wait())
+	return errors.Join(err, f.mesh.Close(), f.tomb.Wait())
 }
 
 func (f *Fleet) tick(now time.Duration) {
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -31,7 +31,6 @@
 type toldWeights struct {
 	born    int64
 	weights map[string]int64
-	until   time.Duration
 }
 
 func newLoads() *loads {
