--- a/internal/traffic/sycgateway/isolate_test.go
+++ b/internal/traffic/sycgateway/isolate_test.go
@@ -77,7 +77,15 @@
 	seen, err := json.Marshal([]any{s.Calls(), e.Requests()})
 	must.NoError(t, err)
 	must.False(t, strings.Contains(string(seen), testKey))
-	must.Eq(t, 9, len(s.Calls()))
+	// Polls of a former test's gateway may reach the service, which has got the port
+	// of an engine that was stopped.
+	sent := 0
+	for _, call := range s.Calls() {
+		if call.Method == http.MethodPost {
+			sent++
+		}
+	}
+	must.Eq(t, 9, sent)
 	must.Eq(t, 1, len(e.Requests()))
 	t.Logf("%d requests tried, %d wrong", len(cases), wrong)
 	must.Eq(t, 0, wrong)
