--- a/internal/standin/sycfakeworker/worker.go
+++ b/internal/standin/sycfakeworker/worker.go
@@ -179,6 +179,12 @@
 }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Request-Id") == "" {
+		// Not a caller's request: programs of other tests may still poll the port.
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	h := rw.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Instance-Id", w.id)
