Judge first tokens while they are awaited, and failures at once

Cause: an attempt was counted when its answer ended, so a slow version was seen only when its first slow answers had ended; and VMs told each other of counts each second only. Ruled out: the size class of the dispatcher's estimate for first tokens counted when they come.

--- a/internal/decide/sycplace/attempt.go
+++ b/internal/decide/sycplace/attempt.go
@@ -32,8 +32,9 @@
 	overdue bool
 }
 
-// Ended is an attempt that has ended, as evidence about its endpoint.
-type Ended struct {
+// Evidence is an attempt as evidence about its endpoint; its outcome counts once it has
+// ended.
+type Evidence struct {
 	Service string
 	Release string
 	Outcome Outcome
@@ -57,20 +58,33 @@
 	a.endpoint.learn(now-a.started, a.expected)
 }
 
-// Finish ends an attempt, and returns what it says about its endpoint.
-func (p *Placer) Finish(now time.Duration, id uint64, o Outcome) Ended {
+// Begun returns what is known of an attempt under way, as evidence about its endpoint.
+func (p *Placer) Begun(id uint64) (Evidence, bool) {
 	a := p.attempts[id]
 	if a == nil {
-		return Ended{Outcome: Cancelled}
+		return Evidence{}, false
 	}
-	ended := Ended{
+	return a.evidence(), true
+}
+
+func (a *attempt) evidence() Evidence {
+	return Evidence{
 		Service:    a.request.Service,
 		Release:    a.endpoint.record.Release,
-		Outcome:    o,
 		Requests:   a.load.Requests,
 		Tokens:     a.load.Tokens + a.missing,
 		FirstToken: a.first,
 	}
+}
+
+// Finish ends an attempt, and returns what it says about its endpoint.
+func (p *Placer) Finish(now time.Duration, id uint64, o Outcome) Evidence {
+	a := p.attempts[id]
+	if a == nil {
+		return Evidence{Outcome: Cancelled}
+	}
+	ended := a.evidence()
+	ended.Outcome = o
 	delete(p.attempts, id)
 	delete(a.endpoint.attempts, id)
 	switch o {
--- /dev/null
+++ b/internal/decide/sycrollout/await_test.go
@@ -0,0 +1,150 @@
+package sycrollout_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+)
+
+const (
+	// answerTimes is how many times as long as its first token a whole answer takes.
+	answerTimes = 40
+	// awaitGap is the time between two requests.
+	awaitGap = 25 * time.Millisecond
+	// awaitRun is how long requests come after the fault.
+	awaitRun = 20 * time.Second
+)
+
+// answers makes requests whose first tokens and ends come later, in the order of time.
+type answers struct {
+	rng    *rand.Rand
+	ledger *sycrollout.Ledger
+	nextID uint64
+	// open holds what is still to come.
+	open []answer
+}
+
+type answer struct {
+	id                 uint64
+	cell               sycrollout.Cell
+	since, first, ends time.Duration
+	hasFirst           bool
+	took               time.Duration
+}
+
+func (as *answers) begin(now time.Duration, s sycrollout.Subject, factor float64) {
+	cell := sycrollout.Cell{Version: s.Version, Generation: s.Generation, Route: "chat", Size: as.rng.IntN(3)}
+	base := float64(40*time.Millisecond) * math.Exp2(float64(cell.Size))
+	first := time.Duration(factor * base * math.Exp(0.5*as.rng.NormFloat64()))
+	as.nextID++
+	as.ledger.Begin(now, as.nextID, cell)
+	as.open = append(as.open, answer{id: as.nextID, cell: cell, since: now, first: now + first, ends: now + answerTimes*first})
+}
+
+// advance counts what has come until now.
+func (as *answers) advance(now time.Duration) {
+	kept := as.open[:0]
+	for _, a := range as.open {
+		if !a.hasFirst && a.first <= now {
+			a.hasFirst = true
+			a.took = now - a.since
+			as.ledger.Arrived(a.id)
+		}
+		if a.ends > now {
+			kept = append(kept, a)
+			continue
+		}
+		as.ledger.End(a.id, a.cell, sycrollout.Sample{FirstToken: a.took})
+	}
+	as.open = kept
+}
+
+// run sends requests to the new version at the full share; it returns when it was found
+// bad, 0 if it was not, and how many it got.
+func (as *answers) run(factor float64) (found time.Duration, got int) {
+	now := time.Duration(0)
+	for ; now < awaitRun; now += awaitGap {
+		as.advance(now)
+		as.begin(now, oldVersion, 1)
+	}
+	stage := sycrollout.NewStage(newVersion, oldVersion, 1, as.ledger.Sum())
+	for end := now + awaitRun; now < end; now += awaitGap {
+		as.advance(now)
+		as.begin(now, newVersion, factor)
+		got++
+		if now%tick != 0 {
+			continue
+		}
+		if whole, lately := stage.Judge(now, as.ledger); whole.Bad || lately.Bad {
+			return now - awaitRun, got
+		}
+	}
+	return 0, got
+}
+
+// TestSlowFirstTokensAreSeenWhileAwaited lets a version turn slow: it is found before its
+// first answer ends, and a version that is as fast as its predecessor is kept.
+func TestSlowFirstTokensAreSeenWhileAwaited(t *testing.T) {
+	tests := []struct {
+		name   string
+		factor float64
+		// most is the largest number of requests until the version is found; 0 means
+		// that it must be kept.
+		most int
+	}{
+		{"as fast", 1, 0},
+		{"24 times as slow", 24, 60},
+		{"hangs", 1e4, 60},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				as := &answers{rng: rand.New(rand.NewPCG(seed, 1)), ledger: sycrollout.NewLedger()}
+				found, got := as.run(tt.factor)
+				t.Logf("seed %d: found after %s, %d requests", seed, found, got)
+				must.Eq(t, tt.most > 0, found > 0, must.Sprintf("seed %d", seed))
+				if tt.most > 0 {
+					must.LessEq(t, tt.most, got, must.Sprintf("seed %d", seed))
+				}
+			}
+		})
+	}
+}
+
+// TestStallIsNoFault holds all first tokens up for a while, now and then, as a busy
+// machine does: a good version that shares the requests is kept.
+func TestStallIsNoFault(t *testing.T) {
+	const (
+		every = 3 * time.Second
+		stall = 500 * time.Millisecond
+	)
+	for _, share := range []int{10, 2} {
+		for seed := range uint64(20) {
+			as := &answers{rng: rand.New(rand.NewPCG(seed, 2)), ledger: sycrollout.NewLedger()}
+			stage := sycrollout.NewStage(newVersion, oldVersion, 1/float64(share), nil)
+			held := time.Duration(0)
+			for now := time.Duration(0); now < 2*awaitRun; now += awaitGap {
+				if now%every == 0 {
+					held = now + stall
+				}
+				if now >= held {
+					as.advance(now)
+				}
+				subject := oldVersion
+				if as.rng.IntN(share) == 0 {
+					subject = newVersion
+				}
+				as.begin(now, subject, 1)
+				if now%tick != 0 {
+					continue
+				}
+				whole, lately := stage.Judge(now, as.ledger)
+				must.False(t, whole.Bad || lately.Bad, must.Sprintf("share 1/%d, seed %d, after %s: %s%s", share, seed, now, whole.Reason, lately.Reason))
+			}
+		}
+	}
+}
--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -1,6 +1,7 @@
 package sycrollout
 
 import (
+	"maps"
 	"math/bits"
 	"time"
 )
@@ -93,6 +94,9 @@
 	c.BetweenTokens.subtract(&earlier.BetweenTokens)
 }
 
+// Seen is how much was counted; it tells a newer reading from an older one.
+func (c *Counts) Seen() uint64 { return c.Requests + c.FirstToken.Total() }
+
 // Sample is one finished attempt. Durations of 0 were not measured.
 type Sample struct {
 	Failed        bool
@@ -109,6 +113,10 @@
 	// does no harm.
 	own   Totals
 	peers map[string]Totals
+	// awaited holds this VM's attempts under way, by their numbers.
+	awaited map[uint64]await
+	// late counts the first tokens of versions under rollout that were counted late.
+	late uint64
 	// history holds past sums, oldest first.
 	history []reading
 }
@@ -129,7 +137,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{own: Totals{}, peers: map[string]Totals{}}
+	return &Ledger{own: Totals{}, peers: map[string]Totals{}, awaited: map[uint64]await{}}
 }
 
 // Record counts an attempt of this VM.
@@ -159,7 +167,7 @@
 		totals = Totals{}
 		l.peers[source] = totals
 	}
-	if c.Requests >= totals[cell].Requests {
+	if known := totals[cell]; c.Seen() >= known.Seen() {
 		totals[cell] = c
 	}
 }
@@ -176,6 +184,7 @@
 	for _, r := range l.history {
 		prune(r.totals, keep)
 	}
+	maps.DeleteFunc(l.awaited, func(_ uint64, a await) bool { return !keep(a.cell.Version, a.cell.Generation) })
 }
 
 func prune(t Totals, keep func(version string, generation uint64) bool) {
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -126,10 +126,15 @@
 	if old.Total() < minReference {
 		return slow, total
 	}
-	reference := min(old.quantileBucket(referenceQuantile)+c.slack, BucketCount-1)
+	reference := old.reference(c.slack)
 	return slow + fresh.above(reference), total + fresh.Total()
 }
 
+// reference is the bucket after which durations count as slow.
+func (b *Buckets) reference(slack int) int {
+	return min(b.quantileBucket(referenceQuantile)+slack, BucketCount-1)
+}
+
 func (v *Verdict) conclude(route, load string, c *comparison) {
 	if v.Bad {
 		return
--- a/internal/operate/sycvm/vm.go
+++ b/internal/operate/sycvm/vm.go
@@ -206,6 +206,7 @@
 		Dial:        v.dial,
 		Address:     v.address,
 		Incarnation: v.incarnation,
+		Urgent:      func() { v.chooser.Hurry() },
 	})
 	v.closers.add(v.versions.Close)
 	v.store.OnChange(v.versions.Refresh)
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -88,23 +88,57 @@
 	}
 }
 
+// begun has the first byte of an attempt's answer awaited, if the attempt's service is
+// being moved.
+func (f *Fleet) begun(now time.Duration, id uint64, route string) {
+	e, ok := f.placer.Begun(id)
+	if r := f.moving(e.Service); ok && r != nil {
+		r.ledger.Begin(now, id, r.cell(route, e))
+	}
+}
+
+// answered notes the first byte of an answer.
+func (f *Fleet) answered(id uint64) {
+	e, _ := f.placer.Begun(id)
+	if r := f.moving(e.Service); r != nil {
+		r.ledger.Arrived(id)
+	}
+}
+
 // evidence counts how a request ended for the rollout of its service.
-func (f *Fleet) evidence(route string, e sycplace.Ended) {
-	r := f.rollouts[e.Service]
-	if r == nil || r.move.State() != sycrelease.Running || e.Outcome != sycplace.Served && e.Outcome != sycplace.Failed {
+func (f *Fleet) evidence(id uint64, route string, e sycplace.Evidence) {
+	r := f.moving(e.Service)
+	if r == nil {
+		return
+	}
+	if e.Outcome != sycplace.Served && e.Outcome != sycplace.Failed {
+		r.ledger.Forget(id)
 		return
 	}
+	r.ledger.End(id, r.cell(route, e), sycrollout.Sample{Failed: e.Outcome == sycplace.Failed, FirstToken: e.FirstToken})
+}
+
+// moving returns the move of a service that is under way, nil if there is none.
+func (f *Fleet) moving(service string) *rollout {
+	if r := f.rollouts[service]; r != nil && r.move.State() == sycrelease.Running {
+		return r
+	}
+	return nil
+}
+
+// cell is where an attempt is counted.
+func (r *rollout) cell(route string, e sycplace.Evidence) sycrollout.Cell {
 	version := formerReleases
 	if e.Release == r.Release {
 		version = r.Release
 	}
-	r.ledger.Record(sycrollout.Cell{
+	return sycrollout.Cell{
 		Version:    version,
 		Generation: uint64(r.asked),
 		Route:      route,
 		Load:       sycrollout.LoadClass(e.Requests),
 		Size:       sycrollout.SizeClass(e.Tokens),
-	}, sycrollout.Sample{Failed: e.Outcome == sycplace.Failed, FirstToken: e.FirstToken})
+	}
 }
 
 // rolloutTick judges the releases that are moved to. Every VM leaves a release
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -81,14 +81,14 @@
 		if v.Refusal != nil {
 			f.quota.Refund(a.Customer, a.Cost)
 		}
-		f.tellLongRead(v.Target, a.Request)
+		f.placed(now, v.Target, a.Request, a.Route)
 	})
 	return v
 }
 
 // Again places one more attempt of a request, within the budget of retries. It
 // returns nil if there is none.
-func (f *Fleet) Again(r *sycplace.Request, arrived bool) *sycplace.Target {
+func (f *Fleet) Again(r *sycplace.Request, route string, arrived bool) *sycplace.Target {
 	var target *sycplace.Target
 	f.loop.Do(func(time.Duration) {
 		now := sycclock.Now()
@@ -102,15 +102,19 @@
 			budget.Spend(now)
 			countRetry(r.Service, true)
 		}
-		f.tellLongRead(target, r)
+		f.placed(now, target, r, route)
 	})
 	return target
 }
 
-// tellLongRead tells the other VMs at once of a prompt that keeps an engine busy,
-// so that they don't send theirs to the same one.
-func (f *Fleet) tellLongRead(t *sycplace.Target, r *sycplace.Request) {
-	if t != nil && r.Tokens-t.Held-t.Fetched >= longRead {
+// placed notes that an attempt has begun, if there is one. Other VMs are told at once
+// of a prompt that keeps an engine busy, so that they don't send theirs to the same one.
+func (f *Fleet) placed(now time.Duration, t *sycplace.Target, r *sycplace.Request, route string) {
+	if t == nil {
+		return
+	}
+	f.begun(now, r.ID, route)
+	if r.Tokens-t.Held-t.Fetched >= longRead {
 		f.mesh.Kick()
 	}
 }
@@ -127,14 +131,17 @@
 
 // Answered tells that the first byte of an answer has come.
 func (f *Fleet) Answered(id uint64) {
-	f.loop.Post(func(time.Duration) { f.placer.Answered(sycclock.Now(), id) })
+	f.loop.Post(func(time.Duration) {
+		f.placer.Answered(sycclock.Now(), id)
+		f.answered(id)
+	})
 }
 
 // Finished tells how an attempt ended, and how long the request took if it was
 // answered whole.
 func (f *Fleet) Finished(id uint64, o sycplace.Outcome, route string, took time.Duration) {
 	f.loop.Post(func(time.Duration) {
-		f.evidence(route, f.placer.Finish(sycclock.Now(), id, o))
+		f.evidence(id, route, f.placer.Finish(sycclock.Now(), id, o))
 		if o != sycplace.Served {
 			return
 		}
--- a/internal/standin/sycdeploy/instance.go
+++ b/internal/standin/sycdeploy/instance.go
@@ -18,6 +18,8 @@
 	PID() int
 	// Done is closed when the router has ended.
 	Done() <-chan struct{}
+	// Err is what the router ended with.
+	Err() error
 	// Kill ends the router at once and waits for it.
 	Kill()
 	// Signal sends a signal to the process. A VM within this process gets none.
@@ -61,6 +63,9 @@
 // Done implements instance.
 func (i *inside) Done() <-chan struct{} { return i.done }
 
+// Err implements instance.
+func (*inside) Err() error { return nil }
+
 // Kill implements instance.
 func (i *inside) Kill() { _ = i.close() }
 
--- a/internal/standin/sycdeploy/router.go
+++ b/internal/standin/sycdeploy/router.go
@@ -290,6 +290,16 @@
 	return r.instance.PID()
 }
 
+// Ended is what the router's process ended with, unless it was told to.
+func (r *Router) Ended() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.instance == nil {
+		return nil
+	}
+	return r.instance.Err()
+}
+
 // Running reports whether the router was started and has not ended.
 func (r *Router) Running() bool {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/standin/sycfakeworker/order.go
@@ -0,0 +1,111 @@
+package sycfakeworker
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// OrderFault says what a worker does with an order.
+type OrderFault int
+
+// Faults of orders.
+const (
+	// OrderTaken carries the order out and says so.
+	OrderTaken OrderFault = iota
+	// OrderUnheard loses the order and answers nothing.
+	OrderUnheard
+	// OrderUnanswered carries the order out and answers nothing.
+	OrderUnanswered
+	// OrderLate answers nothing and carries the order out later, if it still may.
+	OrderLate
+)
+
+// lateOrder is how much later a late order is carried out.
+const lateOrder = 700 * time.Millisecond
+
+// Taken is an order that was carried out.
+type Taken struct {
+	Holder  string
+	Token   int64
+	Version int64
+}
+
+// PlayOrders sets what the worker does with the next orders; after those it carries all
+// out and says so.
+func (w *Worker) PlayOrders(faults ...OrderFault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orderFaults = faults
+}
+
+// Orders lists the orders that were carried out.
+func (w *Worker) Orders() []Taken {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Taken(nil), w.taken...)
+}
+
+// Ordered counts the orders that came, also those that were lost.
+func (w *Worker) Ordered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ordered
+}
+
+// order is what the holder of the duties sends.
+type order struct {
+	Model        string `json:"model"`
+	Version      int64  `json:"version"`
+	Holder       string `json:"holder"`
+	FencingToken int64  `json:"fencingToken"`
+	Precondition int64  `json:"precondition"`
+}
+
+func (w *Worker) order(rw http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.FencingToken == 0 {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch w.nextOrderFault() {
+	case OrderUnheard:
+		panic(http.ErrAbortHandler)
+	case OrderUnanswered:
+		w.carryOut(o)
+		panic(http.ErrAbortHandler)
+	case OrderLate:
+		time.AfterFunc(lateOrder, func() { w.carryOut(o) })
+		panic(http.ErrAbortHandler)
+	}
+	if !w.carryOut(o) {
+		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	rw.WriteHeader(http.StatusAccepted)
+}
+
+func (w *Worker) nextOrderFault() OrderFault {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ordered++
+	if len(w.orderFaults) == 0 {
+		return OrderTaken
+	}
+	f := w.orderFaults[0]
+	w.orderFaults = w.orderFaults[1:]
+	return f
+}
+
+// carryOut changes the weights if no other order came before.
+func (w *Worker) carryOut(o order) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Precondition != w.orders {
+		return false
+	}
+	w.orders++
+	w.weights[o.Model] = o.Version
+	w.taken = append(w.taken, Taken{Holder: o.Holder, Token: o.FencingToken, Version: o.Version})
+	return true
+}
--- a/internal/standin/sycprocess/process.go
+++ b/internal/standin/sycprocess/process.go
@@ -36,6 +36,9 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.tomb.Dead() }
 
+// Err is what the process ended with; tomb.ErrStillAlive while it runs.
+func (p *Process) Err() error { return p.tomb.Err() }
+
 // Signal sends a signal; it does nothing once the process has ended.
 func (p *Process) Signal(s syscall.Signal) {
 	if p.tomb.Alive() {
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -178,7 +178,7 @@
 		}
 	}
 	x.place()
-	target := x.relay.fleet.Again(x.request, last.arrived)
+	target := x.relay.fleet.Again(x.request, x.route.Name, last.arrived)
 	if target == nil {
 		return false
 	}
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -105,7 +105,7 @@
 	Config() *sycsite.Config
 	NewID() uint64
 	Admit(a sycfleet.Admission) sycfleet.Verdict
-	Again(r *sycplace.Request, arrived bool) *sycplace.Target
+	Again(r *sycplace.Request, route string, arrived bool) *sycplace.Target
 	Learned(endpoint string, born int64, model string, version int64)
 	Refund(customer string, cost float64)
 	Answered(id uint64)
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -28,42 +28,83 @@
 	if err != nil {
 		return nil, err
 	}
-	return &observed{Grant: inner, manager: o.manager, route: w.Route}, nil
+	g := &observed{Grant: inner, manager: o.manager, route: w.Route, id: o.manager.attempts.Add(1)}
+	o.manager.begin(g.id, w.Route, inner.Target())
+	return g, nil
 }
 
 type observed struct {
 	sycwork.Grant
 	manager *Manager
 	route   string
-	once    sync.Once
+	// id is the attempt's number in the ledger.
+	id   uint64
+	once sync.Once
+}
+
+// FirstToken notes the first token and passes it on.
+func (g *observed) FirstToken() {
+	g.manager.options.Loop.Post(func(time.Duration) { g.manager.ledger.Arrived(g.id) })
+	g.Grant.FirstToken()
 }
 
 // Done records the result once and passes it on.
 func (g *observed) Done(r sycwork.Result) {
-	g.once.Do(func() { g.manager.record(g.route, g.Target(), r) })
+	g.once.Do(func() { g.manager.record(g.id, g.route, g.Target(), r) })
 	g.Grant.Done(r)
 }
 
+// begin has the first token of an attempt awaited, if its version is under rollout.
+func (m *Manager) begin(id uint64, route string, target sycwork.Target) {
+	if cell, judged := m.cell(route, target); judged {
+		m.options.Loop.Post(func(now time.Duration) { m.ledger.Begin(now, id, cell) })
+	}
+}
+
 // record counts an attempt of a version under rollout. Attempts that did not
 // reach an engine, or were refused or cancelled, say nothing of a version.
-func (m *Manager) record(route string, target sycwork.Target, r sycwork.Result) {
-	generation, judged := m.view.Load().judged[target.Version]
-	if !judged || r.Unreachable || r.Outcome == sycwork.Refused || r.Outcome == sycwork.Cancelled {
+func (m *Manager) record(id uint64, route string, target sycwork.Target, r sycwork.Result) {
+	cell, judged := m.cell(route, target)
+	if !judged {
 		return
 	}
-	cell := sycrollout.Cell{
+	cell.Size = sizeClass(target, r)
+	says := !r.Unreachable && r.Outcome != sycwork.Refused && r.Outcome != sycwork.Cancelled
+	m.options.Loop.Post(func(now time.Duration) {
+		if !says {
+			m.ledger.Forget(id)
+			return
+		}
+		failed := r.Outcome == sycwork.Failed
+		m.ledger.End(id, cell, sycrollout.Sample{
+			Failed:        failed,
+			FirstToken:    r.FirstToken,
+			BetweenTokens: r.BetweenTokens,
+		})
+		if failed {
+			m.failed(now)
+			m.hurry(now)
+		}
+	})
+}
+
+// hurry has the others told of a failure at once.
+func (m *Manager) hurry(now time.Duration) {
+	if now-m.hurried >= failureGap {
+		m.hurried = now
+		m.options.Urgent()
+	}
+}
+
+// cell is where an attempt is counted but for its size, and whether its version is judged.
+func (m *Manager) cell(route string, target sycwork.Target) (sycrollout.Cell, bool) {
+	generation, judged := m.view.Load().judged[target.Version]
+	return sycrollout.Cell{
 		Version:    target.Version,
 		Generation: generation,
 		Route:      route,
 		Load:       sycrollout.LoadClass(target.Requests),
-		Size:       sizeClass(target, r),
-	}
-	sample := sycrollout.Sample{
-		Failed:        r.Outcome == sycwork.Failed,
-		FirstToken:    r.FirstToken,
-		BetweenTokens: r.BetweenTokens,
-	}
-	m.options.Loop.Post(func(time.Duration) { m.ledger.Record(cell, sample) })
+	}, judged
 }
 
 // sizeClass keeps requests with imported blocks apart, since the import takes
@@ -87,13 +128,23 @@
 type shared struct {
 	sequence uint64
 	list     []*sycpeerpb.VersionEvidence
-	// sent holds the requests of each cell when its counts were last sent.
-	sent map[sycrollout.Cell]uint64
+	// sent holds what each cell had counted when its counts were last sent.
+	sent map[sycrollout.Cell]told
+	// late is how many first tokens were counted late, and due is set while the others
+	// are to be told of some.
+	late uint64
+	due  bool
+}
+
+// told is how much a cell had counted, and how many failures of it.
+type told struct {
+	seen     uint64
+	failures uint64
 }
 
 // ShareOut returns this VM's evidence for the digest with the given number:
-// its vetoes always, and from time to time the counts that have changed. It
-// must not be called on the control loop.
+// its vetoes, new failures and late first tokens always, and from time to time all counts that have
+// changed. It must not be called on the control loop.
 func (m *Manager) ShareOut(sequence uint64) []*sycpeerpb.VersionEvidence {
 	var list []*sycpeerpb.VersionEvidence
 	m.options.Loop.Do(func(time.Duration) {
@@ -120,18 +171,18 @@
 }
 
 func (m *Manager) countsOut(sequence uint64) []*sycpeerpb.VersionEvidence {
-	if sequence%countsEvery != 0 {
-		return nil
-	}
 	if sequence%allCountsEvery == 0 {
-		m.shared.sent = map[sycrollout.Cell]uint64{}
+		m.shared.sent = map[sycrollout.Cell]told{}
 	}
+	due := m.shared.due || sequence%countsEvery == 0
+	m.shared.due = false
 	var list []*sycpeerpb.VersionEvidence
 	for cell, counts := range m.ledger.Own() {
-		if m.shared.sent[cell] == counts.Requests {
+		was, now := m.shared.sent[cell], told{seen: counts.Seen(), failures: counts.Failures}
+		if was.failures == now.failures && (!due || was.seen == now.seen) {
 			continue
 		}
-		m.shared.sent[cell] = counts.Requests
+		m.shared.sent[cell] = now
 		list = append(list, sycevidence.Encode(cell, counts))
 	}
 	return list
@@ -140,9 +191,14 @@
 // ShareIn takes in a peer's evidence and vetoes.
 func (m *Manager) ShareIn(from *sycpeerpb.Vm, evidence []*sycpeerpb.VersionEvidence) {
 	source := from.GetAddress() + "/" + from.GetIncarnation()
-	m.options.Loop.Post(func(time.Duration) {
+	m.options.Loop.Post(func(now time.Duration) {
+		failures := false
 		for _, e := range evidence {
 			m.merge(source, e)
+			failures = failures || e.GetFailures() > 0
+		}
+		if failures {
+			m.failed(now)
 		}
 	})
 }
--- a/internal/traffic/sycversion/judge.go
+++ b/internal/traffic/sycversion/judge.go
@@ -39,6 +39,7 @@
 // judge compares versions under rollout with their predecessors and publishes
 // the shares. It runs on the control loop.
 func (m *Manager) judge(now time.Duration) {
+	m.judged = now
 	config := m.options.Store.Config()
 	system := m.options.Store.System()
 	wall := m.options.Wall()
@@ -67,6 +68,18 @@
 		return next.judged[s.Version] != s.Generation
 	})
 	m.view.Store(next)
+	if late := m.ledger.Late(); late > m.shared.late {
+		m.shared.late, m.shared.due = late, true
+		m.hurry(now)
+	}
+}
+
+// failed judges at once when a failure is known: at a high rate a bad version gets
+// many requests between two regular judgements.
+func (m *Manager) failed(now time.Duration) {
+	if now-m.judged >= failureGap {
+		m.judge(now)
+	}
 }
 
 // judge has the requests of the candidate and the base recorded.
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -28,6 +28,9 @@
 	DefaultLease = 12 * time.Second
 	// TickPeriod is the time between judgements and between a leader's rounds.
 	TickPeriod = 250 * time.Millisecond
+	// failureGap is the least time between judgements, and between digests, that
+	// failures bring about.
+	failureGap = 50 * time.Millisecond
 )
 
 var log = syclogging.New("rollout")
@@ -52,6 +55,8 @@
 	Lease time.Duration
 	// Wall is the wall clock that deadlines are compared with.
 	Wall func() time.Time
+	// Urgent asks for a digest before its time; it may be nil.
+	Urgent func()
 }
 
 // Defaults fills the fields that are zero.
@@ -62,6 +67,9 @@
 	if o.Wall == nil {
 		o.Wall = time.Now
 	}
+	if o.Urgent == nil {
+		o.Urgent = func() {}
+	}
 }
 
 // Manager owns the VM's part in rollouts.
@@ -71,6 +79,8 @@
 	engines *sycorder.Client
 	// view is what traffic goroutines read.
 	view atomic.Pointer[view]
+	// attempts numbers the attempts in the ledger.
+	attempts atomic.Uint64
 
 	// The fields below belong to the control loop.
 	ledger  *sycrollout.Ledger
@@ -79,6 +89,8 @@
 	stages  map[string]*stage
 	loads   map[loadKey]loadTime
 	shared  shared
+	// judged is when versions were last judged, hurried when a digest was last asked for.
+	judged, hurried time.Duration
 }
 
 // view is an immutable snapshot for traffic goroutines and status.
@@ -101,7 +113,7 @@
 		vetoes:  map[sycrollout.Subject]string{},
 		stages:  map[string]*stage{},
 		loads:   map[loadKey]loadTime{},
-		shared:  shared{sent: map[sycrollout.Cell]uint64{}},
+		shared:  shared{sent: map[sycrollout.Cell]told{}},
 	}
 	m.view.Store(&view{})
 	o.Loop.Every(TickPeriod, m.judge)
