Log and measure queues, ages and budgets; mend a test's port

New gauges: config_age_seconds, weights_age_seconds, queue_requests, queue_tokens and queue_slots by service, retries_left by service, quota_customers_without.

The entry of a gone worker now points at a running one, and nothing is bound again.

--- a/internal/decide/sycattempt/budget.go
+++ b/internal/decide/sycattempt/budget.go
@@ -31,14 +31,17 @@
 }
 
 // Allows reports whether a retry is within the budget.
-func (b *Budget) Allows(now time.Duration) bool {
+func (b *Budget) Allows(now time.Duration) bool { return b.Left(now) >= 1 }
+
+// Left is how many retries the budget allows.
+func (b *Budget) Left(now time.Duration) float64 {
 	b.advance(now)
 	var requests, retries float64
 	for i := range bucketCount {
 		requests += float64(b.requests[i])
 		retries += float64(b.retries[i])
 	}
-	return retries+1 <= b.allowance.Floor+b.allowance.Share*requests
+	return b.allowance.Floor + b.allowance.Share*requests - retries
 }
 
 // Spend counts a retry.
--- a/internal/decide/sycquota/quota.go
+++ b/internal/decide/sycquota/quota.go
@@ -173,6 +173,18 @@
 	return limit, level, reach
 }
 
+// Without counts the customers that have nothing left here.
+func (f *Fleet) Without(now time.Duration) int {
+	n := 0
+	for _, b := range f.buckets {
+		f.advance(now, b)
+		if b.limit.Rate > 0 && b.level <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Refund takes back the charge of a request that has not run.
 func (f *Fleet) Refund(customer string, cost float64) {
 	b := f.buckets[customer]
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -85,13 +85,16 @@
 	// orders counts the orders under way; it is added to on the loop only.
 	orders  sync.WaitGroup
 	weights map[string]int64
-	loads   *loads
+	// since is when this VM took over the configuration and each model's weights, by
+	// the names of the gauges of their ages.
+	since map[string]time.Duration
+	loads *loads
 	// rollouts holds the rollouts that operators asked for, by service.
 	rollouts map[string]*rollout
 	// statuses holds the newest states of rollouts that lie in the log, by service.
 	statuses map[string]RolloutReport
-	// measured is when the gauges were last updated.
-	measured time.Duration
+	// measured is when the gauges were last updated, told when their values were last logged.
+	measured, told time.Duration
 	// registered is when this VM last wrote its own record.
 	registered time.Duration
 }
@@ -108,6 +111,7 @@
 		feeds:    newFeeds(),
 		plan:     sycreload.New(),
 		weights:  map[string]int64{},
+		since:    map[string]time.Duration{},
 		loads:    newLoads(),
 		rollouts: map[string]*rollout{},
 		statuses: map[string]RolloutReport{},
@@ -199,7 +203,10 @@
 		f.configure(now, r)
 	case Weights:
 		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: weights named")
-		f.weights[r.Model] = max(f.weights[r.Model], r.Version)
+		if r.Version > f.weights[r.Model] {
+			f.weights[r.Model] = r.Version
+			f.since[weightsAge(r.Model)] = now
+		}
 		f.placer.Name(f.feeds[FeedOperator].happened(now), r.Model, r.Version)
 	case Rollout:
 		f.rolloutAsked(now, r, c.Offset)
@@ -211,6 +218,7 @@
 		return
 	}
 	f.view.Store(&view{config: c})
+	f.since[configAge] = now
 	var limits []sycquota.Limit
 	for _, customer := range c.Customers() {
 		limits = append(limits, sycquota.Limit{Customer: customer.Name, Rate: customer.Rate, Burst: customer.Burst})
--- a/internal/standin/sycfakeworker/worker.go
+++ b/internal/standin/sycfakeworker/worker.go
@@ -97,30 +97,11 @@
 
 // New starts a worker that has version 1 of a model, or none.
 func New(id, model string) *Worker {
-	w := newWorker(id, model)
-	w.server.Start()
-	return w
-}
-
-// NewAt starts a worker at a free address that another had.
-func NewAt(address, id, model string) (*Worker, error) {
-	w := newWorker(id, model)
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	_ = w.server.Listener.Close()
-	w.server.Listener = l
-	w.server.Start()
-	return w, nil
-}
-
-func newWorker(id, model string) *Worker {
 	w := &Worker{id: id, script: &script{}, events: 4, weights: map[string]int64{}}
 	if model != "" {
 		w.weights[model] = 1
 	}
-	w.server = httptest.NewUnstartedServer(http.HandlerFunc(w.route))
+	w.server = httptest.NewServer(http.HandlerFunc(w.route))
 	return w
 }
 
