Read the engines' caches, one VM an engine, and hand beliefs to VMs that start

Now one VM an engine, of its failure domain where there is one, waits for the engine's events and tells the others by gossip; a VM that has just started takes over what a near one believes. A part's hash is its own name's and wall's, so that an event names it; what is told of a part just sent is taken for late.

Under six busy loops all cases pass.

--- a/internal/decide/sycplace/cache.go
+++ b/internal/decide/sycplace/cache.go
@@ -1,9 +1,12 @@
 package sycplace
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
-// cache is what an engine is believed to keep of prompts: the parts sent to it
-// last, as far as its memory goes.
+// cache is what an engine is believed to keep of prompts: the parts sent to it last,
+// as far as its memory goes, and what it has told of itself.
 type cache struct {
 	// limit is in tokens.
 	limit int
@@ -14,8 +17,9 @@
 }
 
 type kept struct {
-	hash   uint64
-	tokens int
+	Part
+	// used is when the part was last sent.
+	used time.Duration
 }
 
 func newCache(limit int) *cache {
@@ -35,22 +39,47 @@
 }
 
 // add notes that the parts were used.
-func (c *cache) add(parts []Part) {
+func (c *cache) add(now time.Duration, parts []Part) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		p := parts[i]
-		if at, ok := c.parts[p.Hash]; ok {
-			c.order.MoveToFront(at)
-			continue
-		}
-		c.parts[p.Hash] = c.order.PushFront(kept{hash: p.Hash, tokens: p.Tokens})
-		c.used += p.Tokens
+		c.put(now, parts[i])
 	}
 	for c.used > c.limit && c.order.Len() > 0 {
-		last := c.order.Back()
-		k := c.order.Remove(last).(kept)
-		delete(c.parts, k.hash)
-		c.used -= k.tokens
+		c.remove(c.order.Back())
+	}
+}
+
+// put notes that a part is kept.
+func (c *cache) put(now time.Duration, p Part) {
+	if at, ok := c.parts[p.Hash]; ok {
+		at.Value.(*kept).used = now
+		c.order.MoveToFront(at)
+		return
+	}
+	c.parts[p.Hash] = c.order.PushFront(&kept{Part: p, used: now})
+	c.used += p.Tokens
+}
+
+// drop forgets a part that the engine has dropped, unless it was sent again since about
+// then: what engines tell comes late.
+func (c *cache) drop(now time.Duration, hash uint64) {
+	if at, ok := c.parts[hash]; ok && now-at.Value.(*kept).used > toldLate {
+		c.remove(at)
+	}
+}
+
+func (c *cache) remove(at *list.Element) {
+	k := c.order.Remove(at).(*kept)
+	delete(c.parts, k.Hash)
+	c.used -= k.Tokens
+}
+
+// list returns the parts that are kept, the one used last at the end.
+func (c *cache) list() []Part {
+	out := make([]Part, 0, len(c.parts))
+	for at := c.order.Back(); at != nil; at = at.Prev() {
+		out = append(out, at.Value.(*kept).Part)
 	}
+	return out
 }
 
 // clear forgets everything, as an engine does that restarts or takes new weights.
--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -55,8 +55,8 @@
 	Parts    []Part
 }
 
-// Part is a part of a prompt. Hash covers all parts before it too, and who may
-// share it.
+// Part is a part of a prompt. Hash covers who may share it; a part counts only after
+// those before it.
 type Part struct {
 	Hash   uint64
 	Tokens int
--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -58,7 +58,7 @@
 	best.attempts[r.ID] = a
 	p.attempts[r.ID] = a
 	if len(r.Parts) > 0 {
-		best.cache.add(r.Parts)
+		best.cache.add(now, r.Parts)
 		p.sent = append(p.sent, Sent{Endpoint: best.record.ID, Parts: r.Parts})
 	}
 	return target, nil
--- a/internal/decide/sycplace/placer.go
+++ b/internal/decide/sycplace/placer.go
@@ -217,7 +217,7 @@
 	}
 	for _, s := range sent {
 		if e := p.endpoints[s.Endpoint]; e != nil {
-			e.cache.add(s.Parts)
+			e.cache.add(now, s.Parts)
 		}
 	}
 }
--- /dev/null
+++ b/internal/decide/sycplace/told.go
@@ -0,0 +1,93 @@
+package sycplace
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// toldLate is how long after a part was sent an engine may still tell that it has
+// dropped an earlier copy.
+const toldLate = 1500 * time.Millisecond
+
+// Wall names the requests that may share cached parts: those of one model, and of one
+// customer where that is kept apart.
+func Wall(customer string, isolated bool, model string) string {
+	wall := "shared"
+	if isolated {
+		wall = "only/" + customer
+	}
+	return strconv.FormatUint(xxhash.Sum64String(wall+"/"+model), 16)
+}
+
+// Salt is the text under which an engine keeps parts: those of other weights don't match.
+func Salt(wall string, weights int64) string { return wall + "." + strconv.FormatInt(weights, 10) }
+
+// ReadSalt returns what a salt was made of; ok is false if it is no salt of ours.
+func ReadSalt(salt string) (wall string, weights int64, ok bool) {
+	wall, version, found := strings.Cut(salt, ".")
+	weights, err := strconv.ParseInt(version, 10, 64)
+	return wall, weights, found && err == nil
+}
+
+// PartHash is the hash of a part by its name and wall.
+func PartHash(wall, name string) uint64 { return xxhash.Sum64String(wall + "/" + name) }
+
+// Told is what an engine has told of its cache.
+type Told struct {
+	Endpoint string
+	// Born is the engine's start that the parts were kept since.
+	Born int64
+	// Kept are parts that it keeps, made under the versions in Weights; Gone are hashes
+	// of parts that it has dropped.
+	Kept    []Part
+	Weights []int64
+	Gone    []uint64
+}
+
+// Tell takes in what an engine has told of its cache, to this VM or to another.
+func (p *Placer) Tell(now time.Duration, t Told) {
+	e := p.endpoints[t.Endpoint]
+	if e == nil || e.record.Born != t.Born {
+		return
+	}
+	for _, hash := range t.Gone {
+		e.cache.drop(now, hash)
+	}
+	for i, part := range t.Kept {
+		if e.has(t.Weights[i]) {
+			e.cache.add(now, []Part{part})
+		}
+	}
+}
+
+// has reports whether the engine has a version of some model's weights.
+func (e *endpoint) has(weights int64) bool {
+	for _, version := range e.record.Weights {
+		if version == weights {
+			return true
+		}
+	}
+	return false
+}
+
+// Beliefs returns what all engines are believed to keep, for a VM that has just started.
+func (p *Placer) Beliefs() []Told {
+	var out []Told
+	for _, e := range p.order {
+		// Engines with several models would need the model of each part here.
+		if len(e.record.Weights) != 1 || len(e.cache.parts) == 0 {
+			continue
+		}
+		t := Told{Endpoint: e.record.ID, Born: e.record.Born, Kept: e.cache.list()}
+		for _, version := range e.record.Weights {
+			for range t.Kept {
+				t.Weights = append(t.Weights, version)
+			}
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/decide/sycplace/told_test.go
@@ -0,0 +1,92 @@
+package sycplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+)
+
+// told says that an engine keeps the shared parts of a subject's prompts.
+func told(engine string, weights int64, r *sycplace.Request) sycplace.Told {
+	return sycplace.Told{Endpoint: engine, Kept: r.Parts[:2], Weights: []int64{weights, weights}}
+}
+
+func TestToldPartsCount(t *testing.T) {
+	later := 10 * time.Second
+	tests := []struct {
+		name string
+		tell func(p *sycplace.Placer, sent *sycplace.Target, other string)
+		// held is what the engine at which the next prompt arrives is believed to keep.
+		held int
+		// stays is whether that is the engine of the first prompt.
+		stays bool
+	}{
+		{"nothing told", func(*sycplace.Placer, *sycplace.Target, string) {}, 4500, true},
+		{"dropped and kept elsewhere", func(p *sycplace.Placer, sent *sycplace.Target, other string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(later, told(other, 1, request(1, 7)))
+		}, 4500, false},
+		{"dropped everywhere", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+		}, 0, true},
+		{"dropped before it was sent again", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
+			p.Tell(time.Second, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+		}, 4500, true},
+		{"told by an earlier start", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Born: 9, Gone: []uint64{1, 107}})
+		}, 4500, true},
+		{"kept under other weights", func(p *sycplace.Placer, sent *sycplace.Target, other string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(later, told(other, 2, request(1, 7)))
+		}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlacer(2)
+			sent := place(t, p, 0, request(1, 7))
+			p.Finish(time.Second, 1, sycplace.Served)
+			other := "e0"
+			if sent.Endpoint.ID == other {
+				other = "e1"
+			}
+			tt.tell(p, sent, other)
+			next := place(t, p, later, request(2, 7))
+			must.Eq(t, tt.held, next.Held)
+			must.Eq(t, tt.stays, next.Endpoint.ID == sent.Endpoint.ID)
+		})
+	}
+}
+
+// TestBeliefsAreHandedOn has a VM that has just started take over another's beliefs.
+func TestBeliefsAreHandedOn(t *testing.T) {
+	p, fresh := newPlacer(3), newPlacer(3)
+	homes := map[uint64]string{}
+	for subject := range uint64(6) {
+		homes[subject] = place(t, p, 0, request(subject, subject)).Endpoint.ID
+	}
+	for _, b := range p.Beliefs() {
+		fresh.Tell(time.Second, b)
+	}
+	for subject, home := range homes {
+		target := place(t, fresh, time.Second, request(100+subject, subject))
+		must.True(t, target.Endpoint.ID != home || target.Held == 4500)
+		must.Eq(t, 4500, target.Held+target.Fetched)
+	}
+}
+
+func TestSalts(t *testing.T) {
+	wall := sycplace.Wall("c", true, "m")
+	must.NotEq(t, wall, sycplace.Wall("c", false, "m"))
+	must.NotEq(t, wall, sycplace.Wall("d", true, "m"))
+	must.NotEq(t, wall, sycplace.Wall("c", true, "n"))
+	got, weights, ok := sycplace.ReadSalt(sycplace.Salt(wall, 12))
+	must.True(t, ok)
+	must.Eq(t, wall, got)
+	must.Eq(t, int64(12), weights)
+	for _, salt := range []string{"", "s1", "5f.", "5f.x"} {
+		_, _, ok := sycplace.ReadSalt(salt)
+		must.False(t, ok, must.Sprint(salt))
+	}
+}
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -89,6 +89,8 @@
 	// the names of the gauges of their ages.
 	since map[string]time.Duration
 	loads *loads
+	// caches is what this VM reads of engines' caches.
+	caches *caches
 	// rollouts holds the rollouts that operators asked for, by service.
 	rollouts map[string]*rollout
 	// statuses holds the newest states of rollouts that lie in the log, by service.
@@ -113,6 +115,7 @@
 		weights:  map[string]int64{},
 		since:    map[string]time.Duration{},
 		loads:    newLoads(),
+		caches:   &caches{reading: map[engineStart]bool{}, learned: o.FirstStart, started: sycclock.Now()},
 		rollouts: map[string]*rollout{},
 		statuses: map[string]RolloutReport{},
 	}
@@ -170,6 +173,7 @@
 	f.placer.Tick(now)
 	f.register(now)
 	f.dutyTick(now)
+	f.dealCaches(now)
 	f.measure(now)
 }
 
--- a/internal/peer/sycfleet/peers.go
+++ b/internal/peer/sycfleet/peers.go
@@ -37,6 +37,12 @@
 	heard       time.Duration
 	leaving     bool
 	outbox      []sycplace.Sent
+	// domain is where the VM runs, empty until it has told.
+	domain string
+	// caches is what it is to be told of engines' caches; wantsCaches is set while it has
+	// just started and knows nothing of them.
+	caches      []sycplace.Told
+	wantsCaches bool
 	// listed reports whether the VM's record lies in the log.
 	listed bool
 	// next is how far the VM has followed each feed, once it has told.
@@ -204,6 +210,7 @@
 	}
 	f.addDuty(now, out)
 	f.addRollouts(now, out)
+	f.addCaches(peer, out)
 	return out
 }
 
@@ -279,6 +286,7 @@
 	}
 	f.placer.Heard(now, in.Address, placed, sent)
 	f.heardDuty(now, in)
+	f.heardCaches(now, vm, in)
 	for _, feed := range in.Feeds {
 		vm.next[feed.Name] = feed.Next
 		f.heardRecords(now, feed)
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -104,8 +104,19 @@
 	Interrupt bool
 }
 
+// CacheEvents is what an engine has told of its cache since an event.
+type CacheEvents struct {
+	// Epoch changes when the engine restarts; Next is the event to ask for next.
+	Epoch int64
+	Next  int64
+	Told  sycplace.Told
+}
+
 // Engines gives orders to engines.
 type Engines interface {
+	// CacheEvents returns what has changed in an engine's cache from an event on, as soon
+	// as there is anything.
+	CacheEvents(ctx context.Context, e sycplace.Endpoint, from int64, wait time.Duration) (CacheEvents, error)
 	Report(ctx context.Context, e sycplace.Endpoint) (EngineReport, error)
 	// Order reports whether the engine has taken the order.
 	Order(ctx context.Context, e sycplace.Endpoint, o Order) (taken bool, err error)
--- a/internal/standin/sycfakeworker/worker.go
+++ b/internal/standin/sycfakeworker/worker.go
@@ -91,6 +91,8 @@
 	orderFaults []OrderFault
 	// eventPause is the time between two events of a stream.
 	eventPause time.Duration
+	// cacheEvents holds what the worker has to tell of its cache.
+	cacheEvents [][]any
 	// misdirected counts the requests for another worker, ordered the orders that came.
 	misdirected, ordered int
 }
@@ -111,6 +113,8 @@
 		w.report(rw, r)
 	case "/order":
 		w.order(rw, r)
+	case "/kv-events":
+		w.tellCache(rw, r)
 	default:
 		w.serve(rw, r)
 	}
--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,27 +101,18 @@
 	}
 }
 
-// parts returns the prompt's parts, hashed so that parts match only under the
-// same salt and after the same parts.
+// parts returns the prompt's parts.
 func (x *exchange) parts() []sycplace.Part {
 	if len(x.call.Pieces) == 0 {
 		return nil
 	}
 	out := make([]sycplace.Part, 0, len(x.call.Pieces))
-	digest := xxhash.New()
-	_, _ = digest.WriteString(x.salt())
+	wall := x.wall()
 	for _, p := range x.call.Pieces {
-		_, _ = digest.WriteString("/" + p.Name)
-		out = append(out, sycplace.Part{Hash: digest.Sum64(), Tokens: p.Tokens})
+		out = append(out, sycplace.Part{Hash: sycplace.PartHash(wall, p.Name), Tokens: p.Tokens})
 	}
 	return out
 }
 
-// salt names who may share the request's cached parts.
-func (x *exchange) salt() string {
-	wall := "shared"
-	if x.isolated {
-		wall = "only/" + x.customer
-	}
-	return strconv.FormatUint(xxhash.Sum64String(wall+"/"+x.call.Model), 16)
-}
+// wall names who may share the request's cached parts.
+func (x *exchange) wall() string { return sycplace.Wall(x.customer, x.isolated, x.call.Model) }
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,7 +59,7 @@
 		Header: x.relay.codec.Outgoing(x.call, Forward{
 			Endpoint:  target.Endpoint.ID,
 			Customer:  x.customer,
-			Salt:      x.salt() + "." + strconv.FormatInt(target.Weights, 10),
+			Salt:      sycplace.Salt(x.wall(), target.Weights),
 			Weights:   target.Weights,
 			Fetch:     target.Fetch,
 			Priority:  min(x.priority, leastUrgent),
