--- a/cmd/sycamorecart/join.go
+++ b/cmd/sycamorecart/join.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -57,20 +56,7 @@
 
 // Execute implements subcommands.Command.
 func (c *join) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" || f.NArg() > 0 {
-		fmt.Fprint(os.Stderr, joinUsage)
-		return subcommands.ExitUsageError
-	}
-	settings, err := sycsetting.ReadNode(c.settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
-	}
-	if err := c.run(settings); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return runVM(f, joinUsage, c.settings, sycsetting.ReadNode, c.run)
 }
 
 func (c *join) run(settings *sycsetting.Node) error {
--- a/cmd/sycamorecart/serve.go
+++ b/cmd/sycamorecart/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"flag"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -50,20 +49,7 @@
 
 // Execute implements subcommands.Command.
 func (c *serve) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings == "" || f.NArg() > 0 {
-		fmt.Fprint(os.Stderr, serveUsage)
-		return subcommands.ExitUsageError
-	}
-	settings, err := sycsetting.Read(c.settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
-	}
-	if err := c.run(ctx, settings); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return runVM(f, serveUsage, c.settings, sycsetting.Read, func(s *sycsetting.Settings) error { return c.run(ctx, s) })
 }
 
 func (c *serve) run(ctx context.Context, settings *sycsetting.Settings) error {
--- a/internal/decide/sycdispatch/endpoint.go
+++ b/internal/decide/sycdispatch/endpoint.go
@@ -138,18 +138,7 @@
 	if e.record.Leaving() {
 		return false
 	}
-	if e.health.State() == sychealth.Healthy {
-		return true
-	}
-	e.health.Observe(now, sychealth.Elapsed)
-	switch e.health.State() {
-	case sychealth.Out:
-		return false
-	case sychealth.Probing:
-		return len(e.attempts) == 0
-	default:
-		return true
-	}
+	return e.health.Admits(now, len(e.attempts))
 }
 
 // crowded reports whether new blocks displace others in the engine's cache.
--- a/internal/decide/sycfeed/feed.go
+++ b/internal/decide/sycfeed/feed.go
@@ -23,11 +23,19 @@
 	Dropped bool
 }
 
+// mostDropped is how many dropped keys are remembered: more come in the lifetime of a VM,
+// and what was dropped long ago is told by nobody.
+const mostDropped = 2000
+
 // Feed is the state of one log.
 type Feed struct {
 	// next is the offset up to which every record has been seen.
 	next    int64
 	records map[string]Record
+	// dropped counts the records of dropped keys. Those up to the offset forgotten, which
+	// is below next, are not remembered.
+	dropped   int
+	forgotten int64
 	// hold keeps dropped keys for a while, since a log that was out drops keys
 	// whose owners could not write.
 	hold time.Duration
@@ -43,7 +51,7 @@
 
 // New returns an empty feed. After an outage drops wait for the time of hold.
 func New(hold time.Duration) *Feed {
-	return &Feed{records: map[string]Record{}, hold: hold, held: map[string]held{}}
+	return &Feed{records: map[string]Record{}, forgotten: -1, hold: hold, held: map[string]held{}}
 }
 
 // Next is the offset from which on records are to be read.
@@ -57,7 +65,7 @@
 	var out []Change
 	for _, r := range records {
 		old, known := f.records[r.Key]
-		if known && old.Offset >= r.Offset {
+		if known && old.Offset >= r.Offset || !known && r.Offset <= f.forgotten {
 			continue
 		}
 		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < f.holdUntil {
@@ -72,9 +80,35 @@
 		out = append(out, f.set(r))
 	}
 	f.next = max(f.next, next)
+	f.forget()
 	return out
 }
 
+// forget drops the older half of the dropped keys when there are too many. Every key that
+// lives has a record here, so that an unknown one at such an offset was dropped.
+func (f *Feed) forget() {
+	if f.dropped <= mostDropped {
+		return
+	}
+	var offsets []int64
+	for _, r := range f.records {
+		if len(r.Value) == 0 && r.Offset < f.next {
+			offsets = append(offsets, r.Offset)
+		}
+	}
+	slices.Sort(offsets)
+	if len(offsets) < 2 {
+		return
+	}
+	f.forgotten = max(f.forgotten, offsets[len(offsets)/2-1])
+	for key, r := range f.records {
+		if len(r.Value) == 0 && r.Offset <= f.forgotten {
+			delete(f.records, key)
+			f.dropped--
+		}
+	}
+}
+
 // Replace takes in the newest records of all keys; keys that are missing from
 // them were dropped at some offset below next.
 func (f *Feed) Replace(now time.Duration, records []Record, next int64) []Change {
@@ -106,6 +140,12 @@
 }
 
 func (f *Feed) set(r Record) Change {
+	if old, known := f.records[r.Key]; known && len(old.Value) == 0 {
+		f.dropped--
+	}
+	if len(r.Value) == 0 {
+		f.dropped++
+	}
 	f.records[r.Key] = r
 	return Change{Record: r, Dropped: len(r.Value) == 0}
 }
--- a/internal/decide/sycfeed/feed_test.go
+++ b/internal/decide/sycfeed/feed_test.go
@@ -1,6 +1,7 @@
 package sycfeed_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,3 +61,21 @@
 		})
 	}
 }
+
+// TestDroppedKeysAreForgotten has many keys come and go: memory stays bounded, and none of
+// them comes back by an old record.
+func TestDroppedKeysAreForgotten(t *testing.T) {
+	const many = 20000
+	f := sycfeed.New(hold)
+	f.Apply(0, []sycfeed.Record{rec(0, "stays", "x")}, 1)
+	offset := int64(1)
+	for i := range many {
+		key := fmt.Sprint("k", i)
+		f.Apply(0, []sycfeed.Record{rec(offset, key, "x"), rec(offset+1, key, "")}, offset+2)
+		offset += 2
+	}
+	must.Less(t, 4000, len(f.Since(0)))
+	must.Nil(t, f.Apply(0, []sycfeed.Record{rec(1, "k0", "x"), rec(2*many-1, fmt.Sprint("k", many-1), "x")}, offset))
+	must.Eq(t, []sycfeed.Record{rec(0, "stays", "x")}, f.Since(0)[:1])
+	must.Eq(t, []string{"new", "stays"}, keys(f.Apply(0, []sycfeed.Record{rec(offset, "new", "x"), rec(offset+1, "stays", "y")}, offset+2)))
+}
--- a/internal/decide/sychealth/health.go
+++ b/internal/decide/sychealth/health.go
@@ -101,6 +101,23 @@
 	return taken
 }
 
+// Admits reports whether the endpoint may get work now, with so many attempts of this VM
+// under way there: one that is tried again gets one at a time.
+func (h *Health) Admits(now time.Duration, underWay int) bool {
+	if h.state == Healthy {
+		return true
+	}
+	h.Observe(now, Elapsed)
+	switch h.state {
+	case Out:
+		return false
+	case Probing:
+		return underWay == 0
+	default:
+		return true
+	}
+}
+
 func (h *Health) count(e Event) {
 	switch e {
 	case Success:
--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -137,15 +137,7 @@
 	if e.record.Leaving {
 		return false
 	}
-	e.health.Observe(now, sychealth.Elapsed)
-	switch e.health.State() {
-	case sychealth.Out:
-		return false
-	case sychealth.Probing:
-		return len(e.attempts) == 0
-	default:
-		return true
-	}
+	return e.health.Admits(now, len(e.attempts))
 }
 
 // learn takes in how long an answer took against what was expected.
