Keep what engines tell under other weights apart, and take drops in their order

Three faults of the commit that reads caches, found on reading it: a drop told of a copy under old weights made VMs forget the copy under the new ones; a part kept and then dropped within one answer was believed kept; and a part only told of counted as just sent, so that the drop that followed was ignored. The cases are in TestReadEvents, TestEventsOfOtherWeights and TestToldPartsCount.

--- a/internal/decide/sycplace/cache.go
+++ b/internal/decide/sycplace/cache.go
@@ -18,7 +18,7 @@
 
 type kept struct {
 	Part
-	// used is when the part was last sent.
+	// used is when the part was last sent; long ago if it was only told of.
 	used time.Duration
 }
 
@@ -41,22 +41,36 @@
 // add notes that the parts were used.
 func (c *cache) add(now time.Duration, parts []Part) {
 	for i := len(parts) - 1; i >= 0; i-- {
-		c.put(now, parts[i])
+		at := c.put(parts[i])
+		at.Value.(*kept).used = now
+		c.order.MoveToFront(at)
 	}
-	for c.used > c.limit && c.order.Len() > 0 {
-		c.remove(c.order.Back())
+	c.trim()
+}
+
+// told notes parts that the engine has told of; parts sent from here are known better.
+func (c *cache) told(parts []Part) {
+	for _, p := range parts {
+		c.put(p)
 	}
+	c.trim()
 }
 
-// put notes that a part is kept.
-func (c *cache) put(now time.Duration, p Part) {
-	if at, ok := c.parts[p.Hash]; ok {
-		at.Value.(*kept).used = now
-		c.order.MoveToFront(at)
-		return
+func (c *cache) put(p Part) *list.Element {
+	at, ok := c.parts[p.Hash]
+	if !ok {
+		at = c.order.PushFront(&kept{Part: p, used: -toldLate})
+		c.parts[p.Hash] = at
+		c.used += p.Tokens
+	}
+	return at
+}
+
+// trim forgets the parts used longest ago that have no room.
+func (c *cache) trim() {
+	for c.used > c.limit && c.order.Len() > 0 {
+		c.remove(c.order.Back())
 	}
-	c.parts[p.Hash] = c.order.PushFront(&kept{Part: p, used: now})
-	c.used += p.Tokens
 }
 
 // drop forgets a part that the engine has dropped, unless it was sent again since about
--- a/internal/decide/sycplace/told.go
+++ b/internal/decide/sycplace/told.go
@@ -38,29 +38,25 @@
 // Told is what an engine has told of its cache.
 type Told struct {
 	Endpoint string
-	// Born is the engine's start that the parts were kept since.
-	Born int64
-	// Kept are parts that it keeps, made under the versions in Weights; Gone are hashes
-	// of parts that it has dropped.
-	Kept    []Part
-	Weights []int64
-	Gone    []uint64
+	// Born is the engine's start that the parts were kept since, Weights the version
+	// that they were made under.
+	Born    int64
+	Weights int64
+	// Kept are parts that the engine keeps, Gone hashes of parts that it has dropped.
+	Kept []Part
+	Gone []uint64
 }
 
 // Tell takes in what an engine has told of its cache, to this VM or to another.
 func (p *Placer) Tell(now time.Duration, t Told) {
 	e := p.endpoints[t.Endpoint]
-	if e == nil || e.record.Born != t.Born {
+	if e == nil || e.record.Born != t.Born || !e.has(t.Weights) {
 		return
 	}
 	for _, hash := range t.Gone {
 		e.cache.drop(now, hash)
 	}
-	for i, part := range t.Kept {
-		if e.has(t.Weights[i]) {
-			e.cache.add(now, []Part{part})
-		}
-	}
+	e.cache.told(t.Kept)
 }
 
 // has reports whether the engine has a version of some model's weights.
@@ -81,13 +77,9 @@
 		if len(e.record.Weights) != 1 || len(e.cache.parts) == 0 {
 			continue
 		}
-		t := Told{Endpoint: e.record.ID, Born: e.record.Born, Kept: e.cache.list()}
 		for _, version := range e.record.Weights {
-			for range t.Kept {
-				t.Weights = append(t.Weights, version)
-			}
+			out = append(out, Told{Endpoint: e.record.ID, Born: e.record.Born, Weights: version, Kept: e.cache.list()})
 		}
-		out = append(out, t)
 	}
 	return out
 }
--- a/internal/decide/sycplace/told_test.go
+++ b/internal/decide/sycplace/told_test.go
@@ -10,7 +10,7 @@
 
 // told says that an engine keeps the shared parts of a subject's prompts.
 func told(engine string, weights int64, r *sycplace.Request) sycplace.Told {
-	return sycplace.Told{Endpoint: engine, Kept: r.Parts[:2], Weights: []int64{weights, weights}}
+	return sycplace.Told{Endpoint: engine, Weights: weights, Kept: r.Parts[:2]}
 }
 
 func TestToldPartsCount(t *testing.T) {
@@ -25,20 +25,28 @@
 	}{
 		{"nothing told", func(*sycplace.Placer, *sycplace.Target, string) {}, 4500, true},
 		{"dropped and kept elsewhere", func(p *sycplace.Placer, sent *sycplace.Target, other string) {
-			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 1, Gone: []uint64{1, 107}})
 			p.Tell(later, told(other, 1, request(1, 7)))
 		}, 4500, false},
 		{"dropped everywhere", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
-			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 1, Gone: []uint64{1, 107}})
 		}, 0, true},
 		{"dropped before it was sent again", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
-			p.Tell(time.Second, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(time.Second, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 1, Gone: []uint64{1, 107}})
 		}, 4500, true},
 		{"told by an earlier start", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
-			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Born: 9, Gone: []uint64{1, 107}})
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Born: 9, Weights: 1, Gone: []uint64{1, 107}})
 		}, 4500, true},
+		{"dropped under other weights", func(p *sycplace.Placer, sent *sycplace.Target, _ string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 2, Gone: []uint64{1, 107}})
+		}, 4500, true},
+		{"kept elsewhere, and soon dropped there", func(p *sycplace.Placer, sent *sycplace.Target, other string) {
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 1, Gone: []uint64{1, 107}})
+			p.Tell(later, told(other, 1, request(1, 7)))
+			p.Tell(later, sycplace.Told{Endpoint: other, Weights: 1, Gone: []uint64{1, 107}})
+		}, 0, true},
 		{"kept under other weights", func(p *sycplace.Placer, sent *sycplace.Target, other string) {
-			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Gone: []uint64{1, 107}})
+			p.Tell(later, sycplace.Told{Endpoint: sent.Endpoint.ID, Weights: 1, Gone: []uint64{1, 107}})
 			p.Tell(later, told(other, 2, request(1, 7)))
 		}, 0, true},
 	}
--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -105,20 +105,20 @@
 			continue
 		}
 		from, epoch = events.Next, events.Epoch
-		if len(events.Told.Kept)+len(events.Told.Gone) > 0 {
-			f.loop.Do(func(time.Duration) {
-				f.placer.Tell(sycclock.Now(), events.Told)
-				f.tellCache(events.Told)
-			})
+		if len(events.Told) > 0 {
+			f.loop.Do(func(time.Duration) { f.cacheRead(sycclock.Now(), events.Told) })
 		}
 		f.pause(cachePause)
 	}
 }
 
-// tellCache has the other VMs told of an engine's cache.
-func (f *Fleet) tellCache(t sycplace.Told) {
+// cacheRead takes in what an engine has told, and has the other VMs told.
+func (f *Fleet) cacheRead(now time.Duration, told []sycplace.Told) {
+	for _, t := range told {
+		f.placer.Tell(now, t)
+	}
 	for _, vm := range f.peers.vms {
-		vm.caches = append(vm.caches, t)
+		vm.caches = append(vm.caches, told...)
 		if over := len(vm.caches) - cacheNewsLimit; over > 0 {
 			vm.caches = vm.caches[over:]
 		}
@@ -170,10 +170,9 @@
 		f.log.WithFields(logrus.Fields{"vm": in.Address, "engines": len(in.Caches)}).Info("fleet: caches learned")
 	}
 	for _, c := range in.Caches {
-		t := sycplace.Told{Endpoint: c.Endpoint, Born: c.Born, Gone: c.Gone}
-		if len(c.Kept) == len(c.Tokens) && len(c.Kept) == len(c.Weights) {
-			t.Weights = c.Weights
-			for i, hash := range c.Kept {
+		t := sycplace.Told{Endpoint: c.Endpoint, Born: c.Born, Weights: c.Weights, Gone: c.Gone}
+		for i, hash := range c.Kept {
+			if i < len(c.Tokens) {
 				t.Kept = append(t.Kept, sycplace.Part{Hash: hash, Tokens: int(c.Tokens[i])})
 			}
 		}
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -109,7 +109,8 @@
 	// Epoch changes when the engine restarts; Next is the event to ask for next.
 	Epoch int64
 	Next  int64
-	Told  sycplace.Told
+	// Told has an entry for each version of the weights.
+	Told []sycplace.Told
 }
 
 // Engines gives orders to engines.
