--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -81,17 +81,7 @@
 // readCache follows the cache of an engine while that falls to this VM.
 func (f *Fleet) readCache(e sycplace.Endpoint) {
 	var from, epoch int64
-	for f.tomb.Alive() {
-		stays := false
-		f.loop.Do(func(time.Duration) {
-			now, known := sycclock.Now(), false
-			var record sycplace.Endpoint
-			record, known = f.placer.Endpoint(e.ID)
-			stays = known && record.Born == e.Born && !record.Leaving && !f.leaving.Load() && f.readsCache(now, e)
-		})
-		if !stays {
-			return
-		}
+	for f.tomb.Alive() && f.goesOnReading(e) {
 		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), cacheWait+engineTimeout)
 		events, err := f.options.Engines.CacheEvents(ctx, e, from, cacheWait)
 		cancel()
@@ -112,6 +102,16 @@
 	}
 }
 
+// goesOnReading reports whether an engine still runs and falls to this VM.
+func (f *Fleet) goesOnReading(e sycplace.Endpoint) bool {
+	goesOn := false
+	f.loop.Do(func(time.Duration) {
+		record, known := f.placer.Endpoint(e.ID)
+		goesOn = known && record.Born == e.Born && !record.Leaving && !f.leaving.Load() && f.readsCache(sycclock.Now(), e)
+	})
+	return goesOn
+}
+
 // cacheRead takes in what an engine has told, and has the other VMs told.
 func (f *Fleet) cacheRead(now time.Duration, told []sycplace.Told) {
 	for _, t := range told {
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -143,8 +143,8 @@
 }
 
 // ShareOut returns this VM's evidence for the digest with the given number:
-// its vetoes, new failures and late first tokens always, and from time to time all counts that have
-// changed. It must not be called on the control loop.
+// its vetoes, new failures and late first tokens always, and from time to time all
+// counts that have changed. It must not be called on the control loop.
 func (m *Manager) ShareOut(sequence uint64) []*sycpeerpb.VersionEvidence {
 	var list []*sycpeerpb.VersionEvidence
 	m.options.Loop.Do(func(time.Duration) {
