--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -46,7 +46,11 @@
 // countLate counts the first tokens that are awaited for much longer than nearly all of
 // the predecessor's took, whatever the size, as if they had come now. Those of the
 // predecessor count too: a stall of this VM, or of all engines, makes both late.
-func (l *Ledger) countLate(now time.Duration, sum Totals, candidate, predecessor Subject) {
+func (l *Ledger) countLate(now time.Duration, candidate, predecessor Subject) {
+	if len(l.awaited) == 0 {
+		return
+	}
+	sum := l.Sum()
 	for id, a := range l.awaited {
 		if s := (Subject{a.cell.Version, a.cell.Generation}); a.arrived || a.late || s != candidate && s != predecessor {
 			continue
--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -89,6 +89,7 @@
 // TestSlowFirstTokensAreSeenWhileAwaited lets a version turn slow: it is found before its
 // first answer ends, and a version that is as fast as its predecessor is kept.
 func TestSlowFirstTokensAreSeenWhileAwaited(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		factor float64
@@ -102,6 +103,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(20) {
 				as := &answers{rng: rand.New(rand.NewPCG(seed, 1)), ledger: sycrollout.NewLedger()}
 				found, got := as.run(tt.factor)
@@ -118,6 +120,7 @@
 // TestStallIsNoFault holds all first tokens up for a while, now and then, as a busy
 // machine does: a good version that shares the requests is kept.
 func TestStallIsNoFault(t *testing.T) {
+	t.Parallel()
 	const (
 		every = 3 * time.Second
 		stall = 500 * time.Millisecond
--- a/internal/decide/sycrollout/stage.go
+++ b/internal/decide/sycrollout/stage.go
@@ -25,7 +25,7 @@
 // Judge compares the versions and returns the verdicts on the whole stage and
 // on its last seconds.
 func (s *Stage) Judge(now time.Duration, ledger *Ledger) (whole, lately Verdict) {
-	ledger.countLate(now, ledger.Sum(), s.candidate, s.predecessor)
+	ledger.countLate(now, s.candidate, s.predecessor)
 	ledger.Read(now)
 	sum := ledger.Sum()
 	whole = s.compare(sum.Since(s.baseline), sum)
--- a/internal/decide/sycrollout/stage_test.go
+++ b/internal/decide/sycrollout/stage_test.go
@@ -48,6 +48,7 @@
 }
 
 func TestLateFaultIsFound(t *testing.T) {
+	t.Parallel()
 	times := []struct {
 		name  string
 		fault time.Duration
@@ -69,6 +70,7 @@
 	for _, when := range times {
 		for _, what := range faults {
 			t.Run(what.name+" "+when.name, func(t *testing.T) {
+				t.Parallel()
 				most := 0
 				for seed := range uint64(10) {
 					tr := newTraffic(seed)
@@ -91,6 +93,7 @@
 // TestLoadRisesAfterDone makes answers longer by as much as the load can within
 // a class: the predecessor would have been as slow.
 func TestLoadRisesAfterDone(t *testing.T) {
+	t.Parallel()
 	const rise = 1.45
 	for seed := range uint64(20) {
 		tr := newTraffic(seed)
@@ -106,6 +109,7 @@
 }
 
 func TestGoodVersionIsKeptAfterDone(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		gap  time.Duration
@@ -115,6 +119,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			bad := 0
 			for seed := range uint64(60) {
 				found, _ := newTraffic(seed).rollout(0, tt.gap)
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -86,6 +86,7 @@
 }
 
 func TestGoodVersionIsKept(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(60) {
 		found, _ := newTraffic(seed).run(0)
 		must.Zero(t, found, must.Sprintf("seed %d", seed))
@@ -93,6 +94,7 @@
 }
 
 func TestBadVersionIsFound(t *testing.T) {
+	t.Parallel()
 	const late = 20 * time.Second
 	tests := []struct {
 		name  string
@@ -130,6 +132,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				tr := newTraffic(seed)
 				tr.bend = tt.bend
@@ -142,6 +145,7 @@
 }
 
 func TestMergeIsIdempotent(t *testing.T) {
+	t.Parallel()
 	cell := sycrollout.Cell{Version: "v2", Generation: 1, Route: "chat"}
 	counts := func(n uint64) sycrollout.Counts { return sycrollout.Counts{Requests: n} }
 	tests := []struct {
@@ -156,6 +160,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			ledger := sycrollout.NewLedger()
 			ledger.Record(cell, sycrollout.Sample{})
 			for _, n := range tt.send {
