--- a/internal/standin/sycfakestore/store.go
+++ b/internal/standin/sycfakestore/store.go
@@ -93,6 +93,19 @@
 	s.add(name, append(append([]byte{byte(len(key))}, key...), value...))
 }
 
+// Newest returns the newest value of a key, empty if there is none.
+func (s *Store) Newest(name, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := ""
+	for _, record := range s.topic(name).records {
+		if length := int(record[0]); string(record[1:1+length]) == key {
+			value = string(record[1+length:])
+		}
+	}
+	return value
+}
+
 // Records returns the records of a topic.
 func (s *Store) Records(name string) [][]byte {
 	s.mu.Lock()
--- a/internal/standin/sycfakeworker/worker.go
+++ b/internal/standin/sycfakeworker/worker.go
@@ -134,7 +134,10 @@
 }
 
 // Entry is the worker's entry in the store.
-func (w *Worker) Entry(service, state string) string {
+func (w *Worker) Entry(service, state string) string { return w.EntryOf(service, state, "v1") }
+
+// EntryOf is the entry of a worker that runs a version of its service.
+func (w *Worker) EntryOf(service, state, release string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	type model struct {
@@ -146,7 +149,7 @@
 		models = append(models, model{name, version})
 	}
 	data, _ := json.Marshal(map[string]any{
-		"service": service, "address": w.Address(), "zone": "z", "version": "v1", "slots": 4, "state": state,
+		"service": service, "address": w.Address(), "zone": "z", "version": release, "slots": 4, "state": state,
 		"born": 1, "models": models, "seq": w.orders,
 	})
 	return string(data)
