--- a/internal/traffic/sycclaims/driver_test.go
+++ b/internal/traffic/sycclaims/driver_test.go
@@ -104,25 +104,32 @@
 	return fault.Reason
 }
 
+// refusedFor bounds the time for which requests are refused.
+const refusedFor = 20 * time.Second
+
 // duplicates is a case in which each call comes to all VMs.
 type duplicates struct {
 	name   string
 	faults sycplatform.Faults
 	body   int
+	// refused is whether requests may be refused for a time, without having run.
+	refused bool
 }
 
 func TestDuplicatesAtAllVMsRunOnce(t *testing.T) {
 	cases := []duplicates{
-		{"no fault", sycplatform.Faults{}, 10},
-		{"long answers", sycplatform.Faults{}, 64 << 10},
+		{"no fault", sycplatform.Faults{}, 10, false},
+		{"long answers", sycplatform.Faults{}, 64 << 10, false},
+		{"lost answers of the log", sycplatform.Faults{LoseAppends: 5}, 10, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { runDuplicates(t, c) })
 	}
 }
 
-// runDuplicates sends every call to all VMs at once: each must run once, and all must get
-// its answer.
+// runDuplicates sends every call to all VMs, a millisecond apart: each must run once, and
+// all must get its answer. While an append has failed a VM refuses claims; such a request
+// has not run and comes again.
 func runDuplicates(t *testing.T, c duplicates) {
 	t.Helper()
 	const keys, vms, repeats = 20, 3, 2
@@ -133,13 +140,19 @@
 	var group sync.WaitGroup
 	for n := range keys * vms * repeats {
 		key, d := n%keys, f.drivers[vm(n/keys%vms)]
+		time.Sleep(time.Millisecond)
+		run := func() sycclaim.Answer {
+			runs[key].Add(1)
+			body := make([]byte, c.body)
+			body[0] = byte(key)
+			return sycclaim.Answer{Status: 200, Body: body}
+		}
 		group.Go(func() {
-			answer, err := attempt(d, fmt.Sprint(key), func() sycclaim.Answer {
-				runs[key].Add(1)
-				body := make([]byte, c.body)
-				body[0] = byte(key)
-				return sycclaim.Answer{Status: 200, Body: body}
-			})
+			answer, err := attempt(d, fmt.Sprint(key), run)
+			for end := time.Now().Add(refusedFor); c.refused && reason(err) == sycclaim.Unavailable && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+				answer, err = attempt(d, fmt.Sprint(key), run)
+			}
 			if err != nil || len(answer.Body) != c.body || answer.Body[0] != byte(key) {
 				wrong.Add(1)
 				t.Logf("key %d at %s: %v", key, vm(n/keys%vms), err)
