Let the loop's time go on while the machine is suspended

Leases, slots and claims of the product's own interface are kept in the loop's time, which was Go's monotonic clock and stands still in a suspended machine; claims added the wall clock beside it, which may step back. The loop now reads CLOCK_BOOTTIME, and claims need no second clock.

--- a/internal/ground/sycloop/loop.go
+++ b/internal/ground/sycloop/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 )
 
 // Depth is the number of posted functions that may wait. A full loop blocks
@@ -21,8 +22,10 @@
 
 // Loop executes posted functions one at a time, in order.
 type Loop struct {
-	tomb  tomb.Tomb
-	start time.Time
+	tomb tomb.Tomb
+	// clock goes on in a suspended machine; start is when the loop started by it.
+	clock func() time.Duration
+	start time.Duration
 	work  chan func(now time.Duration)
 	// tasks, watches, seen and wakeAt belong to the loop's goroutine.
 	tasks   []*Task
@@ -58,9 +61,12 @@
 }
 
 // New starts a loop.
-func New() *Loop {
+func New() *Loop { return newLoop(sycclock.Now) }
+
+func newLoop(clock func() time.Duration) *Loop {
 	l := &Loop{
-		start: time.Now(),
+		clock: clock,
+		start: clock(),
 		work:  make(chan func(now time.Duration), Depth),
 	}
 	l.tomb.Go(func() error {
@@ -120,9 +126,10 @@
 	return next
 }
 
-// Now is the monotonic time since the loop started.
+// Now is the time since the loop started, suspensions of the machine included: leases,
+// slots and claims that are kept in it run out while it sleeps.
 func (l *Loop) Now() time.Duration {
-	return time.Since(l.start)
+	return l.clock() - l.start
 }
 
 // Post hands f to the loop and reports whether the loop will still run it.
--- a/internal/traffic/sycclaims/claim.go
+++ b/internal/traffic/sycclaims/claim.go
@@ -14,10 +14,9 @@
 	// id is that of the claim made for the request; empty where the request
 	// only waits for another's outcome.
 	id string
-	// startBy is when the call may be sent at the latest; expires is the same
-	// by the wall clock, since either may stand still while a VM is paused.
+	// startBy is when the call may be sent at the latest, by the loop's clock, which goes
+	// on while a VM is paused.
 	startBy time.Duration
-	expires time.Time
 	verdict chan verdict
 }
 
@@ -91,7 +90,6 @@
 	}
 	w.id = d.nextID()
 	w.startBy = now + d.options.Start
-	w.expires = time.Now().Add(d.options.Start).Round(0)
 	d.waiters[w.name] = append(d.waiters[w.name], w)
 	d.enqueue(sycclaim.Record{
 		Kind:   sycclaim.KindClaim,
@@ -157,7 +155,7 @@
 	if entry.ID() != w.id {
 		return verdict{entry: entry, found: true}
 	}
-	if entry.State() != sycclaim.Claimed || now > w.startBy || time.Now().Round(0).After(w.expires) {
+	if entry.State() != sycclaim.Claimed || now > w.startBy {
 		d.release(w.name, w.id)
 		return verdict{err: unavailable()}
 	}
@@ -167,7 +165,6 @@
 		name:    w.name,
 		id:      w.id,
 		startBy: w.startBy,
-		expires: w.expires,
 	}}
 }
 
@@ -185,12 +182,11 @@
 	name    string
 	id      string
 	startBy time.Duration
-	expires time.Time
 }
 
 // Start reports whether the call may still be sent.
 func (t *ticket) Start() bool {
-	return t.driver.options.Loop.Now() <= t.startBy && !time.Now().Round(0).After(t.expires)
+	return t.driver.options.Loop.Now() <= t.startBy
 }
 
 // Done records the outcome.
