--- a/internal/decide/sycplace/told.go
+++ b/internal/decide/sycplace/told.go
@@ -1,6 +1,8 @@
 package sycplace
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -47,6 +49,46 @@
 	Gone []uint64
 }
 
+// CacheEvent is one thing that an engine has told of its cache.
+type CacheEvent struct {
+	Part
+	// Weights is the version that the part was made under.
+	Weights int64
+	// Dropped means that the engine has ceased to keep the part.
+	Dropped bool
+}
+
+// Gather makes of an engine's events, in their order, what it keeps and has dropped by
+// version of the weights. Of several events of a part the last one counts.
+func Gather(e Endpoint, events []CacheEvent) []Told {
+	type copied struct {
+		weights int64
+		hash    uint64
+	}
+	last := map[copied]CacheEvent{}
+	for _, event := range events {
+		last[copied{event.Weights, event.Hash}] = event
+	}
+	byWeights := map[int64]*Told{}
+	for c, event := range last {
+		t := byWeights[c.weights]
+		if t == nil {
+			t = &Told{Endpoint: e.ID, Born: e.Born, Weights: c.weights}
+			byWeights[c.weights] = t
+		}
+		if event.Dropped {
+			t.Gone = append(t.Gone, c.hash)
+		} else {
+			t.Kept = append(t.Kept, event.Part)
+		}
+	}
+	out := make([]Told, 0, len(byWeights))
+	for _, weights := range slices.Sorted(maps.Keys(byWeights)) {
+		out = append(out, *byWeights[weights])
+	}
+	return out
+}
+
 // Tell takes in what an engine has told of its cache, to this VM or to another.
 func (p *Placer) Tell(now time.Duration, t Told) {
 	e := p.endpoints[t.Endpoint]
--- a/internal/decide/sycplace/told_test.go
+++ b/internal/decide/sycplace/told_test.go
@@ -98,3 +98,32 @@
 		must.False(t, ok, must.Sprint(salt))
 	}
 }
+
+func TestGather(t *testing.T) {
+	engine := sycplace.Endpoint{ID: "e", Born: 5}
+	kept := func(hash uint64, weights int64) sycplace.CacheEvent {
+		return sycplace.CacheEvent{Part: sycplace.Part{Hash: hash, Tokens: 8}, Weights: weights}
+	}
+	gone := func(hash uint64, weights int64) sycplace.CacheEvent {
+		e := kept(hash, weights)
+		e.Dropped = true
+		return e
+	}
+	part := []sycplace.Part{{Hash: 1, Tokens: 8}}
+	tests := []struct {
+		name   string
+		events []sycplace.CacheEvent
+		want   []sycplace.Told
+	}{
+		{"none", nil, []sycplace.Told{}},
+		{"dropped, then kept", []sycplace.CacheEvent{gone(1, 3), kept(1, 3)}, []sycplace.Told{{Endpoint: "e", Born: 5, Weights: 3, Kept: part}}},
+		{"kept, then dropped", []sycplace.CacheEvent{kept(1, 3), gone(1, 3)}, []sycplace.Told{{Endpoint: "e", Born: 5, Weights: 3, Gone: []uint64{1}}}},
+		{"under several weights", []sycplace.CacheEvent{gone(1, 3), kept(1, 4)}, []sycplace.Told{
+			{Endpoint: "e", Born: 5, Weights: 3, Gone: []uint64{1}},
+			{Endpoint: "e", Born: 5, Weights: 4, Kept: part},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { must.Eq(t, tt.want, sycplace.Gather(engine, tt.events)) })
+	}
+}
--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -95,8 +95,8 @@
 			continue
 		}
 		from, epoch = events.Next, events.Epoch
-		if len(events.Told) > 0 {
-			f.loop.Do(func(time.Duration) { f.cacheRead(sycclock.Now(), events.Told) })
+		if told := sycplace.Gather(e, events.Events); len(told) > 0 {
+			f.loop.Do(func(time.Duration) { f.cacheRead(sycclock.Now(), told) })
 		}
 		f.pause(cachePause)
 	}
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -107,10 +107,9 @@
 // CacheEvents is what an engine has told of its cache since an event.
 type CacheEvents struct {
 	// Epoch changes when the engine restarts; Next is the event to ask for next.
-	Epoch int64
-	Next  int64
-	// Told has an entry for each version of the weights.
-	Told []sycplace.Told
+	Epoch  int64
+	Next   int64
+	Events []sycplace.CacheEvent
 }
 
 // Engines gives orders to engines.
