Compare first tokens only with requests that had as much to compute

Cause: a version's engines begin with cold caches. Sizes were classed in steps of two, so that 3,650 tokens to compute (cold) were compared with 2,100 (warm) in one class, 64 against 45 ms; and requests with imported blocks were in one class for all sizes, 45 to 107 against 6 to 45 ms. First tokens under way were compared with the largest class that the predecessor had seen, which a warm predecessor has only in small. Ruled out: noise of the machine.

Change: sizes in steps of 2^(1/4), imports by size too; a duration is compared with the predecessor's from the same size upwards until there are ten, and only where there are too few with smaller ones, taken to grow as the tokens do. What is awaited is compared at the size of the whole prompt. The classes have new numbers, so that VMs of former releases leave them out.

The models of two older tests meant a doubling by each class; they now name the tokens, and the bounds are as they were.

--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -13,8 +13,8 @@
 	arrived, late bool
 }
 
-// Begin notes that an attempt of this VM, by its number, awaits its first token. The
-// cell's size is not looked at, since it is known at the end only.
+// Begin notes that an attempt of this VM, by its number, awaits its first token. What is
+// cached is known at the end only, so that the cell's size is the largest possible one.
 func (l *Ledger) Begin(now time.Duration, id uint64, cell Cell) {
 	l.awaited[id] = await{cell: cell, since: now}
 }
@@ -44,47 +44,29 @@
 func (l *Ledger) Late() uint64 { return l.late }
 
 // countLate counts the first tokens that are awaited for much longer than nearly all of
-// the predecessor's took, whatever the size, as if they had come now. Those of the
-// predecessor count too: a stall of this VM, or of all engines, makes both late.
+// the predecessor's took, as if they had come now. Those of the predecessor count too: a
+// stall of this VM, or of all engines, makes both late.
 func (l *Ledger) countLate(now time.Duration, candidate, predecessor Subject) {
 	if len(l.awaited) == 0 {
 		return
 	}
-	sum := l.Sum()
+	kinds := kindsOf(l.Sum(), candidate, predecessor)
 	for id, a := range l.awaited {
-		if s := (Subject{a.cell.Version, a.cell.Generation}); a.arrived || a.late || s != candidate && s != predecessor {
+		s := a.cell.subject()
+		if a.arrived || a.late || s != candidate && s != predecessor {
 			continue
 		}
-		size, reference := longest(sum, a.cell, predecessor)
-		if size < 0 || bucketOf(now-a.since) <= min(reference+laterSlack, BucketCount-1) {
+		reference, ok := kinds[a.cell.kind()].firstToken(a.cell.Size, laterSlack)
+		if !ok || bucketOf(now-a.since) <= reference {
 			continue
 		}
-		if (Subject{a.cell.Version, a.cell.Generation}) == candidate {
+		if s == candidate {
 			l.late++
 		}
 		a.late = true
 		l.awaited[id] = a
-		a.cell.Size = size
 		c := l.own[a.cell]
 		c.FirstToken.Add(now - a.since)
 		l.own[a.cell] = c
 	}
 }
-
-// longest is the size class whose requests waited longest for the predecessor's first
-// tokens, and the reference there; the size is -1 where too few were seen.
-func longest(sum Totals, cell Cell, predecessor Subject) (size, reference int) {
-	size = -1
-	cell.Version, cell.Generation = predecessor.Version, predecessor.Generation
-	for s := range sizeClasses {
-		cell.Size = s
-		old := sum[cell]
-		if old.FirstToken.Total() < minReference {
-			continue
-		}
-		if r := old.FirstToken.quantileBucket(referenceQuantile); size < 0 || r > reference {
-			size, reference = s, r
-		}
-	}
-	return size, reference
-}
--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -37,8 +37,9 @@
 }
 
 func (as *answers) begin(now time.Duration, s sycrollout.Subject, factor float64) {
-	cell := sycrollout.Cell{Version: s.Version, Generation: s.Generation, Route: "chat", Size: as.rng.IntN(3)}
-	base := float64(40*time.Millisecond) * math.Exp2(float64(cell.Size))
+	doublings := as.rng.IntN(3)
+	cell := sycrollout.Cell{Version: s.Version, Generation: s.Generation, Route: "chat", Size: sycrollout.SizeClass(smallPrompt << doublings)}
+	base := float64(40*time.Millisecond) * math.Exp2(float64(doublings))
 	first := time.Duration(factor * base * math.Exp(0.5*as.rng.NormFloat64()))
 	as.nextID++
 	as.ledger.Begin(now, as.nextID, cell)
--- a/internal/decide/sycrollout/buckets.go
+++ b/internal/decide/sycrollout/buckets.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// addLonger adds counts as if each duration were longer by some buckets, and returns how
+// many.
+func (b *Buckets) addLonger(other *Buckets, buckets int) uint64 {
+	total := uint64(0)
+	for i, c := range other {
+		b[min(i+buckets, BucketCount-1)] += c
+		total += c
+	}
+	return total
+}
+
 // subtract removes an earlier reading of the same counts.
 func (b *Buckets) subtract(earlier *Buckets) {
 	for i, c := range earlier {
--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"math/bits"
+	"math"
 	"time"
 )
 
@@ -17,15 +17,17 @@
 const (
 	middleLoad = 4
 	highLoad   = 12
-	// smallTokens is the upper end of the first size class; each class after it
-	// ends at twice as many tokens, and the last has no end.
+	// smallTokens is the upper end of the first size class. The classes after it are as
+	// wide as the buckets of durations: where one request has so many times the tokens of
+	// another, its first token may take as many times as long. The last has no end.
 	smallTokens = 128
 	// SizeClasses is the number of size classes, by the prompt tokens that had to
 	// be computed before the first token.
-	SizeClasses = 9
-	// SizeImported is the class of requests with imported blocks.
-	SizeImported = SizeClasses
-	sizeClasses  = SizeClasses + 1
+	SizeClasses = 2 + 8*bucketsPerDoubling
+	// firstClass is the lowest number of a class: VMs of former releases, whose sizes
+	// were other ones, leave these numbers out as unknown, and their numbers are left out
+	// here.
+	firstClass = 30
 )
 
 // Cell is a kind of request whose versions are compared with each other.
@@ -36,20 +38,29 @@
 	Route      string
 	Load       int
 	Size       int
+	// Imported is set for requests with imported blocks, whose import takes part of
+	// their time.
+	Imported bool
 }
 
-// Class packs load and size class into one number.
+// Class packs load, size and import into one number.
 func (c Cell) Class() uint32 {
-	return uint32(c.Load*sizeClasses + c.Size)
+	class := c.Load * 2
+	if c.Imported {
+		class++
+	}
+	return uint32(firstClass + class*SizeClasses + c.Size)
 }
 
-// SetClass unpacks load and size class; it reports false for an unknown class.
+// SetClass unpacks load, size and import; it reports false for an unknown class.
 func (c *Cell) SetClass(class uint32) bool {
-	if class >= loadClasses*sizeClasses {
+	n := int(class) - firstClass
+	if n < 0 || n >= 2*loadClasses*SizeClasses {
 		return false
 	}
-	c.Load = int(class) / sizeClasses
-	c.Size = int(class) % sizeClasses
+	c.Size = n % SizeClasses
+	n /= SizeClasses
+	c.Load, c.Imported = n/2, n%2 == 1
 	return true
 }
 
@@ -68,8 +79,11 @@
 // tokens had to be computed: its own that were not cached, and those of the
 // requests before it.
 func SizeClass(tokens int) int {
-	class := bits.Len(uint(max(tokens, 0) / smallTokens))
-	return min(class, SizeClasses-1)
+	if tokens < smallTokens {
+		return 0
+	}
+	doublings := math.Log2(float64(tokens) / smallTokens)
+	return min(1+int(doublings*bucketsPerDoubling), SizeClasses-1)
 }
 
 // Counts is what was seen in a cell. Counts only grow.
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -29,9 +29,12 @@
 	// reference where the predecessor's were counted earlier: load may have risen
 	// within its class since.
 	laterSlack = 3
-	// minReference is the smallest number of the predecessor's requests in a cell
-	// that a comparison rests on.
+	// minReference is the smallest number of the predecessor's requests that a
+	// comparison rests on.
 	minReference = 10
+	// sizeSlack is the number of buckets by which first tokens must be above the
+	// reference, since sizes differ within their class.
+	sizeSlack = 1
 )
 
 // Subject is a version under comparison.
@@ -53,46 +56,46 @@
 }
 
 // Compare judges a version against its predecessor, route by route. Requests
-// are compared only with requests of the same load and size class.
+// are compared only with requests of the same load that had as much to compute.
 func Compare(t Totals, candidate, predecessor Subject) Verdict {
 	return compare(t, candidate, predecessor, 0)
 }
 
 // compare counts a duration as slow from slack buckets above the reference on.
 func compare(t Totals, candidate, predecessor Subject, slack int) Verdict {
-	routes := map[string]bool{}
 	var v Verdict
-	for cell, counts := range t {
-		switch (Subject{cell.Version, cell.Generation}) {
-		case candidate:
-			routes[cell.Route] = true
-		case predecessor:
-			v.OldRequests += counts.Requests
+	kinds := kindsOf(t, candidate, predecessor)
+	routes := map[string]bool{}
+	for k, s := range kinds {
+		for size := range SizeClasses {
+			if s.fresh[size] != nil {
+				routes[k.route] = true
+			}
+			if s.old[size] != nil {
+				v.OldRequests += s.old[size].Requests
+			}
 		}
 	}
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
-		v.judge(t, route, candidate, predecessor, slack)
+		v.judge(kinds, route, slack)
 	}
 	return v
 }
 
-// comparison gathers a route's counts over all load and size classes.
+// comparison gathers a route's counts over load and size classes.
 type comparison struct {
-	slack                 int
 	fresh, old            Counts
 	slowFirst, slowNext   uint64
 	totalFirst, totalNext uint64
 }
 
-func (v *Verdict) judge(t Totals, route string, candidate, predecessor Subject, slack int) {
-	all := comparison{slack: slack}
+func (v *Verdict) judge(kinds map[kind]*sizes, route string, slack int) {
+	var all comparison
 	for load := range loadClasses {
-		byLoad := comparison{slack: slack}
-		for size := range sizeClasses {
-			fresh, isFresh := t[Cell{candidate.Version, candidate.Generation, route, load, size}]
-			old, isOld := t[Cell{predecessor.Version, predecessor.Generation, route, load, size}]
-			if isFresh || isOld {
-				byLoad.add(&fresh, &old)
+		var byLoad comparison
+		for _, imported := range []bool{false, true} {
+			if s := kinds[kind{route, load, imported}]; s != nil {
+				byLoad.add(s, slack)
 			}
 		}
 		if byLoad.fresh.Requests > 0 {
@@ -105,11 +108,25 @@
 	v.conclude(route, "any", &all)
 }
 
-func (c *comparison) add(fresh, old *Counts) {
-	c.fresh.add(fresh)
-	c.old.add(old)
-	c.slowFirst, c.totalFirst = c.slower(&fresh.FirstToken, &old.FirstToken, c.slowFirst, c.totalFirst)
-	c.slowNext, c.totalNext = c.slower(&fresh.BetweenTokens, &old.BetweenTokens, c.slowNext, c.totalNext)
+func (c *comparison) add(s *sizes, slack int) {
+	for size := range SizeClasses {
+		if s.old[size] != nil {
+			c.old.add(s.old[size])
+		}
+		fresh := s.fresh[size]
+		if fresh == nil {
+			continue
+		}
+		c.fresh.add(fresh)
+		if reference, ok := s.firstToken(size, slack); ok {
+			c.slowFirst += fresh.FirstToken.above(reference)
+			c.totalFirst += fresh.FirstToken.Total()
+		}
+		if reference, ok := s.betweenTokens(size, slack); ok {
+			c.slowNext += fresh.BetweenTokens.above(reference)
+			c.totalNext += fresh.BetweenTokens.Total()
+		}
+	}
 }
 
 func (c *comparison) merge(other *comparison) {
@@ -121,20 +138,6 @@
 	c.totalNext += other.totalNext
 }
 
-// slower counts the durations above the predecessor's reference quantile.
-func (c *comparison) slower(fresh, old *Buckets, slow, total uint64) (uint64, uint64) {
-	if old.Total() < minReference {
-		return slow, total
-	}
-	reference := old.reference(c.slack)
-	return slow + fresh.above(reference), total + fresh.Total()
-}
-
-// reference is the bucket after which durations count as slow.
-func (b *Buckets) reference(slack int) int {
-	return min(b.quantileBucket(referenceQuantile)+slack, BucketCount-1)
-}
-
 func (v *Verdict) conclude(route, load string, c *comparison) {
 	if v.Bad {
 		return
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -29,9 +29,10 @@
 		Generation: subject.Generation,
 		Route:      []string{"chat", "lookup"}[tr.rng.IntN(2)],
 		Load:       tr.rng.IntN(3),
-		Size:       tr.rng.IntN(3),
 	}
-	base := float64(20*time.Millisecond) * math.Pow(2, float64(cell.Size)) * (1 + float64(cell.Load))
+	doublings := tr.rng.IntN(3)
+	cell.Size = sycrollout.SizeClass(smallPrompt << doublings)
+	base := float64(20*time.Millisecond) * math.Exp2(float64(doublings)) * (1 + float64(cell.Load))
 	s := sycrollout.Sample{
 		Failed:        tr.rng.Float64() < 0.005,
 		FirstToken:    time.Duration(base * math.Exp(0.5*tr.rng.NormFloat64())),
@@ -44,6 +45,8 @@
 }
 
 const (
+	// smallPrompt is the number of tokens of the smallest prompts.
+	smallPrompt = 512
 	// perMinute is the traffic of a run, a tenth of which the new version gets.
 	perMinute = 1200
 	// mostExposed is the small share of the traffic that a bad version may get
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/decide/sycblock"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 	"sycamorecart.example/sycamorecart/internal/peer/sycevidence"
@@ -29,7 +30,7 @@
 		return nil, err
 	}
 	g := &observed{Grant: inner, manager: o.manager, route: w.Route, id: o.manager.attempts.Add(1)}
-	o.manager.begin(g.id, w.Route, inner.Target())
+	o.manager.begin(g.id, w, inner.Target())
 	return g, nil
 }
 
@@ -55,8 +56,9 @@
 }
 
 // begin has the first token of an attempt awaited, if its version is under rollout.
-func (m *Manager) begin(id uint64, route string, target sycwork.Target) {
-	if cell, judged := m.cell(route, target); judged {
+func (m *Manager) begin(id uint64, w sycwork.Work, target sycwork.Target) {
+	if cell, judged := m.cell(w.Route, target); judged {
+		cell.Size = sycrollout.SizeClass(target.Backlog + sycblock.Tokens(w.Prompt))
 		m.options.Loop.Post(func(now time.Duration) { m.ledger.Begin(now, id, cell) })
 	}
 }
@@ -68,7 +70,7 @@
 	if !judged {
 		return
 	}
-	cell.Size = sizeClass(target, r)
+	cell.Size = sycrollout.SizeClass(target.Backlog + r.PromptTokens - r.CachedTokens)
 	says := !r.Unreachable && r.Outcome != sycwork.Refused && r.Outcome != sycwork.Cancelled
 	m.options.Loop.Post(func(now time.Duration) {
 		if !says {
@@ -104,18 +106,10 @@
 		Generation: generation,
 		Route:      route,
 		Load:       sycrollout.LoadClass(target.Requests),
+		Imported:   target.Import != nil,
 	}, judged
 }
 
-// sizeClass keeps requests with imported blocks apart, since the import takes
-// part of their time.
-func sizeClass(target sycwork.Target, r sycwork.Result) int {
-	if target.Import != nil {
-		return sycrollout.SizeImported
-	}
-	return sycrollout.SizeClass(target.Backlog + r.PromptTokens - r.CachedTokens)
-}
-
 const (
 	// countsEvery is the number of digests from one with counts to the next.
 	countsEvery = 4
