Take the fleet's time from its loop

Two times of different origin in one place invite a wrong subtraction. The loop's time now is the machine's there, so that every function uses the one it is given. The product's own VM keeps its loop's time.

TestLoopOfMachine shows the time in functions and tasks.

--- a/internal/ground/sycloop/loop.go
+++ b/internal/ground/sycloop/loop.go
@@ -23,7 +23,7 @@
 // Loop executes posted functions one at a time, in order.
 type Loop struct {
 	tomb tomb.Tomb
-	// clock goes on in a suspended machine; start is when the loop started by it.
+	// clock goes on in a suspended machine; start is when the loop's time began by it.
 	clock func() time.Duration
 	start time.Duration
 	work  chan func(now time.Duration)
@@ -60,15 +60,19 @@
 	t.due = min(t.due, t.loop.Now()+period)
 }
 
-// New starts a loop.
-func New() *Loop { return newLoop(sycclock.Now) }
+// New starts a loop whose time begins now.
+func New() *Loop { return newLoop(sycclock.Now, sycclock.Now()) }
 
-func newLoop(clock func() time.Duration) *Loop {
+// NewOfMachine starts a loop whose time is the machine's, as sycclock reads it.
+func NewOfMachine() *Loop { return newLoop(sycclock.Now, 0) }
+
+func newLoop(clock func() time.Duration, start time.Duration) *Loop {
 	l := &Loop{
 		clock: clock,
-		start: clock(),
+		start: start,
 		work:  make(chan func(now time.Duration), Depth),
 	}
+	l.seen = l.Now()
 	l.tomb.Go(func() error {
 		timer := time.NewTimer(longestWait)
 		defer timer.Stop()
@@ -126,8 +130,8 @@
 	return next
 }
 
-// Now is the time since the loop started, suspensions of the machine included: leases,
-// slots and claims that are kept in it run out while it sleeps.
+// Now is the time since the loop's time began, suspensions of the machine included:
+// leases, slots and claims that are kept in it run out while it sleeps.
 func (l *Loop) Now() time.Duration {
 	return l.clock() - l.start
 }
--- a/internal/ground/sycloop/suspend_test.go
+++ b/internal/ground/sycloop/suspend_test.go
@@ -13,7 +13,7 @@
 // it wakes, and it notices that it has stood still.
 func TestSuspensionCounts(t *testing.T) {
 	var slept atomic.Int64
-	l := newLoop(func() time.Duration { return sycclock.Now() + time.Duration(slept.Load()) })
+	l := newLoop(func() time.Duration { return sycclock.Now() + time.Duration(slept.Load()) }, 0)
 	t.Cleanup(func() { must.NoError(t, l.Close()) })
 	stood := make(chan struct{}, 1)
 	l.Watch(time.Minute, func(time.Duration) { stood <- struct{}{} })
@@ -25,3 +25,21 @@
 	must.GreaterEq(t, before+time.Hour, after)
 	<-stood
 }
+
+// TestLoopOfMachine has the machine's time in a loop's functions and tasks.
+func TestLoopOfMachine(t *testing.T) {
+	l := NewOfMachine()
+	t.Cleanup(func() { must.NoError(t, l.Close()) })
+	ran := make(chan time.Duration, 1)
+	before := sycclock.Now()
+	l.Do(func(now time.Duration) { ran <- now })
+	must.Between(t, before, <-ran, sycclock.Now())
+	task := make(chan time.Duration, 16)
+	l.Every(time.Millisecond, func(now time.Duration) {
+		select {
+		case task <- now:
+		default:
+		}
+	})
+	must.Between(t, before, <-task, sycclock.Now())
+}
--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -96,7 +95,7 @@
 		}
 		from, epoch = events.Next, events.Epoch
 		if told := sycplace.Gather(e, events.Events); len(told) > 0 {
-			f.loop.Do(func(time.Duration) { f.cacheRead(sycclock.Now(), told) })
+			f.loop.Do(func(now time.Duration) { f.cacheRead(now, told) })
 		}
 		f.pause(cachePause)
 	}
@@ -105,9 +104,9 @@
 // goesOnReading reports whether an engine still runs and falls to this VM.
 func (f *Fleet) goesOnReading(e sycplace.Endpoint) bool {
 	goesOn := false
-	f.loop.Do(func(time.Duration) {
+	f.loop.Do(func(now time.Duration) {
 		record, known := f.placer.Endpoint(e.ID)
-		goesOn = known && record.Born == e.Born && !record.Leaving && !f.leaving.Load() && f.readsCache(sycclock.Now(), e)
+		goesOn = known && record.Born == e.Born && !record.Leaving && !f.leaving.Load() && f.readsCache(now, e)
 	})
 	return goesOn
 }
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -11,7 +11,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -45,8 +44,7 @@
 	for f.tomb.Alive() {
 		var from int64
 		heard := false
-		f.loop.Do(func(time.Duration) {
-			now := sycclock.Now()
+		f.loop.Do(func(now time.Duration) {
 			_, holds := f.lease.Holds(now)
 			from, heard = f.lease.End(), holds || now-f.loads.holderHeard < holderSilence
 		})
@@ -61,7 +59,7 @@
 			f.pause(retryPause)
 			continue
 		}
-		f.loop.Do(func(time.Duration) { f.dutyRead(sycclock.Now(), records, first, end) })
+		f.loop.Do(func(now time.Duration) { f.dutyRead(now, records, first, end) })
 		f.pause(retryPause)
 	}
 	return nil
@@ -112,7 +110,7 @@
 	var record sycduty.Record
 	var at int64
 	held := false
-	f.loop.Do(func(time.Duration) { record, at, held = f.lease.Resign(sycclock.Now()) })
+	f.loop.Do(func(now time.Duration) { record, at, held = f.lease.Resign(now) })
 	if !held {
 		return
 	}
@@ -123,7 +121,7 @@
 func (f *Fleet) appendDuty(record sycduty.Record, at int64) {
 	granted := false
 	defer func() {
-		f.loop.Post(func(time.Duration) { f.lease.Settled(sycclock.Now(), granted) })
+		f.loop.Post(func(now time.Duration) { f.lease.Settled(now, granted) })
 	}()
 	data, err := json.Marshal(record)
 	if err != nil {
@@ -137,7 +135,7 @@
 		return
 	}
 	granted = true
-	f.loop.Do(func(time.Duration) { f.dutyRead(sycclock.Now(), [][]byte{data}, at, at+1) })
+	f.loop.Do(func(now time.Duration) { f.dutyRead(now, [][]byte{data}, at, at+1) })
 }
 
 // orderWeights brings engines to the newest weights as planned.
@@ -201,8 +199,7 @@
 	if behind {
 		err = f.order(e, w, interrupt)
 	}
-	f.loop.Do(func(time.Duration) {
-		now := sycclock.Now()
+	f.loop.Do(func(now time.Duration) {
 		f.plan.Done(now, e.ID, err == nil)
 		f.placer.Hold(e.ID, now)
 		f.loads.holds[e.ID] = now
@@ -253,8 +250,8 @@
 func (f *Fleet) giveOrder(e sycplace.Endpoint, o Order) error {
 	var token int64
 	var holds bool
-	f.loop.Do(func(time.Duration) {
-		token, holds = f.lease.Holds(sycclock.Now() + engineTimeout/2)
+	f.loop.Do(func(now time.Duration) {
+		token, holds = f.lease.Holds(now + engineTimeout/2)
 		if holds {
 			f.orders.Add(1)
 		}
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -19,7 +19,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossip"
 )
@@ -103,10 +102,11 @@
 
 // New starts to follow the log and to talk to other VMs.
 func New(o Options) (*Fleet, error) {
+	loop := sycloop.NewOfMachine()
 	f := &Fleet{
 		options:  o,
 		log:      logrus.WithField("part", "fleet"),
-		loop:     sycloop.New(),
+		loop:     loop,
 		placer:   sycplace.New(o.Place),
 		quota:    sycquota.New(o.FirstStart, o.Headroom),
 		lease:    sycduty.New(o.Incarnation, o.Lease, askDelay(o.Incarnation)),
@@ -115,7 +115,7 @@
 		weights:  map[string]int64{},
 		since:    map[string]time.Duration{},
 		loads:    newLoads(),
-		caches:   &caches{reading: map[engineStart]bool{}, learned: o.FirstStart, started: sycclock.Now()},
+		caches:   &caches{reading: map[engineStart]bool{}, learned: o.FirstStart, started: loop.Now()},
 		rollouts: map[string]*rollout{},
 		statuses: map[string]RolloutReport{},
 	}
@@ -136,7 +136,7 @@
 		f.tomb.Go(func() error { return f.follow(name) })
 	}
 	f.tomb.Go(f.followDuty)
-	f.loop.Every(tickPeriod, func(time.Duration) { f.tick(sycclock.Now()) })
+	f.loop.Every(tickPeriod, f.tick)
 	return f, nil
 }
 
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 )
 
 const (
@@ -105,9 +104,9 @@
 	for f.tomb.Alive() {
 		var next int64
 		read := false
-		f.loop.Do(func(time.Duration) {
+		f.loop.Do(func(now time.Duration) {
 			next = f.feeds[name].Next()
-			read = f.reads(sycclock.Now(), name)
+			read = f.reads(now, name)
 		})
 		if !read && !whole {
 			f.pause(retryPause / 2)
@@ -130,7 +129,7 @@
 			f.log.WithField("feed", name).Info("fleet: log answers again")
 		}
 		healthy = true
-		f.loop.Do(func(time.Duration) { f.wasRead(name, records, next, whole) })
+		f.loop.Do(func(now time.Duration) { f.wasRead(now, name, records, next, whole) })
 		whole = false
 		f.pause(f.feeds[name].pause)
 	}
@@ -161,8 +160,7 @@
 	return f.options.Log.Read(ctx, name, from, wait)
 }
 
-func (f *Fleet) wasRead(name string, records []sycfeed.Record, next int64, whole bool) {
-	now := sycclock.Now()
+func (f *Fleet) wasRead(now time.Duration, name string, records []sycfeed.Record, next int64, whole bool) {
 	d := f.feeds[name]
 	d.refreshed(now, now)
 	var changes []sycfeed.Change
--- a/internal/peer/sycfleet/peers.go
+++ b/internal/peer/sycfleet/peers.go
@@ -11,7 +11,6 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -158,7 +157,7 @@
 // State implements sycgossip.Node.
 func (f *Fleet) State(peer string) *sycgossippb.State {
 	var out *sycgossippb.State
-	f.loop.Do(func(time.Duration) { out = f.state(sycclock.Now(), peer) })
+	f.loop.Do(func(now time.Duration) { out = f.state(now, peer) })
 	return out
 }
 
@@ -249,7 +248,7 @@
 
 // Heard implements sycgossip.Node.
 func (f *Fleet) Heard(in *sycgossippb.State) {
-	f.loop.Do(func(time.Duration) { f.heard(sycclock.Now(), in) })
+	f.loop.Do(func(now time.Duration) { f.heard(now, in) })
 }
 
 func (f *Fleet) heard(now time.Duration, in *sycgossippb.State) {
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -5,7 +5,6 @@
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
-	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 )
 
 // workStep is the weight of a new observation of how long a route's requests take.
@@ -67,8 +66,7 @@
 // Admit places a request and charges it to its customer.
 func (f *Fleet) Admit(a Admission) Verdict {
 	var v Verdict
-	f.loop.Do(func(time.Duration) {
-		now := sycclock.Now()
+	f.loop.Do(func(now time.Duration) {
 		a.Request.Work = f.loads.work[a.Route]
 		f.retries.Get(now, a.Request.Service).Request(now)
 		after, ok := f.quota.Admit(now, a.Customer, a.Cost)
@@ -90,8 +88,7 @@
 // returns nil if there is none.
 func (f *Fleet) Again(r *sycplace.Request, route string, arrived bool) *sycplace.Target {
 	var target *sycplace.Target
-	f.loop.Do(func(time.Duration) {
-		now := sycclock.Now()
+	f.loop.Do(func(now time.Duration) {
 		budget := f.retries.Get(now, r.Service)
 		if arrived && !budget.Allows(now) {
 			countRetry(r.Service, false)
@@ -131,8 +128,8 @@
 
 // Answered tells that the first byte of an answer has come.
 func (f *Fleet) Answered(id uint64) {
-	f.loop.Post(func(time.Duration) {
-		f.placer.Answered(sycclock.Now(), id)
+	f.loop.Post(func(now time.Duration) {
+		f.placer.Answered(now, id)
 		f.answered(id)
 	})
 }
@@ -140,8 +137,8 @@
 // Finished tells how an attempt ended, and how long the request took if it was
 // answered whole.
 func (f *Fleet) Finished(id uint64, o sycplace.Outcome, route string, took time.Duration) {
-	f.loop.Post(func(time.Duration) {
-		f.evidence(id, route, f.placer.Finish(sycclock.Now(), id, o))
+	f.loop.Post(func(now time.Duration) {
+		f.evidence(id, route, f.placer.Finish(now, id, o))
 		if o != sycplace.Served {
 			return
 		}
