Build and restart VMs under test in one place

Two process tests built the router with lines of their own beside sycdeploy.BuildRouter, and the scenarios had one function for starting and one for replacing a VM that differed in a call. No behaviour changes; the tests of sycstate, sycgateway and sycscenario pass.

--- a/internal/peer/sycstate/process_test.go
+++ b/internal/peer/sycstate/process_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -22,9 +20,8 @@
 // deploy runs the bottlers' site with router processes of this source.
 func deploy(t *testing.T) *sycdeploy.Deployment {
 	t.Helper()
-	program := filepath.Join(t.TempDir(), "sycamorecart")
-	output, err := exec.Command("go", "build", "-o", program, "sycamorecart.example/sycamorecart/cmd/sycamorecart").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(output)))
+	program, err := sycdeploy.BuildRouter(t.TempDir())
+	must.NoError(t, err)
 	workload, ok := sycload.FindWorkload("bottlers")
 	must.True(t, ok)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/internal/standin/sycscenario/faults.go
+++ b/internal/standin/sycscenario/faults.go
@@ -95,14 +95,23 @@
 
 // restart starts a VM and checks how soon it is ready.
 func restart(ctx context.Context, r *run, router *sycdeploy.Router) error {
-	start := time.Now()
-	if err := router.Start(); err != nil {
+	return readyAgain(ctx, r, router, (*sycdeploy.Router).Start)
+}
+
+// replace replaces a VM and checks how soon the new one is ready.
+func replace(ctx context.Context, r *run, router *sycdeploy.Router) error {
+	return readyAgain(ctx, r, router, (*sycdeploy.Router).Replace)
+}
+
+func readyAgain(ctx context.Context, r *run, router *sycdeploy.Router, start func(*sycdeploy.Router) error) error {
+	began := time.Now()
+	if err := start(router); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	err := router.AwaitReady(ctx)
-	sycoracle.CheckRestart(r.ledger, time.Since(start), restartBound)
+	sycoracle.CheckRestart(r.ledger, time.Since(began), restartBound)
 	return err
 }
 
--- a/internal/standin/sycscenario/outage.go
+++ b/internal/standin/sycscenario/outage.go
@@ -93,19 +93,6 @@
 	}}
 }
 
-// replace replaces a VM and checks how soon the new one is ready.
-func replace(ctx context.Context, r *run, router *sycdeploy.Router) error {
-	start := time.Now()
-	if err := router.Replace(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	err := router.AwaitReady(ctx)
-	sycoracle.CheckRestart(r.ledger, time.Since(start), restartBound)
-	return err
-}
-
 // awaitSlots waits until all slots accrue again and checks that none does twice.
 func (r *run) awaitSlots(ctx context.Context) {
 	whole := await(ctx, func(ctx context.Context) bool {
--- a/internal/traffic/sycgateway/process_test.go
+++ b/internal/traffic/sycgateway/process_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,9 +28,8 @@
 }
 
 func newSite(t *testing.T) *site {
-	program := filepath.Join(t.TempDir(), "sycamorecart")
-	output, err := exec.Command("go", "build", "-o", program, "sycamorecart.example/sycamorecart/cmd/sycamorecart").CombinedOutput()
-	must.NoError(t, err, must.Sprint(string(output)))
+	program, err := sycdeploy.BuildRouter(t.TempDir())
+	must.NoError(t, err)
 	workload, ok := sycload.FindWorkload("bottlers")
 	must.True(t, ok)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
