Take a VM's own stalls from the times by which versions are judged

TestRolloutEnds/good and TestFaultAfterDone/fails failed in a trial beside compilers on two cores, both at the same second: "12 of 17 first tokens came later", p95 of 609 against 128 ms, at the full share, where the predecessor has no requests that would be as late.

Cause: the machine had no time for the VMs; beats of 20 ms on their loops came 100 to 1,300 ms late just before the veto. Ruled out: cold caches (sizes are compared since; the late ones are of all sizes) and the engines, which were as late for the predecessor in the canary.

Change: during a rollout a beat on the control loop counts by how much it is late; attempts under way are shorter by that. Subtracted, not left out, so that a slow version is found on a busy machine too.

--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -9,33 +9,54 @@
 type await struct {
 	cell  Cell
 	since time.Duration
+	// first is when the first token came; it is meaningful only once arrived is set.
+	first time.Duration
 	// arrived is set once the first token has come, late once it was counted without.
 	arrived, late bool
+	// heldBefore is how long this VM had been held up when the attempt began, heldFirst
+	// when its first token came.
+	heldBefore, heldFirst time.Duration
 }
 
 // Begin notes that an attempt of this VM, by its number, awaits its first token. What is
 // cached is known at the end only, so that the cell's size is the largest possible one.
 func (l *Ledger) Begin(now time.Duration, id uint64, cell Cell) {
-	l.awaited[id] = await{cell: cell, since: now}
+	l.awaited[id] = await{cell: cell, since: now, heldBefore: l.held}
 }
 
 // Arrived notes that the first token of an attempt has come.
-func (l *Ledger) Arrived(id uint64) {
-	if a, ok := l.awaited[id]; ok {
-		a.arrived = true
+func (l *Ledger) Arrived(now time.Duration, id uint64) {
+	if a, ok := l.awaited[id]; ok && !a.arrived {
+		a.arrived, a.first, a.heldFirst = true, now, l.held
 		l.awaited[id] = a
 	}
 }
 
+// Held tells that this VM was held up by so much: its machine stood still or had no time
+// for it. Attempts under way seem longer by that, whatever their version.
+func (l *Ledger) Held(by time.Duration) { l.held += by }
+
 // End counts an attempt that has ended.
-func (l *Ledger) End(id uint64, cell Cell, s Sample) {
-	if l.awaited[id].late {
-		s.FirstToken = 0
+func (l *Ledger) End(now time.Duration, id uint64, cell Cell, s Sample) {
+	if a, ok := l.awaited[id]; ok && a.arrived {
+		s.FirstToken = without(s.FirstToken, a.first-a.since, a.heldFirst-a.heldBefore)
+		s.BetweenTokens = without(s.BetweenTokens, now-a.first, l.held-a.heldFirst)
+		if a.late {
+			s.FirstToken = 0
+		}
 	}
 	l.Forget(id)
 	l.Record(cell, s)
 }
 
+// without takes from a duration the part of a time for which this VM was held up.
+func without(d, of, held time.Duration) time.Duration {
+	if d <= 0 || of <= 0 || held <= 0 {
+		return d
+	}
+	return max(time.Duration(float64(d)*(1-float64(held)/float64(of))), 1)
+}
+
 // Forget drops an attempt whose end says nothing.
 func (l *Ledger) Forget(id uint64) { delete(l.awaited, id) }
 
@@ -57,7 +78,8 @@
 			continue
 		}
 		reference, ok := kinds[a.cell.kind()].firstToken(a.cell.Size, laterSlack)
-		if !ok || bucketOf(now-a.since) <= reference {
+		awaited := now - a.since - (l.held - a.heldBefore)
+		if !ok || bucketOf(awaited) <= reference {
 			continue
 		}
 		if s == candidate {
@@ -66,7 +88,7 @@
 		a.late = true
 		l.awaited[id] = a
 		c := l.own[a.cell]
-		c.FirstToken.Add(now - a.since)
+		c.FirstToken.Add(awaited)
 		l.own[a.cell] = c
 	}
 }
--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -53,13 +53,13 @@
 		if !a.hasFirst && a.first <= now {
 			a.hasFirst = true
 			a.took = now - a.since
-			as.ledger.Arrived(a.id)
+			as.ledger.Arrived(now, a.id)
 		}
 		if a.ends > now {
 			kept = append(kept, a)
 			continue
 		}
-		as.ledger.End(a.id, a.cell, sycrollout.Sample{FirstToken: a.took})
+		as.ledger.End(now, a.id, a.cell, sycrollout.Sample{FirstToken: a.took})
 	}
 	as.open = kept
 }
@@ -152,3 +152,75 @@
 		}
 	}
 }
+
+// TestOwnStallIsNoFault holds this VM up at the full share, where the predecessor gets no
+// requests that would be as late: what it was held up is no slowness of the version.
+func TestOwnStallIsNoFault(t *testing.T) {
+	t.Parallel()
+	const (
+		every = 3 * time.Second
+		stall = 2 * time.Second
+	)
+	tests := []struct {
+		name   string
+		factor float64
+		told   bool
+		bad    bool
+	}{
+		{"as fast", 1, true, false},
+		{"24 times as slow", 24, true, true},
+		{"as fast, stalls not known", 1, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			found := 0
+			for seed := range uint64(20) {
+				as := &answers{rng: rand.New(rand.NewPCG(seed, 4)), ledger: sycrollout.NewLedger()}
+				if as.stalled(tt.factor, every, stall, tt.told) {
+					found++
+				}
+			}
+			switch {
+			case tt.told && tt.bad:
+				must.Eq(t, 20, found)
+			case tt.told:
+				must.Zero(t, found)
+			default:
+				// The stalls of this test are long enough to matter.
+				must.Greater(t, 0, found)
+			}
+		})
+	}
+}
+
+// stalled sends requests to the new version at the full share, and to the old one before;
+// it reports whether the version was found bad.
+func (as *answers) stalled(factor float64, every, stall time.Duration, told bool) bool {
+	now := time.Duration(0)
+	for ; now < awaitRun; now += awaitGap {
+		as.advance(now)
+		as.begin(now, oldVersion, 1)
+	}
+	stage := sycrollout.NewStage(newVersion, oldVersion, 1, as.ledger.Sum())
+	for end := now + awaitRun; now < end; now += awaitGap {
+		if now%every == 0 {
+			// Requests go on to come, but nothing is looked at.
+			for till := now + stall; now < till; now += awaitGap {
+				as.begin(now, newVersion, factor)
+			}
+			if told {
+				as.ledger.Held(stall)
+			}
+		}
+		as.advance(now)
+		as.begin(now, newVersion, factor)
+		if now%tick != 0 {
+			continue
+		}
+		if whole, lately := stage.Judge(now, as.ledger); whole.Bad || lately.Bad {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decide/sycrollout/cold_test.go
+++ b/internal/decide/sycrollout/cold_test.go
@@ -95,8 +95,8 @@
 				kept = append(kept, a)
 				continue
 			}
-			ledger.Arrived(a.id)
-			ledger.End(a.id, a.cell, sycrollout.Sample{FirstToken: a.took})
+			ledger.Arrived(now, a.id)
+			ledger.End(now, a.id, a.cell, sycrollout.Sample{FirstToken: a.took})
 		}
 		open = kept
 	}
--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -129,6 +129,8 @@
 	peers map[string]Totals
 	// awaited holds this VM's attempts under way, by their numbers.
 	awaited map[uint64]await
+	// held is for how long this VM was held up in all.
+	held time.Duration
 	// late counts the first tokens of versions under rollout that were counted late.
 	late uint64
 	// history holds past sums, oldest first.
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -98,15 +98,15 @@
 }
 
 // answered notes the first byte of an answer.
-func (f *Fleet) answered(id uint64) {
+func (f *Fleet) answered(now time.Duration, id uint64) {
 	e, _ := f.placer.Begun(id)
 	if r := f.moving(e.Service); r != nil {
-		r.ledger.Arrived(id)
+		r.ledger.Arrived(now, id)
 	}
 }
 
 // evidence counts how a request ended for the rollout of its service.
-func (f *Fleet) evidence(id uint64, route string, e sycplace.Evidence) {
+func (f *Fleet) evidence(now time.Duration, id uint64, route string, e sycplace.Evidence) {
 	r := f.moving(e.Service)
 	if r == nil {
 		return
@@ -115,7 +115,7 @@
 		r.ledger.Forget(id)
 		return
 	}
-	r.ledger.End(id, r.cell(route, e), sycrollout.Sample{Failed: e.Outcome == sycplace.Failed, FirstToken: e.FirstToken})
+	r.ledger.End(now, id, r.cell(route, e), sycrollout.Sample{Failed: e.Outcome == sycplace.Failed, FirstToken: e.FirstToken})
 }
 
 // moving returns the move of a service that is under way, nil if there is none.
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -130,7 +130,7 @@
 func (f *Fleet) Answered(id uint64) {
 	f.loop.Post(func(now time.Duration) {
 		f.placer.Answered(now, id)
-		f.answered(id)
+		f.answered(now, id)
 	})
 }
 
@@ -138,7 +138,7 @@
 // answered whole.
 func (f *Fleet) Finished(id uint64, o sycplace.Outcome, route string, took time.Duration) {
 	f.loop.Post(func(now time.Duration) {
-		f.evidence(id, route, f.placer.Finish(now, id, o))
+		f.evidence(now, id, route, f.placer.Finish(now, id, o))
 		if o != sycplace.Served {
 			return
 		}
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -45,7 +45,7 @@
 
 // FirstToken notes the first token and passes it on.
 func (g *observed) FirstToken() {
-	g.manager.options.Loop.Post(func(time.Duration) { g.manager.ledger.Arrived(g.id) })
+	g.manager.options.Loop.Post(func(now time.Duration) { g.manager.ledger.Arrived(now, g.id) })
 	g.Grant.FirstToken()
 }
 
@@ -78,7 +78,7 @@
 			return
 		}
 		failed := r.Outcome == sycwork.Failed
-		m.ledger.End(id, cell, sycrollout.Sample{
+		m.ledger.End(now, id, cell, sycrollout.Sample{
 			Failed:        failed,
 			FirstToken:    r.FirstToken,
 			BetweenTokens: r.BetweenTokens,
--- a/internal/traffic/sycversion/judge.go
+++ b/internal/traffic/sycversion/judge.go
@@ -68,6 +68,7 @@
 		return next.judged[s.Version] != s.Generation
 	})
 	m.view.Store(next)
+	m.pace(len(next.rollouts) > 0)
 	if late := m.ledger.Late(); late > m.shared.late {
 		m.shared.late, m.shared.due = late, true
 		m.hurry(now)
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -91,6 +91,10 @@
 	shared  shared
 	// judged is when versions were last judged, hurried when a digest was last asked for.
 	judged, hurried time.Duration
+	// beats shows by how much this VM is held up; it runs each beatEvery, next at beatDue,
+	// which is 0 when that isn't known.
+	beats              *sycloop.Task
+	beatEvery, beatDue time.Duration
 }
 
 // view is an immutable snapshot for traffic goroutines and status.
@@ -114,8 +118,12 @@
 		stages:  map[string]*stage{},
 		loads:   map[loadKey]loadTime{},
 		shared:  shared{sent: map[sycrollout.Cell]told{}},
+
+		beatEvery: idleBeat,
 	}
 	m.view.Store(&view{})
+	m.beats = o.Loop.NewTask(idleBeat, m.beat)
+	m.beats.Start()
 	o.Loop.Every(TickPeriod, m.judge)
 	m.tomb.Go(func() error {
 		ticker := time.NewTicker(TickPeriod)
