Count a late first token once where only the end is told

Reading the diff: since a first token that had been counted while it was awaited was counted again at the end if no one had told of its arrival, as for answers that come whole. TestLateFirstTokenCountsOnce fails before (2 counts) and passes after.

--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -38,12 +38,13 @@
 
 // End counts an attempt that has ended.
 func (l *Ledger) End(now time.Duration, id uint64, cell Cell, s Sample) {
-	if a, ok := l.awaited[id]; ok && a.arrived {
+	a := l.awaited[id]
+	if a.arrived {
 		s.FirstToken = without(s.FirstToken, a.first-a.since, a.heldFirst-a.heldBefore)
 		s.BetweenTokens = without(s.BetweenTokens, now-a.first, l.held-a.heldFirst)
-		if a.late {
-			s.FirstToken = 0
-		}
+	}
+	if a.late {
+		s.FirstToken = 0
 	}
 	l.Forget(id)
 	l.Record(cell, s)
--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -224,3 +224,28 @@
 	}
 	return false
 }
+
+// TestLateFirstTokenCountsOnce counts a first token while it is awaited, and not again at
+// the end, also where only the end is told.
+func TestLateFirstTokenCountsOnce(t *testing.T) {
+	t.Parallel()
+	for _, arrives := range []bool{true, false} {
+		ledger := sycrollout.NewLedger()
+		old := sycrollout.Cell{Version: oldVersion.Version, Generation: oldVersion.Generation, Route: "chat"}
+		for range 20 {
+			ledger.Record(old, sycrollout.Sample{FirstToken: 50 * time.Millisecond})
+		}
+		cell := sycrollout.Cell{Version: newVersion.Version, Generation: newVersion.Generation, Route: "chat"}
+		ledger.Begin(0, 1, cell)
+		sycrollout.NewStage(newVersion, oldVersion, 0.5, nil).Judge(time.Second, ledger)
+		counts := ledger.Own()[cell]
+		must.Eq(t, 1, counts.FirstToken.Total())
+		if arrives {
+			ledger.Arrived(2*time.Second, 1)
+		}
+		ledger.End(3*time.Second, 1, cell, sycrollout.Sample{FirstToken: 2 * time.Second})
+		counts = ledger.Own()[cell]
+		must.Eq(t, 1, counts.Requests)
+		must.Eq(t, 1, counts.FirstToken.Total())
+	}
+}
