Count only long stalls of a VM as held up

Cause, by reading: beats were counted from 5 ms late on, and their sum taken from answers that take seconds because the version is slow. Small delays add up only where one waits for the other; on a busy machine they came to half of the time, so that half of the slowness was taken away.

Change: a beat counts when it is 100 ms late or more, as the stalls were for which this was built (100 to 1,300 ms).

--- a/internal/traffic/sycversion/beat.go
+++ b/internal/traffic/sycversion/beat.go
@@ -10,8 +10,10 @@
 	// beatPeriod is the time between two beats during a rollout, idleBeat without any.
 	beatPeriod = 20 * time.Millisecond
 	idleBeat   = time.Second
-	// heldUp is how late a beat must be to count.
-	heldUp = 5 * time.Millisecond
+	// heldUp is how late a beat must be to count. Lesser delays add up only where one
+	// waits for the other, and an answer that takes long has many of them beside its own
+	// waiting.
+	heldUp = 100 * time.Millisecond
 )
 
 // beat counts by how much it is late. It runs on the control loop.
--- a/internal/traffic/sycversion/beat_test.go
+++ b/internal/traffic/sycversion/beat_test.go
@@ -25,7 +25,8 @@
 		{"in time", []time.Duration{110, 130, 150, 170}, arrived - begun},
 		{"a little late", []time.Duration{110, 134, 158, 182}, arrived - begun},
 		{"one late", []time.Duration{110, 130, 450, 470}, arrived - begun - 300*time.Millisecond},
-		{"two late", []time.Duration{110, 230, 450, 470}, arrived - begun - 300*time.Millisecond},
+		{"two late", []time.Duration{110, 240, 450, 470}, arrived - begun - 300*time.Millisecond},
+		{"many a little late", []time.Duration{110, 180, 250, 320, 390, 460, 530}, arrived - begun},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
