--- a/internal/traffic/sycadmit/rig_test.go
+++ b/internal/traffic/sycadmit/rig_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -98,7 +99,8 @@
 	t.Cleanup(func() { must.NoError(t, r.list.Close()) })
 	for i := range vms {
 		v := &vm{rig: r, domain: fmt.Sprint("domain-", i/3)}
-		listener := v.listen("127.0.0.1:0")
+		// Nobody dials from this number, so that a VM that starts again gets its port.
+		listener := v.listen(fmt.Sprintf("127.254.%d.1:0", os.Getpid()%256))
 		r.vms = append(r.vms, v)
 		r.addProxy(v.address)
 		t.Cleanup(v.stop)
