--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -64,15 +64,20 @@
 	as.open = kept
 }
 
-// run sends requests to the new version at the full share; it returns when it was found
-// bad, 0 if it was not, and how many it got.
-func (as *answers) run(factor float64) (found time.Duration, got int) {
-	now := time.Duration(0)
+// fullShare sends requests to the old version, and begins the stage in which the new one
+// gets all.
+func (as *answers) fullShare() (now time.Duration, stage *sycrollout.Stage) {
 	for ; now < awaitRun; now += awaitGap {
 		as.advance(now)
 		as.begin(now, oldVersion, 1)
 	}
-	stage := sycrollout.NewStage(newVersion, oldVersion, 1, as.ledger.Sum())
+	return now, sycrollout.NewStage(newVersion, oldVersion, 1, as.ledger.Sum())
+}
+
+// run sends requests to the new version at the full share; it returns when it was found
+// bad, 0 if it was not, and how many it got.
+func (as *answers) run(factor float64) (found time.Duration, got int) {
+	now, stage := as.fullShare()
 	for end := now + awaitRun; now < end; now += awaitGap {
 		as.advance(now)
 		as.begin(now, newVersion, factor)
@@ -197,12 +202,7 @@
 // stalled sends requests to the new version at the full share, and to the old one before;
 // it reports whether the version was found bad.
 func (as *answers) stalled(factor float64, every, stall time.Duration, told bool) bool {
-	now := time.Duration(0)
-	for ; now < awaitRun; now += awaitGap {
-		as.advance(now)
-		as.begin(now, oldVersion, 1)
-	}
-	stage := sycrollout.NewStage(newVersion, oldVersion, 1, as.ledger.Sum())
+	now, stage := as.fullShare()
 	for end := now + awaitRun; now < end; now += awaitGap {
 		if now%every == 0 {
 			// Requests go on to come, but nothing is looked at.
