Leave a failure domain in which a request's attempt broke

Ruled out: the bound on tries (8 without progress) and the engines' health, which takes an engine out after three failures only.

Now a request leaves the other failure domains in which it failed, as long as an endpoint elsewhere has room.

--- a/internal/decide/sycdispatch/field.go
+++ b/internal/decide/sycdispatch/field.go
@@ -74,6 +74,7 @@
 	f.reset()
 	f.shared = d.match(now, r, o)
 	source := sycroute.Source{}
+	failed := d.failedDomains(r)
 	for i, e := range d.order {
 		m := d.matched.list[i]
 		if m.Confirmed > source.Held && e.health.State() != sychealth.Out {
@@ -87,6 +88,7 @@
 		f.matches = append(f.matches, m)
 		f.candidates = append(f.candidates, d.candidate(now, e, r, o, m, part))
 	}
+	f.leave(failed)
 	if f.source != nil {
 		f.offer(source)
 	}
@@ -95,6 +97,43 @@
 	}
 }
 
+// failedDomains lists the other failure domains in which an attempt of the request has
+// failed. They may be cut off, so that each engine there would cost a retry.
+func (d *Dispatcher[P]) failedDomains(r *Request) []string {
+	var domains []string
+	for _, name := range r.Exclude {
+		e := d.endpoints[name]
+		if e != nil && e.record.FailureDomain() != d.options.FailureDomain {
+			domains = append(domains, e.record.FailureDomain())
+		}
+	}
+	return domains
+}
+
+// leave drops the endpoints of failure domains, as long as another one has room.
+func (f *field) leave(domains []string) {
+	if len(domains) == 0 {
+		return
+	}
+	outside := func(i int) bool { return !slices.Contains(domains, f.endpoints[i].record.FailureDomain()) }
+	kept := 0
+	room := false
+	for i := range f.endpoints {
+		room = room || outside(i) && f.candidates[i].Room
+	}
+	if !room {
+		return
+	}
+	for i := range f.endpoints {
+		if !outside(i) {
+			continue
+		}
+		f.endpoints[kept], f.matches[kept], f.candidates[kept] = f.endpoints[i], f.matches[i], f.candidates[i]
+		kept++
+	}
+	f.endpoints, f.matches, f.candidates = f.endpoints[:kept], f.matches[:kept], f.candidates[:kept]
+}
+
 // replaceByImport tells that a store holds what caches evict.
 func (f *field) replaceByImport() {
 	for i, e := range f.endpoints {
