Give processes under test a group of their own

Cause of TestKnownRedPausedLeader's 'no such process': the paused router was in the process group of the shell above the test. When that shell ends (a run in the background, or one that is ended) and a process of the group is stopped, the kernel sends SIGHUP and SIGCONT to the whole group, of which a router dies without a line in its log. Ruled out: a panic (nothing in the log), a kill by the test (the instance was still known), the machine's memory (23 GB, a few in use).

Processes now also end with the test that started them, since the terminal's signals no longer reach them. That the two failures seen were this one is inferred from how the process ended.

--- a/internal/standin/sycprocess/process.go
+++ b/internal/standin/sycprocess/process.go
@@ -23,6 +23,9 @@
 	p := &Process{command: exec.Command(program, arguments...)}
 	p.command.Stdout = output
 	p.command.Stderr = output
+	// In the group of a shell that ends, a stopped process would get SIGHUP from the kernel.
+	// Out of it, it no longer gets the terminal's signals, and must end with this process.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		return nil, eris.Wrapf(err, "start %s", program)
 	}
