Renew the leader's lease beside its rounds

Cause: the goroutine that renews the lease of rollouts also reads all engines' reports and gives the orders, each bounded by two seconds. While engines are silent or slow nothing is renewed, the lease of 12 s runs out, and nobody decides until a successor has waited it out; the successor doesn't know how long a load takes and finds out at the deadline only. Ruled out: the decision itself (the next round after a first load is timed finds that the rest can't fit) and the lease's arithmetic.

--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -53,12 +53,11 @@
 	body    sycorder.Order
 }
 
-// lead keeps the lease and, while this VM holds it, moves rollouts on.
+// lead moves rollouts on while this VM holds the lease.
 func (m *Manager) lead(ctx context.Context) {
-	if len(sycrollout.Models(m.options.Store.Config())) == 0 {
-		return
-	}
-	if !m.keepLease(ctx) {
+	holds := false
+	m.options.Loop.Do(func(now time.Duration) { _, holds = m.tracker.Holds(now) })
+	if !holds {
 		return
 	}
 	reports := m.readReports(ctx)
@@ -72,20 +71,21 @@
 	}
 }
 
-// keepLease takes or renews the lease when that is due and reports whether
-// this VM holds it.
-func (m *Manager) keepLease(ctx context.Context) bool {
-	due, holds := false, false
+// keepLease takes or renews the lease when that is due.
+func (m *Manager) keepLease(ctx context.Context) {
+	if len(sycrollout.Models(m.options.Store.Config())) == 0 {
+		return
+	}
+	due := false
 	var p proposal
 	m.options.Loop.Do(func(now time.Duration) {
-		_, holds = m.tracker.Holds(now)
 		if due = m.tracker.Due(now); due {
 			fields, expect := m.tracker.Propose(now)
 			p = proposal{kind: sycrecord.KindLease, name: LeaseName, expect: expect, spec: fields}
 		}
 	})
 	if !due {
-		return holds
+		return
 	}
 	m.propose(ctx, p)
 	m.options.Loop.Do(func(now time.Duration) {
@@ -93,9 +93,7 @@
 		if lease, ok := m.options.Store.System().Lease(LeaseName); ok {
 			m.tracker.Observe(now, lease)
 		}
-		_, holds = m.tracker.Holds(now)
 	})
-	return holds
 }
 
 func (m *Manager) propose(ctx context.Context, p proposal) {
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -125,19 +125,26 @@
 	m.beats = o.Loop.NewTask(idleBeat, m.beat)
 	m.beats.Start()
 	o.Loop.Every(TickPeriod, m.judge)
+	// Rounds wait for engines, which may be silent; the lease must not run out meanwhile.
+	m.every(TickPeriod, m.keepLease)
+	m.every(TickPeriod, m.lead)
+	return m
+}
+
+// every calls the function at a period, in a goroutine of its own, until Close.
+func (m *Manager) every(period time.Duration, f func(context.Context)) {
 	m.tomb.Go(func() error {
-		ticker := time.NewTicker(TickPeriod)
+		ticker := time.NewTicker(period)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-m.tomb.Dying():
 				return nil
 			case <-ticker.C:
-				m.lead(m.tomb.Context(context.Background()))
+				f(m.tomb.Context(context.Background()))
 			}
 		}
 	})
-	return m
 }
 
 // Close stops leading and waits.
--- a/internal/traffic/sycversion/storerate_test.go
+++ b/internal/traffic/sycversion/storerate_test.go
@@ -14,11 +14,26 @@
 // mostLoads is the number of engines that may load weights together.
 const mostLoads = 2
 
-// TestStoreRate gives the weight store a rate at which the loads of all engines fit before
-// the deadline.
+// TestStoreRate has the weight store deliver weights at a rate at which the loads of all
+// engines fit before the deadline, and at one at which they do not: then the version is
+// rolled back as soon as the first load has shown it.
 func TestStoreRate(t *testing.T) {
 	t.Parallel()
-	rateCase{rate: 4 << 20, deadline: ample, state: sycrollout.StateDone}.run(t)
+	tests := []struct {
+		name string
+		rateCase
+	}{
+		{"loads fit", rateCase{rate: 4 << 20, deadline: ample, state: sycrollout.StateDone}},
+		{"loads do not fit", rateCase{
+			rate: 512 << 10, deadline: 40 * time.Second, state: sycrollout.StateRolledBack, reason: "cannot be met",
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			tt.run(t)
+		})
+	}
 }
 
 // rateCase is a rollout whose weights a slow store delivers.
@@ -27,6 +42,8 @@
 	rate     int
 	deadline time.Duration
 	state    string
+	// reason is a part of the last record's reason.
+	reason string
 }
 
 func (r rateCase) run(t *testing.T) {
@@ -64,6 +81,7 @@
 		ended = time.Now()
 	}
 	must.Eq(t, r.state, last.State, must.Sprint(last.Reason, last.Evidence))
+	must.StrContains(t, last.Reason, r.reason)
 	must.True(t, ended.Before(ends), must.Sprint(last.Reason, last.Evidence))
 	must.Between(t, 1, highest, mostLoads)
 	t.Logf("%s; %d loads together at most", last.Reason, highest)
