Time loads by the engines' reports, and go by the median

A load counted until the leader next looked, so that a leader that was held up, or had not led for a while, took its own absence for the engine's; and the longest of all times stood for every load to come.

Now a load counts up to the last report that it went on, and the median of the engines' times stands for the rest.

--- a/internal/decide/sycrollout/leader.go
+++ b/internal/decide/sycrollout/leader.go
@@ -62,7 +62,7 @@
 	// Engines counts the model's live engines, Ready those with the version loaded.
 	Engines int
 	Ready   int
-	// LoadTime is the longest time that an engine took to load it; 0 if unknown.
+	// LoadTime is the time that engines took to load it; 0 if unknown.
 	LoadTime time.Duration
 }
 
--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -32,7 +32,10 @@
 // loadTime times an engine's load of weights.
 type loadTime struct {
 	ordered time.Duration
-	took    time.Duration
+	// loading is when the engine last reported that it still loads.
+	loading time.Duration
+	// took is 0 until the weights are there.
+	took time.Duration
 }
 
 // round is a leader's work outside the control loop.
@@ -193,12 +196,11 @@
 	}
 	weights := l.Candidate.Value().Weights()
 	s.engines = len(engines)
-	s.ready, s.loadTime = 0, 0
+	s.ready, s.loadTime = 0, m.loadTime(weights)
 	for _, e := range engines {
 		if e.Holds(l.Candidate) {
 			s.ready++
 		}
-		s.loadTime = max(s.loadTime, m.loads[loadKey{e.Endpoint, weights}].took)
 	}
 	next, ok := sycrollout.Decide(m.decision(now, m.options.Wall(), l, s))
 	if !ok {
@@ -259,23 +261,47 @@
 	return list
 }
 
-// timeLoads notes how long engines took to load what they were told to.
+// timeLoads notes how long engines took to load what they were told to. A load counts up to
+// the last report that it went on, since this VM may not have looked for long after it.
 func (m *Manager) timeLoads(now time.Duration, engines []sycrollout.EngineState) {
 	for _, e := range engines {
+		for _, weights := range e.Loading {
+			key := loadKey{e.Endpoint, weights}
+			if t, ok := m.loads[key]; ok && t.took == 0 {
+				t.loading = now
+				m.loads[key] = t
+			}
+		}
 		for _, weights := range e.Ready {
 			key := loadKey{e.Endpoint, weights}
 			if t, ok := m.loads[key]; ok && t.took == 0 {
-				t.took = now - t.ordered
+				t.took = min(now, t.loading+TickPeriod) - t.ordered
 				m.loads[key] = t
 			}
 		}
 	}
 }
 
+// loadTime is the median time that engines took to load weights, 0 if none is known. One
+// engine that is slow says little of the others.
+func (m *Manager) loadTime(weights string) time.Duration {
+	var times []time.Duration
+	for key, t := range m.loads {
+		if key.weights == weights && t.took > 0 {
+			times = append(times, t.took)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[(len(times)-1)/2]
+}
+
 func (m *Manager) order(now time.Duration, config *sycconfig.State, o sycrollout.Order, fence uint64) order {
 	key := loadKey{o.Endpoint, o.Weights}
 	if t, ok := m.loads[key]; o.Kind == sycrollout.OrderLoad && (!ok || t.took > 0) {
-		m.loads[key] = loadTime{ordered: now}
+		m.loads[key] = loadTime{ordered: now, loading: now}
 	}
 	endpoint, _ := config.Endpoint(o.Endpoint)
 	return order{
