Take the bounds of configurations, leaving endpoints and weights from the settings

Now bounds.config_ms, drain_ms and weights_ms come with the settings, and the times follow from them: weights are left after three quarters, news are read by every VM after 0.55 of the bound.

--- a/internal/decide/sycplace/place.go
+++ b/internal/decide/sycplace/place.go
@@ -7,10 +7,10 @@
 
 const (
 	// oldAfter is the age of newer weights from which on engines with older ones
-	// are at a disadvantage, and oldNever that from which on they get no requests
-	// while others can.
-	oldAfter = 1300 * time.Millisecond
-	oldNever = 6 * time.Second
+	// are at a disadvantage, and neverPart the part of Settings.WeightsWithin after
+	// which they get no requests while others can.
+	oldAfter  = 1300 * time.Millisecond
+	neverPart = 0.75
 	// noneRetry is the time after which a request that found no endpoint may come again.
 	noneRetry = 500 * time.Millisecond
 )
@@ -119,12 +119,16 @@
 // that is all of them, as for a VM that has not seen the names come, it leaves
 // those with the newest weights.
 func (p *Placer) preferNewer(now time.Duration, model string, all []*endpoint) []*endpoint {
+	if p.settings.WeightsWithin == 0 {
+		return all
+	}
+	never := time.Duration(neverPart * float64(p.settings.WeightsWithin))
 	newest := int64(0)
 	for _, e := range all {
 		newest = max(newest, e.record.Weights[model])
 	}
 	return prefer(all, func(e *endpoint) bool {
-		return !p.outdated(now, model, e, oldNever) || e.record.Weights[model] == newest
+		return !p.outdated(now, model, e, never) || e.record.Weights[model] == newest
 	})
 }
 
--- a/internal/decide/sycplace/place_test.go
+++ b/internal/decide/sycplace/place_test.go
@@ -12,8 +12,12 @@
 
 const model = "m"
 
-func newPlacer(engines int) *sycplace.Placer {
+func newPlacer(engines int) *sycplace.Placer { return placerWithin(engines, 8*time.Second) }
+
+// placerWithin returns a placer that must have left older weights within a time.
+func placerWithin(engines int, within time.Duration) *sycplace.Placer {
 	p := sycplace.New(sycplace.Settings{
+		WeightsWithin:   within,
 		FailureDomain:   "z0",
 		Seed:            1,
 		TokensPerSecond: 60000,
@@ -110,18 +114,22 @@
 
 func TestOldWeightsAreLeftInTime(t *testing.T) {
 	tests := []struct {
-		name  string
-		names map[int64]time.Duration
-		at    time.Duration
-		old   bool
+		name   string
+		within time.Duration
+		names  map[int64]time.Duration
+		at     time.Duration
+		old    bool
 	}{
-		{"just named", map[int64]time.Duration{2: 0}, 100 * time.Millisecond, true},
-		{"long named", map[int64]time.Duration{2: 0}, 7 * time.Second, false},
-		{"named again lately", map[int64]time.Duration{2: 0, 3: 6 * time.Second}, 7 * time.Second, false},
+		{"just named", 8 * time.Second, map[int64]time.Duration{2: 0}, 100 * time.Millisecond, true},
+		{"long named", 8 * time.Second, map[int64]time.Duration{2: 0}, 7 * time.Second, false},
+		{"named again lately", 8 * time.Second, map[int64]time.Duration{2: 0, 3: 6 * time.Second}, 7 * time.Second, false},
+		{"named for most of a short time", 4 * time.Second, map[int64]time.Duration{2: 0}, 3500 * time.Millisecond, false},
+		{"named for a part of a long time", 20 * time.Second, map[int64]time.Duration{2: 0}, 7 * time.Second, true},
+		{"no bound", 0, map[int64]time.Duration{2: 0}, time.Hour, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			p := newPlacer(2)
+			p := placerWithin(2, tt.within)
 			for version := int64(2); version < 4; version++ {
 				if at, named := tt.names[version]; named {
 					p.Name(at, model, version)
--- a/internal/decide/sycplace/placer.go
+++ b/internal/decide/sycplace/placer.go
@@ -27,6 +27,9 @@
 	TokensPerSecond float64
 	// FirstToken is the time to the first token of an empty prompt.
 	FirstToken time.Duration
+	// WeightsWithin is how long after newer weights were named requests may begin on
+	// older ones; 0 sets no bound.
+	WeightsWithin time.Duration
 }
 
 // Placer places the requests of one VM.
--- a/internal/operate/sycsetting/node.go
+++ b/internal/operate/sycsetting/node.go
@@ -25,6 +25,10 @@
 	// Memory is the most that the process may use, in MB.
 	Memory int64
 	Lease  time.Duration
+	// ConfigWithin, DrainWithin and WeightsWithin are how long after they were named a
+	// configuration may still not be in force, a leaving endpoint may get requests, and
+	// requests may begin on older weights.
+	ConfigWithin, DrainWithin, WeightsWithin time.Duration
 	// Grace is the time from SIGTERM to the end of the process.
 	Grace time.Duration
 	// RetryShare and RetryFloor bound the retries over all VMs.
@@ -59,6 +63,9 @@
 		{"listen", "metrics", "", "must be an IP address and port, or empty", optionalAddress(&n.Metrics)},
 		{"store", "address", "", "must be an IP address and port", address(&n.Store)},
 		{"bounds", "lease_ms", "3000", "must be from 500 to 600000", milliseconds(&n.Lease, 500*time.Millisecond, 10*time.Minute)},
+		{"bounds", "config_ms", "2000", "must be from 1000 to 600000", milliseconds(&n.ConfigWithin, time.Second, 10*time.Minute)},
+		{"bounds", "drain_ms", "2000", "must be from 1000 to 600000", milliseconds(&n.DrainWithin, time.Second, 10*time.Minute)},
+		{"bounds", "weights_ms", "8000", "must be from 1000 to 3600000", milliseconds(&n.WeightsWithin, time.Second, time.Hour)},
 		{"bounds", "grace_ms", "8000", "must be from 1000 to 86400000", milliseconds(&n.Grace, time.Second, 24*time.Hour)},
 		{"bounds", "retry_share", "0.2", "must be a number from 0 to 1", fraction(&n.RetryShare)},
 		{"bounds", "retry_floor", "10", "must be a number from 0 to 1000000", number(&n.RetryFloor, 0, 1e6)},
--- a/internal/operate/sycsetting/node_test.go
+++ b/internal/operate/sycsetting/node_test.go
@@ -24,6 +24,7 @@
 address = 10.0.0.9:8601
 [bounds]
 grace_ms = 8000
+drain_ms = 1200
 retry_floor = 54
 quota_slack = 140000
 `
@@ -35,6 +36,9 @@
 	must.Eq(t, []string{"10.0.0.1:80", "10.0.0.2:80"}, n.Seeds)
 	must.True(t, n.FirstStart)
 	must.Eq(t, 8*time.Second, n.Grace)
+	must.Eq(t, 1200*time.Millisecond, n.DrainWithin)
+	must.Eq(t, 2*time.Second, n.ConfigWithin)
+	must.Eq(t, 8*time.Second, n.WeightsWithin)
 	must.Eq(t, 54.0, n.RetryFloor)
 	must.Eq(t, "json", n.LogFormat)
 	must.False(t, n.Metrics.IsValid())
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -50,6 +50,9 @@
 	// FirstStart is set when the whole deployment starts for the first time.
 	FirstStart bool
 	Lease      time.Duration
+	// ConfigWithin and DrainWithin bound how long after it lies in the log a configuration
+	// is not in force, and a leaving endpoint gets requests.
+	ConfigWithin, DrainWithin time.Duration
 	// RolloutShare is the part of its service's requests that a release gets before
 	// it has proved itself.
 	RolloutShare float64
@@ -110,7 +113,7 @@
 		placer:   sycplace.New(o.Place),
 		quota:    sycquota.New(o.FirstStart, o.Headroom),
 		lease:    sycduty.New(o.Incarnation, o.Lease, askDelay(o.Incarnation)),
-		feeds:    newFeeds(),
+		feeds:    newFeeds(o.ConfigWithin, o.DrainWithin),
 		plan:     sycreload.New(),
 		weights:  map[string]int64{},
 		since:    map[string]time.Duration{},
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -22,6 +22,21 @@
 	readers = 2
 	// heardLately is how long ago a VM was heard that counts as running.
 	heardLately = time.Second
+	// stalePart is the part of the time within which a record must have reached all VMs
+	// after which they read for themselves. The rest must do for that read and a second try.
+	stalePart = 0.55
+	mostStale = 1400 * time.Millisecond
+	// tellMargin is what it takes until the others have heard that a read has ended.
+	tellMargin = gossipPeriod + 100*time.Millisecond
+	// pausePart is the part of that time between two reads of endpoints, so that their
+	// many records come in batches.
+	pausePart   = 0.2
+	mostPause   = 400 * time.Millisecond
+	configPause = 20 * time.Millisecond
+	// statusStale, statusWait and statusPause are those times where no bound stands.
+	statusStale = 5 * time.Second
+	statusWait  = 3 * time.Second
+	statusPause = 500 * time.Millisecond
 )
 
 // feed is a log that all VMs follow. Few of them read it; the others hear of it.
@@ -44,35 +59,24 @@
 	fresh time.Duration
 }
 
-func newFeeds() map[string]*feed {
+// newFeeds returns the feeds of logs. Configurations, and endpoints that leave, must have
+// reached all VMs within the given times.
+func newFeeds(config, drain time.Duration) map[string]*feed {
 	return map[string]*feed{
-		FeedOperator: {
-			Feed:  sycfeed.New(0),
-			wait:  900 * time.Millisecond,
-			pause: 20 * time.Millisecond,
-			stale: 1400 * time.Millisecond,
-		},
-		FeedEndpoints: {
-			Feed:  sycfeed.New(dropHold),
-			wait:  900 * time.Millisecond,
-			pause: 400 * time.Millisecond,
-			stale: 1100 * time.Millisecond,
-		},
-		FeedStatus: {
-			Feed:  sycfeed.New(0),
-			wait:  3 * time.Second,
-			pause: 500 * time.Millisecond,
-			stale: 5 * time.Second,
-		},
-		FeedVMs: {
-			Feed:  sycfeed.New(0),
-			wait:  3 * time.Second,
-			pause: 500 * time.Millisecond,
-			stale: 5 * time.Second,
-		},
+		FeedOperator:  newFeed(0, config, configPause),
+		FeedEndpoints: newFeed(dropHold, drain, min(part(pausePart, drain), mostPause)),
+		FeedStatus:    {Feed: sycfeed.New(0), wait: statusWait, pause: statusPause, stale: statusStale},
+		FeedVMs:       {Feed: sycfeed.New(0), wait: statusWait, pause: statusPause, stale: statusStale},
 	}
 }
 
+func newFeed(dropHold, within, pause time.Duration) *feed {
+	stale := min(part(stalePart, within), mostStale)
+	return &feed{Feed: sycfeed.New(dropHold), wait: stale - tellMargin, pause: pause, stale: stale}
+}
+
+func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+
 // refreshed tells that a feed's state was the log's at some time, which comes
 // before the records of that time are applied.
 func (d *feed) refreshed(now, at time.Duration) {
--- a/internal/peer/sycfleet/follow_test.go
+++ b/internal/peer/sycfleet/follow_test.go
@@ -7,6 +7,23 @@
 	"github.com/shoenig/test/must"
 )
 
+// TestNewsReachAllWithinTheirBounds follows from the feeds' times what passes at most until
+// a VM knows of a record, with the two readers alive and without them.
+func TestNewsReachAllWithinTheirBounds(t *testing.T) {
+	// told is a period of gossip and what a message may take.
+	const told = gossipPeriod + 50*time.Millisecond
+	for _, bound := range []time.Duration{time.Second, 1200 * time.Millisecond, 2 * time.Second, 10 * time.Second} {
+		feeds := newFeeds(bound, bound)
+		for _, name := range []string{FeedOperator, FeedEndpoints} {
+			d := feeds[name]
+			must.Less(t, bound, d.pause+told, must.Sprint(name, bound))
+			must.Less(t, bound, d.stale+2*retryPause, must.Sprint(name, bound))
+			must.Less(t, d.stale, d.wait+told, must.Sprint(name, bound, ": VMs read for themselves though the readers live"))
+		}
+		must.LessEq(t, time.Second, feeds[FeedEndpoints].pause, must.Sprint(bound))
+	}
+}
+
 func TestAgeOfChanges(t *testing.T) {
 	tests := []struct {
 		name string
@@ -21,7 +38,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newFeeds()[FeedOperator]
+			d := newFeeds(2*time.Second, 2*time.Second)[FeedOperator]
 			if tt.fresh > 0 {
 				d.refreshed(tt.fresh, tt.fresh)
 				d.started = true
