Follow both leases with one package

Two packages decided who leads: syclease from records of the folded stream, sycduty from a log that takes appends at its end. They are one now: a record has a number that only one append can take, a fence, a holder and a proposal number. The duty log's entries gain the proposal's number; VMs before and after this change take each other's entries as leases of others, as they are.

--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
+	"sycamorecart.example/sycamorecart/internal/decide/syclease"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
@@ -46,7 +46,7 @@
 		heard := false
 		f.loop.Do(func(now time.Duration) {
 			_, holds := f.lease.Holds(now)
-			from, heard = f.lease.End(), holds || now-f.loads.holderHeard < holderSilence
+			from, heard = int64(f.lease.Last()), holds || now-f.loads.holderHeard < holderSilence
 		})
 		if heard {
 			f.pause(retryPause)
@@ -65,17 +65,37 @@
 	return nil
 }
 
+// dutyRecord is an entry of the duty log. The record at an offset is the lease's record
+// with the number of the offset after it.
+type dutyRecord struct {
+	// Holder is the incarnation of a VM.
+	Holder   string `json:"holder"`
+	Proposal uint64 `json:"proposal,omitempty"`
+	Released bool   `json:"released,omitempty"`
+}
+
+func (r dutyRecord) at(offset int64) syclease.Record {
+	return syclease.Record{
+		Number:   uint64(offset) + 1,
+		Fence:    uint64(offset),
+		Holder:   r.Holder,
+		Proposal: r.Proposal,
+		Released: r.Released,
+	}
+}
+
 func (f *Fleet) dutyRead(now time.Duration, records [][]byte, first, end int64) {
-	before := f.lease.Holder()
+	before := f.lease.Newest().Holder
 	for i, data := range records {
-		var r sycduty.Record
+		var r dutyRecord
+		offset := first + int64(i)
 		if err := json.Unmarshal(data, &r); err != nil {
-			f.log.WithError(err).WithField("offset", first+int64(i)).Error("fleet: duty record can't be read")
+			f.log.WithError(err).WithField("offset", offset).Error("fleet: duty record can't be read")
 		}
-		f.lease.Read(now, first+int64(i), r)
+		f.lease.Read(now, r.at(offset))
 	}
-	f.lease.Reached(now, end)
-	if after := f.lease.Holder(); after != before {
+	f.lease.Reached(now, uint64(end))
+	if after := f.lease.Newest().Holder; after != before {
 		f.log.WithFields(logrus.Fields{"holder": after, "own": after == f.options.Incarnation, "offset": end}).Info("fleet: duties change hands")
 	}
 }
@@ -83,7 +103,8 @@
 // dutyTick renews the lease, or asks for it, and gives orders while it holds.
 func (f *Fleet) dutyTick(now time.Duration) {
 	if f.lease.Due(now) && !f.leaving.Load() {
-		record, at := f.lease.Propose(now)
+		at := int64(f.lease.Last())
+		record := dutyRecord{Holder: f.options.Incarnation, Proposal: f.lease.Propose(now)}
 		f.tomb.Go(func() error {
 			f.appendDuty(record, at)
 			return nil
@@ -107,18 +128,18 @@
 
 // resign gives the lease up, once no order of this VM is under way any more.
 func (f *Fleet) resign() {
-	var record sycduty.Record
-	var at int64
 	held := false
-	f.loop.Do(func(now time.Duration) { record, at, held = f.lease.Resign(now) })
+	f.loop.Do(func(now time.Duration) { held = f.lease.Resign(now) })
 	if !held {
 		return
 	}
 	f.orders.Wait()
-	f.appendDuty(record, at)
+	var at int64
+	f.loop.Do(func(time.Duration) { at = int64(f.lease.Last()) })
+	f.appendDuty(dutyRecord{Holder: f.options.Incarnation, Released: true}, at)
 }
 
-func (f *Fleet) appendDuty(record sycduty.Record, at int64) {
+func (f *Fleet) appendDuty(record dutyRecord, at int64) {
 	granted := false
 	defer func() {
 		f.loop.Post(func(now time.Duration) { f.lease.Settled(now, granted) })
@@ -251,7 +272,8 @@
 	var token int64
 	var holds bool
 	f.loop.Do(func(now time.Duration) {
-		token, holds = f.lease.Holds(now + engineTimeout/2)
+		_, holds = f.lease.Holds(now + engineTimeout/2)
+		token = int64(f.lease.Term())
 		if holds {
 			f.orders.Add(1)
 		}
@@ -283,9 +305,9 @@
 // lease if it is this VM's.
 func (f *Fleet) addDuty(now time.Duration, out *sycgossippb.State) {
 	if _, holds := f.lease.Holds(now); holds {
-		out.Duty = &sycgossippb.Duty{Offset: f.lease.End() - 1, Holder: f.options.Incarnation}
+		out.Duty = &sycgossippb.Duty{Offset: int64(f.lease.Newest().Number) - 1, Holder: f.options.Incarnation}
 	} else if f.leaving.Load() && f.lease.Released() {
-		out.Duty = &sycgossippb.Duty{Offset: f.lease.End() - 1, Holder: f.options.Incarnation, Released: true}
+		out.Duty = &sycgossippb.Duty{Offset: int64(f.lease.Newest().Number) - 1, Holder: f.options.Incarnation, Released: true}
 	}
 	for id, until := range f.loads.holds {
 		if now > until+tellTime {
@@ -313,5 +335,5 @@
 	if !in.Duty.Released {
 		f.loads.holderHeard = now
 	}
-	f.lease.Read(now, in.Duty.Offset, sycduty.Record{Holder: in.Duty.Holder, Released: in.Duty.Released})
+	f.lease.Read(now, dutyRecord{Holder: in.Duty.Holder, Released: in.Duty.Released}.at(in.Duty.Offset))
 }
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -13,8 +13,8 @@
 	"github.com/sirupsen/logrus"
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycattempt"
-	"sycamorecart.example/sycamorecart/internal/decide/sycduty"
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+	"sycamorecart.example/sycamorecart/internal/decide/syclease"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
@@ -80,7 +80,7 @@
 	placer  *sycplace.Placer
 	quota   *sycquota.Fleet
 	retries *sycattempt.Budgets
-	lease   *sycduty.Lease
+	lease   *syclease.Lease
 	feeds   map[string]*feed
 	peers   *peers
 	plan    *sycreload.Plan
@@ -107,12 +107,14 @@
 func New(o Options) (*Fleet, error) {
 	loop := sycloop.NewOfMachine()
 	f := &Fleet{
-		options:  o,
-		log:      logrus.WithField("part", "fleet"),
-		loop:     loop,
-		placer:   sycplace.New(o.Place),
-		quota:    sycquota.New(o.FirstStart, o.Headroom),
-		lease:    sycduty.New(o.Incarnation, o.Lease, askDelay(o.Incarnation)),
+		options: o,
+		log:     logrus.WithField("part", "fleet"),
+		loop:    loop,
+		placer:  sycplace.New(o.Place),
+		quota:   sycquota.New(o.FirstStart, o.Headroom),
+		lease: syclease.New(syclease.Options{
+			Self: o.Incarnation, Duration: o.Lease, Delay: askDelay(o.Incarnation), Forgets: true,
+		}),
 		feeds:    newFeeds(o.ConfigWithin, o.DrainWithin),
 		plan:     sycreload.New(),
 		weights:  map[string]int64{},
--- a/internal/traffic/sycversion/judge.go
+++ b/internal/traffic/sycversion/judge.go
@@ -44,13 +44,13 @@
 	system := m.options.Store.System()
 	wall := m.options.Wall()
 	if lease, ok := system.Lease(LeaseName); ok {
-		m.tracker.Observe(now, lease)
+		m.lease.Read(now, leaseRecord(lease))
 	}
 	next := &view{
 		shares: map[string][]sycwork.VersionShare{},
 		judged: map[string]uint64{},
 	}
-	_, next.leading = m.tracker.Holds(now)
+	_, next.leading = m.lease.Holds(now)
 	for _, model := range sycrollout.Models(config) {
 		l := sycrollout.NewLineup(model, config, system)
 		if l.HasCandidate {
@@ -158,7 +158,7 @@
 		Veto:     m.vetoes[s.subject],
 		Requests: s.verdict.Requests,
 	}
-	if _, ok := m.tracker.Holds(now); ok {
+	if _, ok := m.lease.Holds(now); ok {
 		status.Waiting = sycrollout.Waiting(m.decision(now, wall, l, s))
 	}
 	return status
--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -59,7 +59,7 @@
 // lead moves rollouts on while this VM holds the lease.
 func (m *Manager) lead(ctx context.Context) {
 	holds := false
-	m.options.Loop.Do(func(now time.Duration) { _, holds = m.tracker.Holds(now) })
+	m.options.Loop.Do(func(now time.Duration) { _, holds = m.lease.Holds(now) })
 	if !holds {
 		return
 	}
@@ -74,38 +74,14 @@
 	}
 }
 
-// keepLease takes or renews the lease when that is due.
-func (m *Manager) keepLease(ctx context.Context) {
-	if len(sycrollout.Models(m.options.Store.Config())) == 0 {
-		return
-	}
-	due := false
-	var p proposal
-	m.options.Loop.Do(func(now time.Duration) {
-		if due = m.tracker.Due(now); due {
-			fields, expect := m.tracker.Propose(now)
-			p = proposal{kind: sycrecord.KindLease, name: LeaseName, expect: expect, spec: fields}
-		}
-	})
-	if !due {
-		return
-	}
-	m.propose(ctx, p)
-	m.options.Loop.Do(func(now time.Duration) {
-		m.tracker.Settled()
-		if lease, ok := m.options.Store.System().Lease(LeaseName); ok {
-			m.tracker.Observe(now, lease)
-		}
-	})
-}
-
-func (m *Manager) propose(ctx context.Context, p proposal) {
+// propose appends a record and reports whether it was accepted.
+func (m *Manager) propose(ctx context.Context, p proposal) (accepted bool) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	spec, err := json.Marshal(p.spec)
 	if err != nil {
 		log.Errorf("%s %s: %v", p.kind, p.name, err)
-		return
+		return false
 	}
 	result, err := m.options.Store.Propose(ctx, sycstate.SystemStream, sycrecord.Operation{
 		Schema: sycrecord.NewestSchema,
@@ -123,6 +99,7 @@
 	case p.kind == sycrecord.KindRollout:
 		log.Infof("version %s: %s", p.name, describe(p.spec))
 	}
+	return err == nil && result.Accepted()
 }
 
 func describe(spec any) string {
@@ -164,7 +141,7 @@
 // plan decides on every model's rollout. It runs on the control loop.
 func (m *Manager) plan(now time.Duration, reports map[string]sycorder.Report) round {
 	var r round
-	fence, ok := m.tracker.Holds(now + sycorder.Timeout)
+	fence, ok := m.lease.Holds(now + sycorder.Timeout)
 	if !ok {
 		return r
 	}
@@ -181,7 +158,7 @@
 			r.orders = append(r.orders, m.order(now, config, o, fence))
 		}
 	}
-	for _, o := range sycrollout.RoleOrders(rolesOf(config, reports, m.tracker.Term())) {
+	for _, o := range sycrollout.RoleOrders(rolesOf(config, reports, m.lease.Term())) {
 		r.orders = append(r.orders, m.order(now, config, o, fence))
 	}
 	return r
@@ -323,7 +300,7 @@
 func (m *Manager) send(ctx context.Context, o order) {
 	holds := false
 	m.options.Loop.Do(func(now time.Duration) {
-		_, holds = m.tracker.Holds(now + sycorder.Timeout)
+		_, holds = m.lease.Holds(now + sycorder.Timeout)
 	})
 	if !holds {
 		return
--- a/internal/traffic/sycversion/manager.go
+++ b/internal/traffic/sycversion/manager.go
@@ -83,12 +83,12 @@
 	attempts atomic.Uint64
 
 	// The fields below belong to the control loop.
-	ledger  *sycrollout.Ledger
-	tracker *syclease.Tracker
-	vetoes  map[sycrollout.Subject]string
-	stages  map[string]*stage
-	loads   map[loadKey]loadTime
-	shared  shared
+	ledger *sycrollout.Ledger
+	lease  *syclease.Lease
+	vetoes map[sycrollout.Subject]string
+	stages map[string]*stage
+	loads  map[loadKey]loadTime
+	shared shared
 	// judged is when versions were last judged, hurried when a digest was last asked for.
 	judged, hurried time.Duration
 	// beats shows by how much this VM is held up; it runs each beatEvery, next at beatDue,
@@ -113,7 +113,7 @@
 		options: o,
 		engines: sycorder.NewClient(o.Dial),
 		ledger:  sycrollout.NewLedger(),
-		tracker: syclease.NewTracker(o.Address, o.Incarnation, o.Lease),
+		lease:   syclease.New(syclease.Options{Self: holderName(o.Address, o.Incarnation), Duration: o.Lease}),
 		vetoes:  map[sycrollout.Subject]string{},
 		stages:  map[string]*stage{},
 		loads:   map[loadKey]loadTime{},
