--- a/internal/operate/sycsetting/parse.go
+++ b/internal/operate/sycsetting/parse.go
@@ -119,15 +119,6 @@
 	}
 }
 
-// milliseconds reads a whole or broken number of milliseconds.
-func milliseconds(to *time.Duration, low, high time.Duration) parser {
-	return func(v string) bool {
-		ms, err := strconv.ParseFloat(v, 64)
-		*to = time.Duration(ms * float64(time.Millisecond))
-		return err == nil && *to >= low && *to <= high
-	}
-}
-
 func number(to *float64, low, high float64) parser {
 	return func(v string) bool {
 		x, err := strconv.ParseFloat(v, 64)
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -28,6 +28,8 @@
 	mostStale = 1400 * time.Millisecond
 	// tellMargin is what it takes until the others have heard that a read has ended.
 	tellMargin = gossipPeriod + 100*time.Millisecond
+	// leastWait keeps reads from following each other at once where the time is short.
+	leastWait = 100 * time.Millisecond
 	// pausePart is the part of that time between two reads of endpoints, so that their
 	// many records come in batches.
 	pausePart   = 0.2
@@ -72,7 +74,7 @@
 
 func newFeed(dropHold, within, pause time.Duration) *feed {
 	stale := min(part(stalePart, within), mostStale)
-	return &feed{Feed: sycfeed.New(dropHold), wait: stale - tellMargin, pause: pause, stale: stale}
+	return &feed{Feed: sycfeed.New(dropHold), wait: max(stale-tellMargin, leastWait), pause: pause, stale: stale}
 }
 
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
