Complete a release only after it had all requests for long

Nobody holds the duties for the lease and its margin; the next holder finds the deadline come, and the release with its trial's few requests (8 are enough to move on) and nothing against it. It completed the move at once: the release went from 0.08 to all requests, its fault showed under them only, and a completed move can't be taken back since the former endpoints are stopped. Ruled out: the judging (the counts held no failure before the move was completed) and the lease, which changed hands as it must.

Now a move is completed only if its release has had all requests for at least half of the stage that is meant for it, also under a former holder, whose word all VMs have; else it is rolled back, which costs a missed duty at most.

--- a/internal/decide/sycrelease/release.go
+++ b/internal/decide/sycrelease/release.go
@@ -29,6 +29,9 @@
 	halfBefore = 6500 * time.Millisecond
 	allBefore  = 5500 * time.Millisecond
 	doneBefore = 1200 * time.Millisecond
+	// leastAll is how long a release must have had all requests to be done: on trial few
+	// reach it, and a fault that shows under load doesn't show.
+	leastAll = (allBefore - doneBefore) / 2
 	// shortest is the part of the time that is left to the trial when the deadline
 	// is near.
 	shortest = 0.4
@@ -54,6 +57,9 @@
 	granted float64
 	state   State
 	reason  string
+	// all is set while the release has all requests, since allSince.
+	all      bool
+	allSince time.Duration
 }
 
 // New returns a move that was asked for at a time and is to end within another.
@@ -74,6 +80,14 @@
 	}
 }
 
+// Shared tells which share of the requests the release has from now on, whoever decided it.
+func (m *Move) Shared(now time.Duration, share float64) {
+	if share == 1 && !m.all {
+		m.allSince = now
+	}
+	m.all = share == 1
+}
+
 // Trial is the share of the requests that a release gets on trial.
 func (m *Move) Trial() float64 { return trialPart * m.granted }
 
@@ -92,7 +106,7 @@
 	proved := e.Endpoints > 0 && e.Requests >= leastProof
 	switch {
 	case left <= m.before(doneBefore):
-		m.end(proved)
+		m.end(proved && m.all && now-m.allSince >= m.before(leastAll))
 		return m.Next(now, e)
 	case e.Endpoints == 0:
 		return 0
@@ -110,7 +124,7 @@
 		m.state = Completed
 		return
 	}
-	m.state, m.reason = RolledBack, "the release had no endpoints or too few requests to prove itself"
+	m.state, m.reason = RolledBack, "the release had no endpoints, or too few requests or too little time to prove itself"
 }
 
 // before shortens the last stages of a move whose deadline is near.
--- a/internal/decide/sycrelease/release_test.go
+++ b/internal/decide/sycrelease/release_test.go
@@ -21,21 +21,29 @@
 		evidence sycrelease.Evidence
 		share    float64
 		state    sycrelease.State
+		// all is since when the release has had all requests, if it had them before.
+		all time.Duration
 	}{
-		{"no endpoints yet", time.Second, sycrelease.Evidence{}, 0, sycrelease.Running},
-		{"trial", 2 * time.Second, good(0), 0.08, sycrelease.Running},
-		{"long trial", 9 * time.Second, good(1000), 0.08, sycrelease.Running},
-		{"half", 10 * time.Second, good(1000), 0.5, sycrelease.Running},
-		{"all", 11 * time.Second, good(1000), 1, sycrelease.Running},
-		{"not proved", 11 * time.Second, good(2), 0.08, sycrelease.Running},
-		{"done", 15 * time.Second, good(1000), 1, sycrelease.Completed},
-		{"never proved", 15 * time.Second, good(2), 0, sycrelease.RolledBack},
-		{"bad", 4 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Bad: "fails"}, 0, sycrelease.RolledBack},
-		{"bad late", 12 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Bad: "fails"}, 0, sycrelease.RolledBack},
+		{"no endpoints yet", time.Second, sycrelease.Evidence{}, 0, sycrelease.Running, 0},
+		{"trial", 2 * time.Second, good(0), 0.08, sycrelease.Running, 0},
+		{"long trial", 9 * time.Second, good(1000), 0.08, sycrelease.Running, 0},
+		{"half", 10 * time.Second, good(1000), 0.5, sycrelease.Running, 0},
+		{"all", 11 * time.Second, good(1000), 1, sycrelease.Running, 0},
+		{"not proved", 11 * time.Second, good(2), 0.08, sycrelease.Running, 0},
+		{"done", 15 * time.Second, good(1000), 1, sycrelease.Completed, 11 * time.Second},
+		{"done late", 20 * time.Second, good(1000), 1, sycrelease.Completed, 11 * time.Second},
+		{"never proved", 15 * time.Second, good(2), 0, sycrelease.RolledBack, 11 * time.Second},
+		{"had all for too short", 15 * time.Second, good(1000), 0, sycrelease.RolledBack, 14 * time.Second},
+		{"never had all", 15 * time.Second, good(1000), 0, sycrelease.RolledBack, 0},
+		{"bad", 4 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Bad: "fails"}, 0, sycrelease.RolledBack, 0},
+		{"bad late", 12 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Bad: "fails"}, 0, sycrelease.RolledBack, 11 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			m := sycrelease.New(0, within, 0.1)
+			if tt.all > 0 {
+				m.Shared(tt.all, 1)
+			}
 			must.InDelta(t, tt.share, m.Next(tt.at, tt.evidence), 1e-9)
 			must.Eq(t, tt.state, m.State())
 		})
@@ -69,3 +77,28 @@
 		must.Eq(t, sycrelease.RolledBack, m.State())
 	}
 }
+
+// TestNobodyDecidesForAWhile has the VM that decides fail at any time of the move, and
+// another go on seconds later: a release is done only if it had all requests for long.
+func TestNobodyDecidesForAWhile(t *testing.T) {
+	const gap, tick = 3500 * time.Millisecond, 100 * time.Millisecond
+	for _, within := range []time.Duration{5 * time.Second, 16 * time.Second} {
+		for fails := time.Duration(0); fails < within; fails += tick {
+			m := sycrelease.New(0, within, 0.1)
+			share, all := 0.0, time.Duration(0)
+			for now := time.Duration(0); m.State() == sycrelease.Running; now += tick {
+				must.Less(t, within+gap, now)
+				if now < fails || now >= fails+gap {
+					share = m.Next(now, good(100))
+				}
+				m.Shared(now, share)
+				if share == 1 && m.State() == sycrelease.Running {
+					all += tick
+				}
+			}
+			if m.State() == sycrelease.Completed {
+				must.GreaterEq(t, within/16, all, must.Sprint(within, fails))
+			}
+		}
+	}
+}
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -57,7 +57,7 @@
 	candidate, former := r.subjects()
 	r.stage = sycrollout.NewStage(candidate, former, r.move.Trial(), nil)
 	f.rollouts[asked.Service] = r
-	f.setShare(r, r.move.Trial(), "asked for")
+	f.setShare(now, r, r.move.Trial(), "asked for")
 	if status, ok := f.statuses[asked.Service]; ok && status.Release == asked.Release {
 		f.statusKnown(status)
 	}
@@ -154,14 +154,14 @@
 		}
 		switch {
 		case state == sycrelease.Running && bad != "" && !holder:
-			f.setShare(r, 0, bad)
+			f.setShare(now, r, 0, bad)
 		case holder || state != sycrelease.Running:
 			share := r.move.Next(now, sycrelease.Evidence{
 				Endpoints: f.placer.Releases(service, r.Release),
 				Requests:  whole.Requests,
 				Bad:       bad,
 			})
-			f.setShare(r, share, string(r.move.State())+" "+r.move.Reason())
+			f.setShare(now, r, share, string(r.move.State())+" "+r.move.Reason())
 		}
 		if holder {
 			f.publish(now, r)
@@ -170,7 +170,7 @@
 }
 
 // setShare sets the release's part of the requests on this VM.
-func (f *Fleet) setShare(r *rollout, share float64, why string) {
+func (f *Fleet) setShare(now time.Duration, r *rollout, share float64, why string) {
 	if share != r.share {
 		f.log.WithFields(logrus.Fields{
 			"service": r.Service, "release": r.Release, "share": share, "before": r.share, "why": why,
@@ -178,6 +178,7 @@
 		f.mesh.Kick()
 	}
 	r.share = share
+	r.move.Shared(now, share)
 	f.placer.Split(r.Service, r.Release, share)
 }
 
@@ -224,7 +225,7 @@
 }
 
 // heardRollouts takes in another VM's evidence, and what the holder has decided.
-func (f *Fleet) heardRollouts(_ time.Duration, in *sycgossippb.State) {
+func (f *Fleet) heardRollouts(now time.Duration, in *sycgossippb.State) {
 	for _, m := range in.Rollouts {
 		r := f.rollouts[m.Service]
 		if r == nil || r.asked != m.Asked {
@@ -239,7 +240,7 @@
 			r.move.Decided(state)
 		}
 		if m.Decided {
-			f.setShare(r, m.Share, "the holder's word")
+			f.setShare(now, r, m.Share, "the holder's word")
 		}
 	}
 }
