Hold no drop for long that comes after an outage

For 2.3 s after an outage drops wait, since the owners of entries that lapsed in it come back; but each waited for 2.3 s from its own arrival, so that one that came near the end of the hold, long after the outage, waited longer than drainMs allows.

Now what was dropped in the outage waits until 2.3 s after the return, and news after it for half of drainMs at most.

--- a/internal/decide/sycfeed/feed.go
+++ b/internal/decide/sycfeed/feed.go
@@ -36,21 +36,30 @@
 	// is below next, are not remembered.
 	dropped   int
 	forgotten int64
-	// hold keeps dropped keys for a while, since a log that was out drops keys
-	// whose owners could not write.
-	hold time.Duration
-	// holdUntil is the end of the time in which drops wait.
+	hold      Hold
+	// returned is when the log last answered again after an outage, and holdUntil the end
+	// of the time for which drops wait then.
+	returned  time.Duration
 	holdUntil time.Duration
 	held      map[string]held
 }
 
+// Hold keeps dropped keys for a while after an outage, since a log that was out drops keys
+// whose owners could not write.
+type Hold struct {
+	// Back is how long after its return the owners may take to write again.
+	Back time.Duration
+	// Late bounds the wait of a drop that comes after the return, and is news.
+	Late time.Duration
+}
+
 type held struct {
 	record Record
 	due    time.Duration
 }
 
-// New returns an empty feed. After an outage drops wait for the time of hold.
-func New(hold time.Duration) *Feed {
+// New returns an empty feed.
+func New(hold Hold) *Feed {
 	return &Feed{records: map[string]Record{}, forgotten: -1, hold: hold, held: map[string]held{}}
 }
 
@@ -58,7 +67,15 @@
 func (f *Feed) Next() int64 { return f.next }
 
 // Returned tells that the log answers again after an outage.
-func (f *Feed) Returned(now time.Duration) { f.holdUntil = now + f.hold }
+func (f *Feed) Returned(now time.Duration) { f.returned, f.holdUntil = now, now+f.hold.Back }
+
+// due is when a drop that is met now is carried out.
+func (f *Feed) due(now time.Duration) time.Duration {
+	if now == f.returned {
+		return f.holdUntil
+	}
+	return min(f.holdUntil, now+f.hold.Late)
+}
 
 // Apply takes in records up to the offset next, and returns what changed.
 func (f *Feed) Apply(now time.Duration, records []Record, next int64) []Change {
@@ -70,7 +87,7 @@
 		}
 		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < f.holdUntil {
 			if h, waits := f.held[r.Key]; !waits || h.record.Offset < r.Offset {
-				f.held[r.Key] = held{record: r, due: now + f.hold}
+				f.held[r.Key] = held{record: r, due: f.due(now)}
 			}
 			continue
 		}
--- a/internal/decide/sycfeed/feed_test.go
+++ b/internal/decide/sycfeed/feed_test.go
@@ -9,7 +9,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 )
 
-const hold = 2 * time.Second
+var hold = sycfeed.Hold{Back: 2 * time.Second, Late: time.Second}
 
 func rec(offset int64, key, value string) sycfeed.Record {
 	return sycfeed.Record{Offset: offset, Key: key, Value: []byte(value)}
@@ -57,7 +57,32 @@
 			if tt.back {
 				f.Apply(2*time.Second, []sycfeed.Record{rec(3, "a", "y")}, 4)
 			}
-			must.Eq(t, tt.want, keys(f.Due(time.Second+hold)))
+			must.Eq(t, tt.want, keys(f.Due(time.Second+hold.Back)))
+		})
+	}
+}
+
+// TestDropsAreNotHeldForLong has keys dropped at some time after an outage: those that were
+// dropped in it may come back for as long as owners take, news wait for less.
+func TestDropsAreNotHeldForLong(t *testing.T) {
+	const returned = 10 * time.Second
+	tests := []struct {
+		name string
+		at   time.Duration
+		due  time.Duration
+	}{
+		{"in the outage", returned, returned + hold.Back},
+		{"just after it", returned + 100*time.Millisecond, returned + 100*time.Millisecond + hold.Late},
+		{"near the end of the hold", returned + hold.Back - 100*time.Millisecond, returned + hold.Back},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := sycfeed.New(hold)
+			f.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, 2)
+			f.Returned(returned)
+			must.Nil(t, f.Apply(tt.at, []sycfeed.Record{rec(2, "a", "")}, 3))
+			must.Nil(t, f.Due(tt.due-1))
+			must.Eq(t, []string{"-a"}, keys(f.Due(tt.due)))
 		})
 	}
 }
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// dropHold is how long endpoints that the log dropped in an outage may take
-	// to come back.
+	// dropHold is how long after an outage the endpoints that the log dropped in it may
+	// take to come back, and latePart the part of the time within which an endpoint must be
+	// left for which one waits that is dropped after it.
 	dropHold = 2300 * time.Millisecond
+	latePart = 0.5
 	// outage is how long a feed is unknown until that counts as one.
 	outage = 1500 * time.Millisecond
 	// readGrace is how long a read may take beyond its wait for records.
@@ -65,16 +67,16 @@
 // reached all VMs within the given times.
 func newFeeds(config, drain time.Duration) map[string]*feed {
 	return map[string]*feed{
-		FeedOperator:  newFeed(0, config, configPause),
-		FeedEndpoints: newFeed(dropHold, drain, min(part(pausePart, drain), mostPause)),
-		FeedStatus:    {Feed: sycfeed.New(0), wait: statusWait, pause: statusPause, stale: statusStale},
-		FeedVMs:       {Feed: sycfeed.New(0), wait: statusWait, pause: statusPause, stale: statusStale},
+		FeedOperator:  newFeed(sycfeed.Hold{}, config, configPause),
+		FeedEndpoints: newFeed(sycfeed.Hold{Back: dropHold, Late: part(latePart, drain)}, drain, min(part(pausePart, drain), mostPause)),
+		FeedStatus:    {Feed: sycfeed.New(sycfeed.Hold{}), wait: statusWait, pause: statusPause, stale: statusStale},
+		FeedVMs:       {Feed: sycfeed.New(sycfeed.Hold{}), wait: statusWait, pause: statusPause, stale: statusStale},
 	}
 }
 
-func newFeed(dropHold, within, pause time.Duration) *feed {
+func newFeed(hold sycfeed.Hold, within, pause time.Duration) *feed {
 	stale := min(part(stalePart, within), mostStale)
-	return &feed{Feed: sycfeed.New(dropHold), wait: max(stale-tellMargin, leastWait), pause: pause, stale: stale}
+	return &feed{Feed: sycfeed.New(hold), wait: max(stale-tellMargin, leastWait), pause: pause, stale: stale}
 }
 
 func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
--- a/internal/peer/sycfleet/follow_test.go
+++ b/internal/peer/sycfleet/follow_test.go
@@ -20,7 +20,9 @@
 			must.Less(t, bound, d.stale+2*retryPause, must.Sprint(name, bound))
 			must.Less(t, d.stale, d.wait+told, must.Sprint(name, bound, ": VMs read for themselves though the readers live"))
 		}
-		must.LessEq(t, time.Second, feeds[FeedEndpoints].pause, must.Sprint(bound))
+		endpoints := feeds[FeedEndpoints]
+		must.LessEq(t, time.Second, endpoints.pause, must.Sprint(bound))
+		must.Less(t, bound, endpoints.pause+told+part(latePart, bound), must.Sprint(bound, ": a drop is held for too long"))
 	}
 }
 
