--- a/internal/traffic/sycversion/lead.go
+++ b/internal/traffic/sycversion/lead.go
@@ -173,7 +173,7 @@
 	}
 	weights := l.Candidate.Value().Weights()
 	s.engines = len(engines)
-	s.ready, s.loadTime = 0, m.loadTime(weights)
+	s.ready, s.loadTime = 0, m.typicalLoad(weights)
 	for _, e := range engines {
 		if e.Holds(l.Candidate) {
 			s.ready++
@@ -259,9 +259,9 @@
 	}
 }
 
-// loadTime is the median time that engines took to load weights, 0 if none is known. One
+// typicalLoad is the median time that engines took to load weights, 0 if none is known. One
 // engine that is slow says little of the others.
-func (m *Manager) loadTime(weights string) time.Duration {
+func (m *Manager) typicalLoad(weights string) time.Duration {
 	var times []time.Duration
 	for key, t := range m.loads {
 		if key.weights == weights && t.took > 0 {
--- a/internal/traffic/sycversion/loads_test.go
+++ b/internal/traffic/sycversion/loads_test.go
@@ -44,7 +44,7 @@
 			for _, l := range tt.looks {
 				m.timeLoads(l.at, []sycrollout.EngineState{report(l.state)})
 			}
-			must.Eq(t, tt.want, m.loadTime("w2"))
+			must.Eq(t, tt.want, m.typicalLoad("w2"))
 		})
 	}
 }
@@ -59,6 +59,6 @@
 		{"e4", "w2"}: {},
 		{"e1", "w1"}: {took: time.Minute},
 	}}
-	must.Eq(t, 2*time.Second, m.loadTime("w2"))
-	must.Zero(t, m.loadTime("w3"))
+	must.Eq(t, 2*time.Second, m.typicalLoad("w2"))
+	must.Zero(t, m.typicalLoad("w3"))
 }
