Take no version back for tokens that are a little further apart

Times between tokens differ so little that a rise of two in ten moves most answers above the predecessor's nine tenths; first tokens have a slack of a bucket for that, these had none. While the machine has less room the engines of the stand-in, in the same process, are that much slower. Ruled out: the new renewal of the lease (the records show the leader's steps without a gap but that of the killed one) and failures (none counted).

Now times between tokens count as long from two buckets (four tenths) above the reference.

--- a/internal/decide/sycrollout/sizes.go
+++ b/internal/decide/sycrollout/sizes.go
@@ -53,7 +53,7 @@
 // betweenTokens is the like for the times between tokens, which don't grow with what is
 // computed before.
 func (s *sizes) betweenTokens(size, slack int) (int, bool) {
-	return s.reference(size, slack, 0, func(c *Counts) *Buckets { return &c.BetweenTokens })
+	return s.reference(size, max(tokenSlack, slack), 0, func(c *Counts) *Buckets { return &c.BetweenTokens })
 }
 
 // reference gathers the predecessor's durations from the given size class upwards until
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -35,6 +35,9 @@
 	// sizeSlack is the number of buckets by which first tokens must be above the
 	// reference, since sizes differ within their class.
 	sizeSlack = 1
+	// tokenSlack is the number of buckets by which times between tokens must be above it:
+	// they differ so little that a machine with less room for an engine shows in all.
+	tokenSlack = 2
 )
 
 // Subject is a version under comparison.
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// TestALittleSlowerIsKept spaces a version's tokens by three tenths more, as much as the load
+// of a machine may do that engines share: it is no fault to take a version back for.
+func TestALittleSlowerIsKept(t *testing.T) {
+	t.Parallel()
+	const slower = 1.3
+	for seed := range uint64(60) {
+		tr := newTraffic(seed)
+		tr.bend = func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
+			s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * slower)
+		}
+		found, _ := tr.run(0)
+		must.Zero(t, found, must.Sprintf("seed %d", seed))
+	}
+}
+
 func TestBadVersionIsFound(t *testing.T) {
 	t.Parallel()
 	const late = 20 * time.Second
