Compare a version side by side again before it is taken back as slow at the full share

Cause: at the full share the predecessor gets no requests, so times are compared with what it took earlier in the rollout. A machine that gets slower meanwhile (other tests, compilers) makes a good version look slow. Three copies of the package's tests at a time, on two cores each under the race detector: all VMs vetoed good versions in 3 of 3 copies, always after the last step; in the 12 rollouts none was vetoed at shares of 0.1 or 0.5, where both versions are seen at the same time.

Ruled out: cold caches (sizes are compared upwards since; the vetoes come after the last step, seconds after caches are warm); stalls of the loop (counted from 100 ms on, and the vetoes came from all VMs).

Change: slowness at the full share only raises a doubt. The VMs tell each other, give the version a tenth of the requests and its predecessor the others, leave the times of attempts under way out, and judge both side by side from 1.5 s on. If it is as fast it gets all again, and the predecessor's times in the trial are the new reference. Failures take a version back at once, as before.

--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -13,6 +13,8 @@
 	first time.Duration
 	// arrived is set once the first token has come, late once it was counted without.
 	arrived, late bool
+	// untimed is set where the attempt's times are not to be counted.
+	untimed bool
 	// heldBefore is how long this VM had been held up when the attempt began, heldFirst
 	// when its first token came.
 	heldBefore, heldFirst time.Duration
@@ -43,9 +45,12 @@
 		s.FirstToken = without(s.FirstToken, a.first-a.since, a.heldFirst-a.heldBefore)
 		s.BetweenTokens = without(s.BetweenTokens, now-a.first, l.held-a.heldFirst)
 	}
-	if a.late {
+	if a.late || a.untimed {
 		s.FirstToken = 0
 	}
+	if a.untimed {
+		s.BetweenTokens = 0
+	}
 	l.Forget(id)
 	l.Record(cell, s)
 }
@@ -61,21 +66,29 @@
 // Forget drops an attempt whose end says nothing.
 func (l *Ledger) Forget(id uint64) { delete(l.awaited, id) }
 
+// untime leaves the times of the attempts under way uncounted.
+func (l *Ledger) untime() {
+	for id, a := range l.awaited {
+		a.untimed = true
+		l.awaited[id] = a
+	}
+}
+
 // Late is how many first tokens of versions under rollout were counted while they were
 // awaited.
 func (l *Ledger) Late() uint64 { return l.late }
 
 // countLate counts the first tokens that are awaited for much longer than nearly all of
-// the predecessor's took, as if they had come now. Those of the predecessor count too: a
-// stall of this VM, or of all engines, makes both late.
-func (l *Ledger) countLate(now time.Duration, candidate, predecessor Subject) {
+// the predecessor's took since an earlier sum, as if they had come now. Those of the
+// predecessor count too: a stall of this VM, or of all engines, makes both late.
+func (l *Ledger) countLate(now time.Duration, candidate, predecessor Subject, earlier Totals) {
 	if len(l.awaited) == 0 {
 		return
 	}
-	kinds := kindsOf(l.Sum(), candidate, predecessor)
+	kinds := kindsOf(l.Sum().Since(earlier), candidate, predecessor)
 	for id, a := range l.awaited {
 		s := a.cell.subject()
-		if a.arrived || a.late || s != candidate && s != predecessor {
+		if a.arrived || a.late || a.untimed || s != candidate && s != predecessor {
 			continue
 		}
 		reference, ok := kinds[a.cell.kind()].firstToken(a.cell.Size, laterSlack)
--- a/internal/decide/sycrollout/probation.go
+++ b/internal/decide/sycrollout/probation.go
@@ -27,12 +27,12 @@
 }
 
 // settled reports whether the probation is over: it has lasted and has seen
-// enough requests, or the next version can't wait.
+// enough requests without a doubt, or the next version can't wait.
 func (v View) settled() bool {
 	if v.nextIsDue() {
 		return true
 	}
-	return v.probationLeft() <= 0 && v.Stage.Requests >= minRequests
+	return v.probationLeft() <= 0 && v.Stage.Requests >= minRequests && v.Stage.Doubt == ""
 }
 
 func (v View) probationLeft() time.Duration {
--- a/internal/decide/sycrollout/shares.go
+++ b/internal/decide/sycrollout/shares.go
@@ -130,14 +130,14 @@
 	return subject(l.Candidate), subject(l.Base)
 }
 
-// Shares splits the model's traffic between the base and the candidate. A
-// vetoed candidate, and one past its deadline, gets nothing.
-func (l Lineup) Shares(wall time.Time, vetoed func(Subject) bool) []sycwork.VersionShare {
+// Shares splits the model's traffic between the base and the candidate, which gets at most
+// a given share. A vetoed candidate, and one past its deadline, gets nothing.
+func (l Lineup) Shares(wall time.Time, most float64, vetoed func(Subject) bool) []sycwork.VersionShare {
 	share := 0.0
 	stopped := false
 	if l.HasCandidate {
 		stopped = vetoed(subject(l.Candidate)) || l.late(wall)
-		share = l.Progress.Share
+		share = min(l.Progress.Share, most)
 	}
 	if stopped {
 		share = 0
--- a/internal/decide/sycrollout/stage.go
+++ b/internal/decide/sycrollout/stage.go
@@ -9,6 +9,8 @@
 	share       float64
 	// baseline holds the counts from before the stage.
 	baseline Totals
+	// trial is used at the full share only.
+	trial trial
 }
 
 // NewStage begins a stage with the counts so far; share is the version's share
@@ -22,35 +24,60 @@
 	}
 }
 
+// Next begins a further stage at the same share.
+func (s *Stage) Next(sum Totals) *Stage {
+	next := *s
+	next.baseline = sum
+	if next.trial.passed != nil {
+		next.trial.passed = sum
+	}
+	return &next
+}
+
+// Share is the version's share of the traffic at present.
+func (s *Stage) Share() float64 {
+	if s.Doubted() {
+		return trialShare
+	}
+	return s.share
+}
+
 // Judge compares the versions and returns the verdicts on the whole stage and
 // on its last seconds.
 func (s *Stage) Judge(now time.Duration, ledger *Ledger) (whole, lately Verdict) {
-	ledger.countLate(now, s.candidate, s.predecessor)
+	ledger.countLate(now, s.candidate, s.predecessor, s.trial.reference)
 	ledger.Read(now)
 	sum := ledger.Sum()
-	whole = s.compare(sum.Since(s.baseline), sum)
+	by := measure{confidence: confidence, failures: true}
+	if s.share >= 1 {
+		by.confidence = 0
+	}
+	whole = s.compare(sum.Since(s.baseline), sum, by)
 	for _, window := range []time.Duration{Window, ShortWindow} {
-		lately = s.compare(ledger.Recent(sum, now, window), sum)
+		lately = s.compare(ledger.Recent(sum, now, window), sum, by)
 		if lately.Bad {
 			break
 		}
 	}
+	if s.share >= 1 && !whole.Bad && !lately.Bad {
+		s.judgeTimes(now, ledger, sum, &whole)
+	}
+	whole.Doubt = s.trial.doubt
 	return whole, lately
 }
 
-func (s *Stage) compare(t, sum Totals) Verdict {
-	if s.share < 1 {
-		return Compare(t, s.candidate, s.predecessor)
+func (s *Stage) compare(t, sum Totals, by measure) Verdict {
+	if s.share >= 1 {
+		s.refer(t, sum)
 	}
-	s.refer(t, sum)
-	return compare(t, s.candidate, s.predecessor, laterSlack)
+	return compare(t, s.candidate, s.predecessor, by)
 }
 
-// refer puts all counts of the predecessor into t: at the full share it gets no
+// refer puts the predecessor's counts of earlier times into t: at the full share it gets no
 // more requests that the version's could be compared with.
-func (s *Stage) refer(t, sum Totals) {
-	for cell, counts := range sum {
-		if (Subject{cell.Version, cell.Generation}) == s.predecessor {
+func (s *Stage) refer(t, earlier Totals) {
+	for cell, counts := range earlier {
+		if cell.subject() == s.predecessor {
 			t[cell] = counts
 		}
 	}
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -13,6 +13,11 @@
 const (
 	// confidence is the number of standard deviations of the Wilson bounds.
 	confidence = 3.5
+	// doubtConfidence is the like for a version to be compared side by side: that takes
+	// nothing back yet, so it may come too soon.
+	doubtConfidence = 2
+	// trialConfidence is that of the side by side comparison, which the doubt speaks for.
+	trialConfidence = 3
 	// failureChance is the probability below which failures are not taken for chance.
 	failureChance = 2e-5
 	// failureMargin is how much higher a version's failure rate may be.
@@ -55,17 +60,29 @@
 	Requests uint64
 	// OldRequests is the number of the predecessor's requests on all routes.
 	OldRequests uint64
-	Evidence    []sycrecord.EvidenceFields
+	// Doubt says why the version, which had all requests, is compared side by side with
+	// its predecessor again; empty while it isn't.
+	Doubt    string
+	Evidence []sycrecord.EvidenceFields
 }
 
 // Compare judges a version against its predecessor, route by route. Requests
 // are compared only with requests of the same load that had as much to compute.
 func Compare(t Totals, candidate, predecessor Subject) Verdict {
-	return compare(t, candidate, predecessor, 0)
+	return compare(t, candidate, predecessor, measure{confidence: confidence, failures: true})
 }
 
-// compare counts a duration as slow from slack buckets above the reference on.
-func compare(t Totals, candidate, predecessor Subject, slack int) Verdict {
+// measure is what versions are compared by.
+type measure struct {
+	// slack is how many buckets above the reference a duration counts as slow.
+	slack int
+	// confidence is that of the bounds on slow durations; 0 leaves them out.
+	confidence float64
+	// failures has failures compared.
+	failures bool
+}
+
+func compare(t Totals, candidate, predecessor Subject, by measure) Verdict {
 	var v Verdict
 	kinds := kindsOf(t, candidate, predecessor)
 	routes := map[string]bool{}
@@ -80,7 +97,7 @@
 		}
 	}
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
-		v.judge(kinds, route, slack)
+		v.judge(kinds, route, by)
 	}
 	return v
 }
@@ -92,23 +109,23 @@
 	totalFirst, totalNext uint64
 }
 
-func (v *Verdict) judge(kinds map[kind]*sizes, route string, slack int) {
+func (v *Verdict) judge(kinds map[kind]*sizes, route string, by measure) {
 	var all comparison
 	for load := range loadClasses {
 		var byLoad comparison
 		for _, imported := range []bool{false, true} {
 			if s := kinds[kind{route, load, imported}]; s != nil {
-				byLoad.add(s, slack)
+				byLoad.add(s, by.slack)
 			}
 		}
 		if byLoad.fresh.Requests > 0 {
 			v.Evidence = append(v.Evidence, byLoad.evidence(route, loadName(load)))
-			v.conclude(route, loadName(load), &byLoad)
+			v.conclude(route, loadName(load), &byLoad, by)
 		}
 		all.merge(&byLoad)
 	}
 	v.Requests += all.fresh.Requests
-	v.conclude(route, "any", &all)
+	v.conclude(route, "any", &all, by)
 }
 
 func (c *comparison) add(s *sizes, slack int) {
@@ -141,18 +158,18 @@
 	c.totalNext += other.totalNext
 }
 
-func (v *Verdict) conclude(route, load string, c *comparison) {
+func (v *Verdict) conclude(route, load string, c *comparison, by measure) {
 	if v.Bad {
 		return
 	}
 	switch {
-	case failsMore(c):
+	case by.failures && failsMore(c):
 		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d requests failed, against %d of %d of the predecessor",
 			route, load, c.fresh.Failures, c.fresh.Requests, c.old.Failures, c.old.Requests)
-	case wilsonLow(c.slowFirst, c.totalFirst) > slowShare:
+	case by.slow(c.slowFirst, c.totalFirst):
 		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d first tokens came later than 9 in 10 of the predecessor's",
 			route, load, c.slowFirst, c.totalFirst)
-	case wilsonLow(c.slowNext, c.totalNext) > slowShare:
+	case by.slow(c.slowNext, c.totalNext):
 		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d answers had longer times between tokens than 9 in 10 of the predecessor's",
 			route, load, c.slowNext, c.totalNext)
 	default:
@@ -161,6 +178,11 @@
 	v.Bad = true
 }
 
+// slow reports whether too large a part of the durations was slow.
+func (by measure) slow(hits, trials uint64) bool {
+	return by.confidence > 0 && wilsonLow(hits, trials, by.confidence) > slowShare
+}
+
 func failsMore(c *comparison) bool {
 	if c.fresh.Failures < minFailures {
 		return false
@@ -196,15 +218,16 @@
 	return a - b - c
 }
 
-// wilsonLow is the lower Wilson bound of a proportion; 0 without trials.
-func wilsonLow(hits, trials uint64) float64 {
+// wilsonLow is the lower Wilson bound of a proportion, so many standard deviations below; 0
+// without trials.
+func wilsonLow(hits, trials uint64, deviations float64) float64 {
 	if trials == 0 {
 		return 0
 	}
 	n := float64(trials)
 	p := float64(hits) / n
-	z2 := confidence * confidence
-	spread := confidence * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
+	z2 := deviations * deviations
+	spread := deviations * math.Sqrt(p*(1-p)/n+z2/(4*n*n))
 	return (p + z2/(2*n) - spread) / (1 + z2/n)
 }
 
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -21,6 +21,8 @@
 	rng    *rand.Rand
 	ledger *sycrollout.Ledger
 	bend   func(at time.Duration, cell sycrollout.Cell, s *sycrollout.Sample, chance float64)
+	// machine is by how much all durations are longer, those of both versions; nil is 1.
+	machine func(at time.Duration) float64
 }
 
 func (tr *traffic) request(at time.Duration, subject sycrollout.Subject) {
@@ -41,6 +43,11 @@
 	if subject == newVersion && tr.bend != nil {
 		tr.bend(at, cell, &s, tr.rng.Float64())
 	}
+	if tr.machine != nil {
+		factor := tr.machine(at)
+		s.FirstToken = time.Duration(float64(s.FirstToken) * factor)
+		s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * factor)
+	}
 	tr.ledger.Record(cell, s)
 }
 
--- a/internal/traffic/sycversion/evidence.go
+++ b/internal/traffic/sycversion/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,6 +117,9 @@
 	// allCountsEvery is the number of digests after which all counts are sent
 	// again, for VMs that missed them.
 	allCountsEvery = 40
+	// doubtTold is for how long the others are told of a doubt, in case they miss a digest.
+	// No trial ends as soon.
+	doubtTold = time.Second
 )
 
 // shared is what the newest digest tells.
@@ -137,14 +141,14 @@
 }
 
 // ShareOut returns this VM's evidence for the digest with the given number:
-// its vetoes, new failures and late first tokens always, and from time to time all
+// its vetoes and new doubts, new failures and late first tokens always, and from time to time all
 // counts that have changed. It must not be called on the control loop.
 func (m *Manager) ShareOut(sequence uint64) []*sycpeerpb.VersionEvidence {
 	var list []*sycpeerpb.VersionEvidence
-	m.options.Loop.Do(func(time.Duration) {
+	m.options.Loop.Do(func(now time.Duration) {
 		if sequence != m.shared.sequence {
 			m.shared.sequence = sequence
-			m.shared.list = append(m.vetoesOut(), m.countsOut(sequence)...)
+			m.shared.list = slices.Concat(m.vetoesOut(), m.doubtsOut(now), m.countsOut(sequence))
 		}
 		list = m.shared.list
 	})
@@ -164,6 +168,22 @@
 	return list
 }
 
+// doubtsOut tells of doubts that are new: the others begin their trials with this VM's, and
+// an end of their own must not be undone by this VM's that goes on.
+func (m *Manager) doubtsOut(now time.Duration) []*sycpeerpb.VersionEvidence {
+	var list []*sycpeerpb.VersionEvidence
+	for _, s := range m.stages {
+		if s.judge.Doubted() && s.doubted > 0 && now-s.doubted < doubtTold {
+			list = append(list, &sycpeerpb.VersionEvidence{
+				Version:    s.subject.Version,
+				Generation: s.subject.Generation,
+				Reason:     s.verdict.Doubt,
+			})
+		}
+	}
+	return list
+}
+
 func (m *Manager) countsOut(sequence uint64) []*sycpeerpb.VersionEvidence {
 	if sequence%allCountsEvery == 0 {
 		m.shared.sent = map[sycrollout.Cell]told{}
@@ -186,23 +206,28 @@
 func (m *Manager) ShareIn(from *sycpeerpb.Vm, evidence []*sycpeerpb.VersionEvidence) {
 	source := from.GetAddress() + "/" + from.GetIncarnation()
 	m.options.Loop.Post(func(now time.Duration) {
-		failures := false
+		urgent := false
 		for _, e := range evidence {
-			m.merge(source, e)
-			failures = failures || e.GetFailures() > 0
+			m.merge(now, source, e)
+			urgent = urgent || e.GetFailures() > 0 || e.GetReason() != "" && !e.GetVeto()
 		}
-		if failures {
+		if urgent {
 			m.failed(now)
 		}
 	})
 }
 
-func (m *Manager) merge(source string, e *sycpeerpb.VersionEvidence) {
+func (m *Manager) merge(now time.Duration, source string, e *sycpeerpb.VersionEvidence) {
 	if m.view.Load().judged[e.GetVersion()] != e.GetGeneration() {
 		return
 	}
+	subject := sycrollout.Subject{Version: e.GetVersion(), Generation: e.GetGeneration()}
 	if e.GetVeto() {
-		m.veto(sycrollout.Subject{Version: e.GetVersion(), Generation: e.GetGeneration()}, e.GetReason())
+		m.veto(subject, e.GetReason())
+		return
+	}
+	if e.GetReason() != "" {
+		m.doubt(now, subject, e.GetReason())
 		return
 	}
 	cell, counts, ok := sycevidence.Decode(e)
--- a/internal/traffic/sycversion/judge.go
+++ b/internal/traffic/sycversion/judge.go
@@ -14,8 +14,10 @@
 	state   string
 	share   float64
 	// since is when this VM first saw the stage.
-	since   time.Duration
-	judge   *sycrollout.Stage
+	since time.Duration
+	judge *sycrollout.Stage
+	// doubted is when this VM last began to doubt the version by itself; 0 if it never did.
+	doubted time.Duration
 	verdict sycrollout.Verdict
 	recent  sycrollout.Verdict
 	// engines, ready and loadTime are known on the leader only.
@@ -33,6 +35,7 @@
 	Reason   string  `json:"reason,omitempty"`
 	Waiting  string  `json:"waiting_for,omitempty"`
 	Veto     string  `json:"veto,omitempty"`
+	Doubt    string  `json:"doubt,omitempty"`
 	Requests uint64  `json:"requests_in_stage"`
 }
 
@@ -53,13 +56,15 @@
 	_, next.leading = m.lease.Holds(now)
 	for _, model := range sycrollout.Models(config) {
 		l := sycrollout.NewLineup(model, config, system)
+		most := 1.0
 		if l.HasCandidate {
 			s := m.stage(now, model, l)
 			m.judgeStage(now, s)
+			most = s.judge.Share()
 			next.judge(l)
 			next.rollouts = append(next.rollouts, m.status(now, wall, model, l, s))
 		}
-		next.shares[model] = l.Shares(wall, m.vetoed)
+		next.shares[model] = l.Shares(wall, most, m.vetoed)
 	}
 	m.ledger.Keep(func(version string, generation uint64) bool {
 		return next.judged[version] == generation
@@ -99,12 +104,16 @@
 	if s != nil && s.subject == candidate && s.state == l.Progress.State && s.share == l.Progress.Share {
 		return s
 	}
+	judge := sycrollout.NewStage(candidate, base, l.Progress.Share, m.ledger.Sum())
+	if s != nil && s.subject == candidate && s.share == l.Progress.Share {
+		judge = s.judge.Next(m.ledger.Sum())
+	}
 	s = &stage{
 		subject: candidate,
 		state:   l.Progress.State,
 		share:   l.Progress.Share,
 		since:   now,
-		judge:   sycrollout.NewStage(candidate, base, l.Progress.Share, m.ledger.Sum()),
+		judge:   judge,
 	}
 	m.stages[model] = s
 	return s
@@ -112,7 +121,18 @@
 
 // judgeStage vetoes the candidate as soon as its evidence shows a fault.
 func (m *Manager) judgeStage(now time.Duration, s *stage) {
+	doubt, heard := s.verdict.Doubt, s.judge.Doubted()
 	s.verdict, s.recent = s.judge.Judge(now, m.ledger)
+	if !heard && s.judge.Doubted() {
+		s.doubted = now
+		m.hurry(now)
+	}
+	switch {
+	case doubt == "" && s.verdict.Doubt != "":
+		log.Infof("version %s is compared side by side with its predecessor, at a share of %g: %s", s.subject.Version, s.judge.Share(), s.verdict.Doubt)
+	case doubt != "" && s.verdict.Doubt == "":
+		log.Infof("version %s has all requests again: it is as fast as its predecessor", s.subject.Version)
+	}
 	for _, v := range []sycrollout.Verdict{s.verdict, s.recent} {
 		if v.Bad {
 			m.veto(s.subject, v.Reason)
@@ -120,6 +140,15 @@
 	}
 }
 
+// doubt begins a trial that another VM has begun.
+func (m *Manager) doubt(now time.Duration, subject sycrollout.Subject, reason string) {
+	for _, s := range m.stages {
+		if s.subject == subject {
+			s.judge.Doubt(now, m.ledger, reason)
+		}
+	}
+}
+
 func (m *Manager) veto(s sycrollout.Subject, reason string) {
 	if m.vetoed(s) {
 		return
@@ -156,6 +185,7 @@
 		Share:    l.Progress.Share,
 		Reason:   l.Progress.Reason,
 		Veto:     m.vetoes[s.subject],
+		Doubt:    s.verdict.Doubt,
 		Requests: s.verdict.Requests,
 	}
 	if _, ok := m.lease.Holds(now); ok {
