--- a/internal/decide/sycrollout/await.go
+++ b/internal/decide/sycrollout/await.go
@@ -85,7 +85,11 @@
 	if len(l.awaited) == 0 {
 		return
 	}
-	kinds := kindsOf(l.Sum().Since(earlier), candidate, predecessor)
+	sum := l.Sum()
+	if earlier != nil {
+		sum = sum.Since(earlier)
+	}
+	kinds := kindsOf(sum, candidate, predecessor)
 	for id, a := range l.awaited {
 		s := a.cell.subject()
 		if a.arrived || a.late || a.untimed || s != candidate && s != predecessor {
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -55,6 +55,7 @@
 		ledger:  sycrollout.NewLedger(),
 	}
 	candidate, former := r.subjects()
+	// The trial's share is below 1 always, so that the former release has requests beside it.
 	r.stage = sycrollout.NewStage(candidate, former, r.move.Trial(), nil)
 	f.rollouts[asked.Service] = r
 	f.setShare(now, r, r.move.Trial(), "asked for")
