--- a/internal/peer/sycfleet/feed.go
+++ b/internal/peer/sycfleet/feed.go
@@ -61,18 +61,18 @@
 func newFeeds(config, drain time.Duration) map[string]*feed {
 	return map[string]*feed{
 		FeedOperator:  newFeed(sycfeed.Hold{}, config, configPause),
-		FeedEndpoints: newFeed(sycfeed.Hold{Back: dropHold, Late: part(latePart, drain)}, drain, min(part(pausePart, drain), mostPause)),
+		FeedEndpoints: newFeed(sycfeed.Hold{Back: dropHold, Late: scaled(drain, latePart)}, drain, min(scaled(drain, pausePart), mostPause)),
 		FeedStatus:    {Feed: sycfeed.New(sycfeed.Hold{}), wait: statusWait, pause: statusPause, stale: statusStale},
 		FeedVMs:       {Feed: sycfeed.New(sycfeed.Hold{}), wait: statusWait, pause: statusPause, stale: statusStale},
 	}
 }
 
 func newFeed(hold sycfeed.Hold, within, pause time.Duration) *feed {
-	stale := min(part(stalePart, within), mostStale)
+	stale := min(scaled(within, stalePart), mostStale)
 	return &feed{Feed: sycfeed.New(hold), wait: max(stale-tellMargin, leastWait), pause: pause, stale: stale}
 }
 
-func part(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
 
 // refreshed tells that a feed's state was the log's at some time, which comes
 // before the records of that time are applied.
--- a/internal/peer/sycfleet/feed_test.go
+++ b/internal/peer/sycfleet/feed_test.go
@@ -22,7 +22,7 @@
 		}
 		endpoints := feeds[FeedEndpoints]
 		must.LessEq(t, time.Second, endpoints.pause, must.Sprint(bound))
-		must.Less(t, bound, endpoints.pause+told+part(latePart, bound), must.Sprint(bound, ": a drop is held for too long"))
+		must.Less(t, bound, endpoints.pause+told+scaled(bound, latePart), must.Sprint(bound, ": a drop is held for too long"))
 	}
 }
 
