Give no larger share to a release whose requests fail oftener than its predecessor's

Cause: with little time (5 s) the release's trial lasts 2 s and sees 8 to 10 requests. A fifth of the predecessor's failed too (13 of 64, the cut), so most of 8 did not prove it bad at the chance of 2 in 100,000, and "8 requests and not known to be bad" counted as proved: it got half and then all requests.

Ruled out: a stale holder (it decided within 0.1 s of the finding), the VMs that stood still (they got 8 in a hundred like the others).

Change: a release that fails oftener than its predecessor by a number that chance brings in less than 1 in 20 gets no larger share than it has. And a VM that has found a release bad stays at no requests where the holder's word still says otherwise; it went back to the holder's share for up to 0.1 s with each of the holder's messages.

--- a/internal/decide/sycrelease/release.go
+++ b/internal/decide/sycrelease/release.go
@@ -47,6 +47,8 @@
 	Requests uint64
 	// Bad says why the release is bad; empty if it is not known to be.
 	Bad string
+	// Suspect is set while the release is not known to be bad, but may well be.
+	Suspect bool
 }
 
 // Move is one service's move.
@@ -57,8 +59,8 @@
 	granted float64
 	state   State
 	reason  string
-	// all is set while the release has all requests, since allSince.
-	all      bool
+	// share is the release's present one; it has had all requests since allSince, if it is 1.
+	share    float64
 	allSince time.Duration
 }
 
@@ -82,10 +84,10 @@
 
 // Shared tells which share of the requests the release has from now on, whoever decided it.
 func (m *Move) Shared(now time.Duration, share float64) {
-	if share == 1 && !m.all {
+	if share == 1 && m.share != 1 {
 		m.allSince = now
 	}
-	m.all = share == 1
+	m.share = share
 }
 
 // Trial is the share of the requests that a release gets on trial.
@@ -106,17 +108,22 @@
 	proved := e.Endpoints > 0 && e.Requests >= leastProof
 	switch {
 	case left <= m.before(doneBefore):
-		m.end(proved && m.all && now-m.allSince >= m.before(leastAll))
+		m.end(proved && m.share == 1 && now-m.allSince >= m.before(leastAll))
 		return m.Next(now, e)
 	case e.Endpoints == 0:
 		return 0
+	}
+	share := m.Trial()
+	switch {
 	case proved && left <= m.before(allBefore):
-		return 1
+		share = 1
 	case proved && left <= m.before(halfBefore):
-		return 0.5
-	default:
-		return m.Trial()
+		share = 0.5
+	}
+	if e.Suspect {
+		return min(share, max(m.share, m.Trial()))
 	}
+	return share
 }
 
 func (m *Move) end(proved bool) {
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -24,6 +24,8 @@
 	failureMargin = 0.02
 	// tailPrecision is the part of a sum below which a further term is left out.
 	tailPrecision = 1e-6
+	// suspectChance is the like for a version that may well be bad: it gets no larger share.
+	suspectChance = 0.05
 	// minFailures is the smallest number of failures that counts as evidence.
 	minFailures = 3
 	// referenceQuantile and slowShare define slowness: more than slowShare of a
@@ -34,6 +36,8 @@
 	// reference where the predecessor's were counted earlier: load may have risen
 	// within its class since.
 	laterSlack = 3
+	// minSuspect is the smallest number of failures for a suspicion.
+	minSuspect = 2
 	// minReference is the smallest number of the predecessor's requests that a
 	// comparison rests on.
 	minReference = 10
@@ -56,6 +60,9 @@
 	// Bad is true only when Reason says why.
 	Bad    bool
 	Reason string
+	// Suspect is set where more of the version's requests failed than of its
+	// predecessor's, over all routes, by a number that chance seldom brings.
+	Suspect bool
 	// Requests is the number of the version's requests that were seen.
 	Requests uint64
 	// OldRequests is the number of the predecessor's requests on all routes.
@@ -96,9 +103,11 @@
 			}
 		}
 	}
+	var all comparison
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
-		v.judge(kinds, route, by)
+		all.merge(v.judge(kinds, route, by))
 	}
+	v.Suspect = all.failsMore(minSuspect, suspectChance)
 	return v
 }
 
@@ -109,7 +118,8 @@
 	totalFirst, totalNext uint64
 }
 
-func (v *Verdict) judge(kinds map[kind]*sizes, route string, by measure) {
+// judge compares the versions on a route, and returns what it compared.
+func (v *Verdict) judge(kinds map[kind]*sizes, route string, by measure) *comparison {
 	var all comparison
 	for load := range loadClasses {
 		var byLoad comparison
@@ -126,6 +136,7 @@
 	}
 	v.Requests += all.fresh.Requests
 	v.conclude(route, "any", &all, by)
+	return &all
 }
 
 func (c *comparison) add(s *sizes, slack int) {
@@ -163,7 +174,7 @@
 		return
 	}
 	switch {
-	case by.failures && failsMore(c):
+	case by.failures && c.failsMore(minFailures, failureChance):
 		v.Reason = fmt.Sprintf("route %s, load %s: %d of %d requests failed, against %d of %d of the predecessor",
 			route, load, c.fresh.Failures, c.fresh.Requests, c.old.Failures, c.old.Requests)
 	case by.slow(c.slowFirst, c.totalFirst):
@@ -183,15 +194,17 @@
 	return by.confidence > 0 && wilsonLow(hits, trials, by.confidence) > slowShare
 }
 
-func failsMore(c *comparison) bool {
-	if c.fresh.Failures < minFailures {
+// failsMore reports whether the version fails more often than its predecessor: at least so
+// many times, and as often by chance with a probability below the given one.
+func (c *comparison) failsMore(least uint64, chance float64) bool {
+	if c.fresh.Failures < least {
 		return false
 	}
 	before := 0.0
 	if c.old.Requests > 0 {
 		before = float64(c.old.Failures) / float64(c.old.Requests)
 	}
-	return binomialTail(c.fresh.Failures, c.fresh.Requests, before+failureMargin) < failureChance
+	return binomialTail(c.fresh.Failures, c.fresh.Requests, before+failureMargin) < chance
 }
 
 // binomialTail is the probability of at least hits in a number of trials. It
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -195,3 +195,37 @@
 		})
 	}
 }
+
+// TestSuspect counts requests that failed, so few that the version isn't known to be bad.
+func TestSuspect(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name             string
+		failed, requests int
+		before, old      int
+		want             bool
+	}{
+		{"none failed", 0, 8, 0, 60, false},
+		{"one failed", 1, 8, 0, 60, false},
+		{"most failed, as did many of the predecessor's", 6, 8, 13, 64, true},
+		{"as many failed as of the predecessor's", 2, 8, 13, 64, false},
+		{"some failed of many", 3, 90, 0, 300, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			ledger := sycrollout.NewLedger()
+			record := func(s sycrollout.Subject, failed, requests int) {
+				for i := range requests {
+					cell := sycrollout.Cell{Version: s.Version, Generation: s.Generation, Route: []string{"a", "b"}[i%2]}
+					ledger.Record(cell, sycrollout.Sample{Failed: i < failed, FirstToken: time.Millisecond})
+				}
+			}
+			record(oldVersion, tt.before, tt.old)
+			record(newVersion, tt.failed, tt.requests)
+			v := sycrollout.Compare(ledger.Sum(), newVersion, oldVersion)
+			must.False(t, v.Bad, must.Sprint(v.Reason))
+			must.Eq(t, tt.want, v.Suspect)
+		})
+	}
+}
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -32,6 +32,8 @@
 	stage  *sycrollout.Stage
 	// share is the release's part of the requests here.
 	share float64
+	// bad says why this VM finds the release bad; empty if it doesn't.
+	bad string
 	// published is the state that is known to lie in the log, and tried when this
 	// VM last tried to publish one.
 	published RolloutState
@@ -149,18 +151,19 @@
 		r := f.rollouts[service]
 		state := r.move.State()
 		whole, lately := r.stage.Judge(now, r.ledger)
-		bad := whole.Reason
-		if bad == "" {
-			bad = lately.Reason
+		r.bad = whole.Reason
+		if r.bad == "" {
+			r.bad = lately.Reason
 		}
 		switch {
-		case state == sycrelease.Running && bad != "" && !holder:
-			f.setShare(now, r, 0, bad)
+		case state == sycrelease.Running && r.bad != "" && !holder:
+			f.setShare(now, r, 0, r.bad)
 		case holder || state != sycrelease.Running:
 			share := r.move.Next(now, sycrelease.Evidence{
 				Endpoints: f.placer.Releases(service, r.Release),
 				Requests:  whole.Requests,
-				Bad:       bad,
+				Bad:       r.bad,
+				Suspect:   whole.Suspect,
 			})
 			f.setShare(now, r, share, string(r.move.State())+" "+r.move.Reason())
 		}
@@ -240,7 +243,8 @@
 		if state := sycrelease.State(m.State); state != sycrelease.Running {
 			r.move.Decided(state)
 		}
-		if m.Decided {
+		// The holder may not know yet what this VM found.
+		if m.Decided && (r.bad == "" || r.move.State() != sycrelease.Running) {
 			f.setShare(now, r, m.Share, "the holder's word")
 		}
 	}
