End the rollouts' tests soon after their rollouts

Cause: each further run of traffic has 400 requests, though some 60 are missing for the last stage; a run takes 27 s, and the probation in which TestFaultAfterDone sets its fault passes meanwhile. Further runs have 120 now; the first has 400 as before, which the bound on bad requests counts on. The paused leader's test uses the same number.

--- a/internal/traffic/sycversion/paused_test.go
+++ b/internal/traffic/sycversion/paused_test.go
@@ -15,10 +15,6 @@
 	"sycamorecart.example/sycamorecart/internal/traffic/sycorder"
 )
 
-// pausedRequests is the number of requests of a run: enough to prove a stage, and a run
-// ends soon after the rollout has.
-const pausedRequests = 120
-
 // repairTimeout bounds the wait until engines are again as their records say.
 const repairTimeout = 30 * time.Second
 
@@ -43,7 +39,7 @@
 				Binary: binary,
 				Engine: sycengine.Options{Speed: engineSpeed, ChecksFencing: tt.checks},
 			})
-			site.requests = pausedRequests
+			site.requests = furtherRequests
 			site.adapters = map[string]string{"w2": "a2"}
 			publishAdapter(t, site)
 			for len(site.Outcomes()) < 2 {
--- a/internal/traffic/sycversion/rollout_test.go
+++ b/internal/traffic/sycversion/rollout_test.go
@@ -24,8 +24,10 @@
 	ample = 4 * time.Minute
 	// scarce is a deadline that is waited for.
 	scarce = 25 * time.Second
-	// trafficRequests is the number of requests of each run.
+	// trafficRequests is the number of requests of the first run, furtherRequests that of
+	// each one after it, which ends soon after the rollout.
 	trafficRequests = 400
+	furtherRequests = 120
 	// mostBad is the largest share of all requests that a version which is bad
 	// from the start may get.
 	mostBad = 0.1
@@ -41,7 +43,7 @@
 type site struct {
 	*sycdeploy.Deployment
 	workload sycload.Workload
-	// requests is the number of requests of each run of traffic.
+	// requests is the number of requests of the first run of traffic.
 	requests int
 	// adapters gives the adapter that goes with weights, if there is one.
 	adapters map[string]string
@@ -87,6 +89,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), outcomeTimeout)
 	defer cancel()
+	requests := site.requests
 	for seed := uint64(7); ; seed++ {
 		result, err := sycload.Run(ctx, sycload.Options{
 			Workload:    site.workload,
@@ -97,7 +100,7 @@
 			Seed:        seed,
 			Duration:    outcomeTimeout,
 			RateFactor:  3,
-			MaxRequests: site.requests,
+			MaxRequests: requests,
 		})
 		must.NoError(t, err)
 		must.Zero(t, result.Total.Wrong, must.Sprint(result.Faults))
@@ -105,6 +108,7 @@
 			return last
 		}
 		must.NoError(t, ctx.Err(), must.Sprint("the rollout has not ended"))
+		requests = furtherRequests
 	}
 }
 
