Take a release back as soon as it can't be completed in time

Cause: the suspect release stays on trial, and its end was decided 1.2 s before the deadline only. All VMs but two were killed just then, and the next holder decided at 24.07 s.

Change: a release is completed only if it had all requests for 2.15 s before that time; as soon as it can't have them for as long, it is taken back.

Before and after: TestStages "too late to be done" fails before.

--- a/internal/decide/sycrelease/release.go
+++ b/internal/decide/sycrelease/release.go
@@ -30,7 +30,8 @@
 	allBefore  = 5500 * time.Millisecond
 	doneBefore = 1200 * time.Millisecond
 	// leastAll is how long a release must have had all requests to be done: on trial few
-	// reach it, and a fault that shows under load doesn't show.
+	// reach it, and a fault that shows under load doesn't show. One that can't have them
+	// for as long any more is taken back at once.
 	leastAll = (allBefore - doneBefore) / 2
 	// shortest is the part of the time that is left to the trial when the deadline
 	// is near.
@@ -107,8 +108,11 @@
 	left := m.asked + m.within - now
 	proved := e.Endpoints > 0 && e.Requests >= leastProof
 	switch {
+	case m.hadAll(now)+left-m.before(doneBefore) < m.before(leastAll):
+		m.end(false)
+		return 0
 	case left <= m.before(doneBefore):
-		m.end(proved && m.share == 1 && now-m.allSince >= m.before(leastAll))
+		m.end(proved)
 		return m.Next(now, e)
 	case e.Endpoints == 0:
 		return 0
@@ -126,6 +130,14 @@
 	return share
 }
 
+// hadAll is for how long the release has had all requests.
+func (m *Move) hadAll(now time.Duration) time.Duration {
+	if m.share < 1 {
+		return 0
+	}
+	return now - m.allSince
+}
+
 func (m *Move) end(proved bool) {
 	if proved {
 		m.state = Completed
--- a/internal/decide/sycrelease/release_test.go
+++ b/internal/decide/sycrelease/release_test.go
@@ -32,6 +32,8 @@
 		{"not proved", 11 * time.Second, good(2), 0.08, sycrelease.Running, 0},
 		{"suspect on trial", 11 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Suspect: true}, 0.08, sycrelease.Running, 0},
 		{"suspect with all requests", 11 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Suspect: true}, 1, sycrelease.Running, 10 * time.Second},
+		{"too late to be done", 13 * time.Second, good(2), 0, sycrelease.RolledBack, 0},
+		{"just in time to be done", 13 * time.Second, good(1000), 1, sycrelease.Running, 12600 * time.Millisecond},
 		{"suspect to the end", 15 * time.Second, sycrelease.Evidence{Endpoints: 3, Requests: 30, Suspect: true}, 0, sycrelease.RolledBack, 0},
 		{"done", 15 * time.Second, good(1000), 1, sycrelease.Completed, 11 * time.Second},
 		{"done late", 20 * time.Second, good(1000), 1, sycrelease.Completed, 11 * time.Second},
