--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -24,10 +24,12 @@
 	failureMargin = 0.02
 	// tailPrecision is the part of a sum below which a further term is left out.
 	tailPrecision = 1e-6
-	// suspectChance is the like for a version that may well be bad: it gets no larger share.
+	// suspectChance is the probability below which failures make a version suspect.
 	suspectChance = 0.05
 	// minFailures is the smallest number of failures that counts as evidence.
 	minFailures = 3
+	// minSuspect is the smallest number of failures for a suspicion.
+	minSuspect = 2
 	// referenceQuantile and slowShare define slowness: more than slowShare of a
 	// version's requests take longer than the predecessor's referenceQuantile.
 	referenceQuantile = 0.9
@@ -36,8 +38,6 @@
 	// reference where the predecessor's were counted earlier: load may have risen
 	// within its class since.
 	laterSlack = 3
-	// minSuspect is the smallest number of failures for a suspicion.
-	minSuspect = 2
 	// minReference is the smallest number of the predecessor's requests that a
 	// comparison rests on.
 	minReference = 10
