Count only a trial's own first tokens for its end

Cause: a trial ended once 30 requests of the version had ended, also those that were under way when it began, whose times are left out. Many of a slow version are under way when it is doubted, so a trial could end without having compared anything.

Not ruled out: that those trials had compared some times and found them alike; how many isn't logged.

Change: a trial ends when 30 of the version's first tokens could be compared.

Before and after: TestTrialCountsOnlyItsOwn fails before (the trial is over after 5 s) and passes.

--- a/internal/decide/sycrollout/await_test.go
+++ b/internal/decide/sycrollout/await_test.go
@@ -264,3 +264,35 @@
 		must.Eq(t, 1, counts.FirstToken.Total())
 	}
 }
+
+// TestTrialCountsOnlyItsOwn ends requests in a trial that were under way before it: they say
+// nothing of it, and the trial goes on until as many of its own have shown the version's times.
+func TestTrialCountsOnlyItsOwn(t *testing.T) {
+	t.Parallel()
+	const under = 60
+	as := &answers{rng: rand.New(rand.NewPCG(5, 5)), ledger: sycrollout.NewLedger()}
+	now, stage := as.fullShare()
+	cell := sycrollout.Cell{Version: newVersion.Version, Generation: newVersion.Generation, Route: "chat"}
+	for i := range uint64(under) {
+		as.ledger.Begin(now, 1e6+i, cell)
+	}
+	stage.Doubt(now, as.ledger, "seen by another VM")
+	for begun := now; now < begun+awaitRun/2; now += awaitGap {
+		as.advance(now)
+		as.begin(now, oldVersion, 1)
+		if now == begun+awaitRun/4 {
+			for i := range uint64(under) {
+				as.ledger.End(now, 1e6+i, cell, sycrollout.Sample{FirstToken: time.Minute})
+			}
+		}
+		whole, lately := stage.Judge(now, as.ledger)
+		must.False(t, whole.Bad || lately.Bad, must.Sprint(whole.Reason, lately.Reason))
+		must.True(t, stage.Doubted(), must.Sprintf("after %s", now-begun))
+	}
+	for end := now + awaitRun; now < end; now += awaitGap {
+		as.advance(now)
+		as.send(now, stage, 1)
+		stage.Judge(now, as.ledger)
+	}
+	must.False(t, stage.Doubted())
+}
--- a/internal/decide/sycrollout/trial.go
+++ b/internal/decide/sycrollout/trial.go
@@ -49,7 +49,7 @@
 	switch {
 	case v.Bad:
 		whole.Bad, whole.Reason = true, v.Reason
-	case v.Requests >= minRequests && v.OldRequests >= minRequests:
+	case v.Timed >= minRequests:
 		s.trial.doubt = ""
 		s.trial.passed, s.trial.passedAt = sum, now
 	}
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -65,6 +65,8 @@
 	Suspect bool
 	// Requests is the number of the version's requests that were seen.
 	Requests uint64
+	// Timed is the number of the version's first tokens that were compared.
+	Timed uint64
 	// OldRequests is the number of the predecessor's requests on all routes.
 	OldRequests uint64
 	// Doubt says why the version, which had all requests, is compared side by side with
@@ -107,6 +109,7 @@
 	for _, route := range slices.Sorted(maps.Keys(routes)) {
 		all.merge(v.judge(kinds, route, by))
 	}
+	v.Timed = all.totalFirst
 	v.Suspect = all.failsMore(minSuspect, suspectChance)
 	return v
 }
