--- a/internal/decide/sycrollout/stage_test.go
+++ b/internal/decide/sycrollout/stage_test.go
@@ -103,8 +103,7 @@
 		tr := newTraffic(seed)
 		tr.bend = func(at time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
 			if at > canaryTime+stepTime {
-				s.FirstToken = time.Duration(float64(s.FirstToken) * rise)
-				s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * rise)
+				stretch(s, rise, rise)
 			}
 		}
 		found, _ := tr.rollout(0, time.Minute/perMinute)
--- a/internal/decide/sycrollout/verdict_test.go
+++ b/internal/decide/sycrollout/verdict_test.go
@@ -45,12 +45,17 @@
 	}
 	if tr.machine != nil {
 		factor := tr.machine(at)
-		s.FirstToken = time.Duration(float64(s.FirstToken) * factor)
-		s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * factor)
+		stretch(&s, factor, factor)
 	}
 	tr.ledger.Record(cell, s)
 }
 
+// stretch makes a sample's durations longer.
+func stretch(s *sycrollout.Sample, first, between float64) {
+	s.FirstToken = time.Duration(first * float64(s.FirstToken))
+	s.BetweenTokens = time.Duration(between * float64(s.BetweenTokens))
+}
+
 const (
 	// smallPrompt is the number of tokens of the smallest prompts.
 	smallPrompt = 512
@@ -111,7 +116,7 @@
 	for seed := range uint64(60) {
 		tr := newTraffic(seed)
 		tr.bend = func(_ time.Duration, _ sycrollout.Cell, s *sycrollout.Sample, _ float64) {
-			s.BetweenTokens = time.Duration(float64(s.BetweenTokens) * slower)
+			stretch(s, 1, slower)
 		}
 		found, _ := tr.run(0)
 		must.Zero(t, found, must.Sprintf("seed %d", seed))
