Log why an answer was aborted: whose end it was, and how long the endpoint was silent

The line of a broken answer now says how long the endpoint had sent nothing and whether this VM ended the attempt; the line of an aborted answer names the configuration now in force.

--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -1,10 +1,12 @@
 package sycrelay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -115,6 +117,7 @@
 	x.finishAttempt(sycplace.Failed, started)
 	x.relay.log.WithError(err).WithFields(logrus.Fields{
 		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "events": x.eventCount,
+		"silent": time.Since(x.heard).Round(time.Millisecond).String(), "given_up": errors.Is(err, os.ErrDeadlineExceeded),
 	}).Info("relay: answer broken off")
 	return result{arrived: true, reason: "answer_broken_off"}
 }
@@ -169,6 +172,10 @@
 	if x.config != nil {
 		fields["config"] = x.config.Version()
 	}
+	if status == 0 {
+		// An aborted answer may be due to a configuration that came into force meanwhile.
+		fields["config_now"] = x.relay.fleet.Config().Version()
+	}
 	if x.target != nil {
 		fields["endpoints"] = x.tried
 		fields["first"] = x.firstByte.Round(time.Millisecond).String()
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -45,6 +45,7 @@
 func (x *exchange) attempt(ctx context.Context) result {
 	target := x.target
 	started := time.Now()
+	x.heard = started
 	remaining := time.Until(x.deadline)
 	if remaining < minRemaining {
 		x.finishAttempt(sycplace.Cancelled, started)
@@ -94,6 +95,7 @@
 		return x.handleUnproven(answer, started)
 	}
 	x.ran = true
+	x.heard = time.Now()
 	timeout.admitHead()
 	if x.answering && answer.Status != http.StatusOK {
 		x.finishAttempt(sycplace.Failed, started)
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -101,6 +101,9 @@
 	ran bool
 	// answering is set once bytes of an answer have gone to the caller.
 	answering bool
+	// heard is when the present attempt's endpoint last sent something: the answer's header or an
+	// event. Before that it is when the attempt started.
+	heard time.Time
 	// lastEvent is the ID of the last event of a stream that the caller has received.
 	lastEvent string
 	// eventCount counts the events passed on to the caller.
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -119,6 +119,7 @@
 		if err != nil {
 			return x.abortAttempt(err, started)
 		}
+		x.heard = time.Now()
 		advances := in.advances(x.lastEvent)
 		if advances && first {
 			first = false
