Give up a silent stream only once another endpoint has accepted it

What callers saw: a stream that had begun was aborted, though its endpoint was sound and silent for somewhat more than a second only.

Cause: a stream without an event for 1.1 s was cancelled as soon as some other endpoint could be selected; only then was that one asked. If it was full, failed, had moved or other weights, no attempt was left and the answer was aborted. Class of fault: something that works is given up for something not yet secured.

Now the other endpoint is asked first, as a standby: the present attempt ends only when the standby has not rejected the request within a quarter of a second (so that two endpoints don't run it for long). If the endpoint goes on before, the standby is dropped; if the standby is rejected, the stream stays where it is. If the endpoint really breaks off meanwhile, the standby takes over.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -46,17 +46,23 @@
 	target := x.target
 	started := time.Now()
 	x.heard = started
-	remaining := time.Until(x.deadline)
-	if remaining < minRemaining {
+	if time.Until(x.deadline) < minRemaining {
 		x.finishAttempt(sycplace.Cancelled, started)
 		return result{reason: "no_time"}
 	}
 	x.attempts++
 	x.tried = append(x.tried, target.Endpoint.ID)
-	x.logSent(remaining)
-	ctx, timeout := x.startTimeout(ctx)
-	defer timeout.stop()
-	answer, err := x.relay.client.Do(ctx, &sycwire.Request{
+	x.logSent(target, x.attempts)
+	ctx, x.timeout = x.startTimeout(ctx)
+	defer x.timeout.stop()
+	answer, err := x.relay.client.Do(ctx, x.outgoing(target, x.request))
+	return x.receive(ctx, answer, err, started)
+}
+
+// outgoing returns the request as it is sent to a target that was selected for it. A stream is to go on
+// after its last event.
+func (x *exchange) outgoing(target *sycplace.Target, selected *sycplace.Request) *sycwire.Request {
+	return &sycwire.Request{
 		Address: target.Endpoint.Address,
 		Method:  x.call.Method,
 		Target:  x.call.Target,
@@ -68,26 +74,30 @@
 			Weights:   target.Weights,
 			FetchFrom: target.FetchFrom,
 			Priority:  min(x.priority, lowestPriority),
-			Remaining: remaining,
+			Remaining: time.Until(x.deadline),
 			LastEvent: x.lastEvent,
 		}),
 		Body:    x.body,
-		Proceed: func() bool { return x.relay.fleet.Permits(x.request, target) },
+		Proceed: func() bool { return x.relay.fleet.Permits(selected, target) },
 		Matches: func(h http.Header, first bool) bool { return x.relay.codec.IsAnswerTo(x.call, h, first) },
-	})
+	}
+}
+
+// receive passes on the answer to an attempt that started at a time. Err says why there is none.
+func (x *exchange) receive(ctx context.Context, answer *sycwire.Response, err error, started time.Time) result {
 	if err != nil {
 		return x.handleNoAnswer(ctx, err, started)
 	}
 	defer func() { _ = answer.Close() }()
 	x.applyNotice(answer)
-	switch x.relay.codec.Disposition(target.Endpoint.ID, answer.Status, answer.Header) {
+	switch x.relay.codec.Disposition(x.target.Endpoint.ID, answer.Status, answer.Header) {
 	case NotRun:
 		answer.Discard()
 		x.finishAttempt(sycplace.AtCapacity, started)
 		return result{arrived: true, reason: "endpoint_full"}
 	case Moved:
 		x.finishAttempt(sycplace.Moved, started)
-		x.relay.client.Forget(target.Endpoint.Address)
+		x.relay.client.Forget(x.target.Endpoint.Address)
 		return result{arrived: true, reason: "endpoint_moved"}
 	case OtherWeights:
 		return x.handleOtherWeights(answer, started)
@@ -96,25 +106,25 @@
 	}
 	x.ran = true
 	x.heard = time.Now()
-	timeout.admitHead()
+	x.timeout.admitHead()
 	if x.answering && answer.Status != http.StatusOK {
 		x.finishAttempt(sycplace.Failed, started)
 		return result{arrived: true, reason: "resume_failed"}
 	}
 	if x.route.Kind == sycsite.Stream && answer.Status == http.StatusOK {
-		return x.relayStream(answer, timeout, started)
+		return x.relayStream(answer, started)
 	}
-	timeout.suspend()
+	x.timeout.suspend()
 	return x.relayBuffered(answer, started)
 }
 
-// logSent logs that an attempt is sent, with the data by which its endpoint was selected.
-func (x *exchange) logSent(remaining time.Duration) {
-	t := x.target
+// logSent logs that the request is sent to a target for the attempt of a number, with the data by which
+// the target was selected.
+func (x *exchange) logSent(t *sycplace.Target, attempt int) {
 	fields := logrus.Fields{
-		"id": x.call.ID, "attempt": x.attempts, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
+		"id": x.call.ID, "attempt": attempt, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
 		"endpoint": t.Endpoint.ID, "address": t.Endpoint.Address, "load": t.Load.Requests,
-		"expected": t.Expected.Round(time.Millisecond).String(), "left": remaining.Round(time.Millisecond).String(),
+		"expected": t.Expected.Round(time.Millisecond).String(), "left": time.Until(x.deadline).Round(time.Millisecond).String(),
 		"waited": time.Since(x.arrived).Round(time.Millisecond).String(),
 	}
 	if x.call.Model != "" {
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -111,6 +111,8 @@
 	// firstByte is the time from the call's arrival until the answer's header is sent to
 	// the caller. An answer that isn't a stream has been buffered by then.
 	firstByte time.Duration
+	// timeout is the timeout of the present attempt, nil before the first.
+	timeout *answerTimeout
 	// target is the endpoint of the present attempt.
 	target *sycplace.Target
 	// failure is the last server error that an endpoint answered with and that was buffered as
@@ -173,8 +175,15 @@
 		return
 	}
 	x.target = admission.Target
+	defer x.dropStandby()
+	var standby *standby
 	for {
-		result := x.attempt(ctx)
+		var result result
+		if standby != nil {
+			result = x.adoptStandby(standby)
+		} else {
+			result = x.attempt(ctx)
+		}
 		if result.done {
 			return
 		}
@@ -182,6 +191,9 @@
 			"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "reason": result.reason, "arrived": result.arrived,
 			"events": x.eventCount, "attempt": x.attempts,
 		}).Warn("relay: attempt failed")
+		if standby = x.takeStandby(); standby != nil {
+			continue
+		}
 		if !x.nextAttempt(ctx, result) {
 			x.giveUp(ctx, result)
 			return
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -25,6 +25,9 @@
 	// errNoEvent means that the connection was closed before the first event of a stream that
 	// ends with its connection. Nothing else tells such a stream from one that broke off.
 	errNoEvent = errors.New("connection closed before the first event")
+	// errResumedElsewhere means that the endpoint has gone on only after another one had resumed
+	// the stream.
+	errResumedElsewhere = errors.New("stream resumed elsewhere")
 )
 
 // eventReader splits a stream of server-sent events into events. It returns their bytes
@@ -100,8 +103,8 @@
 
 // relayStream passes on a stream of events. It passes on complete events only, so that another
 // endpoint can resume the stream after any of them.
-func (x *exchange) relayStream(answer *sycwire.Response, timeout *answerTimeout, started time.Time) result {
-	in := newEventReader(answer)
+func (x *exchange) relayStream(answer *sycwire.Response, started time.Time) result {
+	timeout, in := x.timeout, newEventReader(answer)
 	flusher, _ := x.writer.(http.Flusher)
 	first := true
 	for {
@@ -115,12 +118,15 @@
 			x.finish("answered", answer.Status)
 			return result{done: true}
 		}
-		timeout.suspend()
+		advances := err == nil && in.advances(x.lastEvent)
+		if err == nil && !timeout.admitEvent(advances) {
+			err = errResumedElsewhere
+		}
 		if err != nil {
+			timeout.suspend()
 			return x.abortAttempt(err, started)
 		}
 		x.heard = time.Now()
-		advances := in.advances(x.lastEvent)
 		if advances && first {
 			first = false
 			x.relay.fleet.RecordFirstByte(x.request.ID)
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -11,13 +11,17 @@
 // resume. After it the attempt is cancelled.
 const maxStreamPause = 1100 * time.Millisecond
 
-// answerTimeout cancels an attempt whose answer doesn't arrive in time, if the request may be
-// sent to another endpoint and there is one.
+// answerTimeout ends an attempt whose answer doesn't arrive in time, if the request may be sent to
+// another endpoint and there is one. Before the answer has begun it cancels the attempt. An answer that
+// has begun is resumed by a standby, and the attempt is cancelled once that is accepted.
 type answerTimeout struct {
 	// cancel cancels the attempt's context.
 	cancel context.CancelFunc
 	// hasOther reports whether another endpoint could get the request now.
 	hasOther func() bool
+	// newStandby starts a standby at none of the endpoints that have rejected the stream. It returns nil
+	// if there is no other.
+	newStandby func(rejectedBy []string) *standby
 	// mu guards the fields below it.
 	mu sync.Mutex
 	// timer calls expire when the time is over. It is nil if the request may not be sent to
@@ -29,6 +33,18 @@
 	until time.Time
 	// left is what was left of the time when the timer was suspended.
 	left time.Duration
+	// begun is set once a part of the answer has gone to the caller.
+	begun bool
+	// attempts is how many further attempts the request may have.
+	attempts int
+	// rejectedBy lists the endpoints that have rejected the stream or couldn't be reached.
+	rejectedBy []string
+	// arrivals is how many of them the request reached.
+	arrivals int
+	// standby is the present standby, nil if there is none.
+	standby *standby
+	// switched is set once the attempt is cancelled in favour of standby.
+	switched bool
 }
 
 // startTimeout returns the context and the timeout of an attempt. The first byte, which of a
@@ -36,8 +52,13 @@
 // maxStreamPause limits the time between two events.
 func (x *exchange) startTimeout(ctx context.Context) (context.Context, *answerTimeout) {
 	ctx, cancel := context.WithCancel(ctx)
+	return ctx, x.newTimeout(cancel)
+}
+
+// newTimeout starts the timeout of the present attempt, which cancel cancels.
+func (x *exchange) newTimeout(cancel context.CancelFunc) *answerTimeout {
 	if !x.mayTryAgain() {
-		return ctx, &answerTimeout{cancel: cancel}
+		return &answerTimeout{cancel: cancel}
 	}
 	present, tried := *x.request, slices.Clone(x.tried)
 	hasOther := func() bool {
@@ -47,7 +68,11 @@
 		next.Objective = x.route.Objective - time.Since(x.arrived)
 		return x.relay.fleet.CanRetry(&next)
 	}
-	return ctx, newAnswerTimeout(cancel, hasOther, x.target.FirstByteTimeout())
+	t := newAnswerTimeout(cancel, hasOther, x.target.FirstByteTimeout())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.newStandby, t.begun, t.attempts = x.newStandby, x.answering, x.route.Attempts-x.attempts
+	return t
 }
 
 // newAnswerTimeout starts a timeout that cancels an attempt after the time for its first byte.
@@ -60,9 +85,12 @@
 	return t
 }
 
-// expire cancels the attempt. If no other endpoint could get the request, this one gets further
-// time instead: it may be slow but sound.
+// expire cancels the attempt, or starts a standby if the answer has begun. If no other endpoint could
+// get the request, this one gets further time instead: it may be slow but sound.
 func (t *answerTimeout) expire() {
+	if t.expireBegun() {
+		return
+	}
 	other := t.hasOther()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -76,6 +104,80 @@
 	}
 }
 
+// expireBegun lets a standby resume an answer that has begun, and cancels the attempt if the standby is
+// accepted before the endpoint has gone on. It returns false if the answer hasn't begun.
+func (t *answerTimeout) expireBegun() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.begun {
+		return false
+	}
+	if t.standby != nil || !t.running || time.Now().Before(t.until) {
+		return true
+	}
+	s := t.newStandby(t.rejectedBy)
+	if s == nil {
+		t.startLocked(maxStreamPause)
+		return true
+	}
+	t.standby = s
+	t.mu.Unlock()
+	accepted := s.accepted()
+	t.mu.Lock()
+	switch {
+	case t.standby != s:
+		// The endpoint has gone on, or the attempt has ended.
+	case accepted:
+		t.switched = true
+		t.cancel()
+	default:
+		t.standby = nil
+		t.rejectedBy = append(t.rejectedBy, s.target.Endpoint.ID)
+		if s.reject() {
+			t.arrivals++
+		}
+		if t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable {
+			t.startLocked(maxStreamPause)
+		}
+	}
+	return true
+}
+
+// admitEvent stops the timer like suspend when an event arrives, and ends the standby if the event
+// advances the stream. It returns false if the attempt has been cancelled in favour of the standby, which
+// sends this event itself.
+func (t *answerTimeout) admitEvent(advances bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.switched {
+		return false
+	}
+	t.suspendLocked()
+	if advances {
+		t.begun = true
+		t.dropStandbyLocked()
+	}
+	return true
+}
+
+// takeStandby returns the standby, which the caller then owns, nil if there is none. It returns the
+// endpoints that have rejected the stream too, and how many of them the request reached.
+func (t *answerTimeout) takeStandby() (s *standby, rejectedBy []string, arrivals int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, rejectedBy, arrivals = t.standby, t.rejectedBy, t.arrivals
+	t.standby, t.rejectedBy, t.arrivals = nil, nil, 0
+	return s, rejectedBy, arrivals
+}
+
+// dropStandbyLocked ends the standby, if there is one. The caller holds mu.
+func (t *answerTimeout) dropStandbyLocked() {
+	if t.standby != nil {
+		t.standby.abandon()
+		t.standby = nil
+	}
+}
+
 // restart lets the next event take up to maxStreamPause from now on.
 func (t *answerTimeout) restart() {
 	t.mu.Lock()
@@ -96,6 +198,11 @@
 func (t *answerTimeout) suspend() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.suspendLocked()
+}
+
+// suspendLocked is suspend for a caller that holds mu.
+func (t *answerTimeout) suspendLocked() {
 	t.running = false
 	if t.timer != nil {
 		t.left = time.Until(t.until)
