Don't interrupt an engine that runs a request on its last attempt

What callers saw: streams that had been resumed once were cut in the middle for good.

Cause: the holder interrupts engines whose requests can all go on elsewhere, and a request counted as such by its route's kind alone, also when no attempt was left. Now a request counts as resumable only while it has a further attempt.

TestLastAttemptIsNotResumable failed before in two of five cases.

--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -107,11 +107,17 @@
 		Exclude:   x.tried,
 		Priority:  x.route.Priority,
 		Remaining: time.Until(x.deadline),
-		Resumable: x.route.Repeats(),
+		Resumable: x.staysResumable(),
 		Objective: x.route.Objective - time.Since(x.arrived),
 	}
 }
 
+// staysResumable reports whether another endpoint may still get the request after the next attempt. An
+// engine isn't made to break off the last one.
+func (x *exchange) staysResumable() bool {
+	return x.route.Repeats() && x.attempts+1 < x.route.Attempts
+}
+
 // blocks returns the prompt's blocks, with the hashes under which engines' caches are tracked.
 func (x *exchange) blocks() []sycplace.Block {
 	if len(x.call.Blocks) == 0 {
--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -22,9 +22,11 @@
 	target *sycplace.Target
 	// withdrawn is how many selections don't hold when they are used.
 	withdrawn int
-	// excluded holds the endpoints that the last selection excluded.
-	excluded []string
-	outcomes []sycplace.Outcome
+	// excluded holds the endpoints that the last selection excluded, and resumable is set if its
+	// request was resumable.
+	excluded  []string
+	resumable bool
+	outcomes  []sycplace.Outcome
 }
 
 func (*fakeFleet) NewID() uint64 { return 1 }
@@ -35,7 +37,7 @@
 }
 
 func (f *fakeFleet) Retry(r *sycplace.Request, _ string, _ bool) (*sycplace.Target, *sycsuspect.Verdict) {
-	f.excluded = append([]string(nil), r.Exclude...)
+	f.excluded, f.resumable = append([]string(nil), r.Exclude...), r.Resumable
 	return f.target, nil
 }
 
@@ -87,3 +89,34 @@
 	must.Eq(t, 1, received.Load())
 	must.Eq(t, 1, x.attempts)
 }
+
+// TestLastAttemptIsNotResumable guards against a stream that is lost because the holder of the duties makes
+// its engine break it off, although the stream has no attempt left.
+func TestLastAttemptIsNotResumable(t *testing.T) {
+	tests := []struct {
+		name string
+		kind sycsite.Kind
+		// attempts is how many attempts the route allows, and made how many were made.
+		attempts, made int
+		resumable      bool
+	}{
+		{"first of two", sycsite.Stream, 2, 0, true},
+		{"second of two", sycsite.Stream, 2, 1, false},
+		{"second of three", sycsite.Stream, 3, 1, true},
+		{"only one", sycsite.Stream, 1, 0, false},
+		{"at most once", sycsite.AtMostOnce, 2, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fleet := &fakeFleet{}
+			x := &exchange{
+				relay: &Relay{fleet: fleet}, call: &Call{}, ctx: t.Context(), attempts: tt.made,
+				route: &sycsite.Route{Kind: tt.kind, Resumable: true, Attempts: tt.attempts},
+			}
+			x.newRequest()
+			must.Eq(t, tt.resumable, x.request.Resumable)
+			x.newStandby(nil)
+			must.Eq(t, tt.resumable, fleet.resumable)
+		})
+	}
+}
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -52,6 +52,7 @@
 	request := *x.request
 	request.ID = x.relay.fleet.NewID()
 	request.Exclude = slices.Concat(x.tried, rejectedBy)
+	request.Resumable = x.staysResumable()
 	request.Remaining = time.Until(x.deadline)
 	request.Objective = x.route.Objective - time.Since(x.arrived)
 	target, _ := x.relay.fleet.Retry(&request, x.route.Name, true)
