Ignore loads that a VM told before it ceased to be a relay

A VM that had been a relay for a time stood for good in others' tables with the loads of its former group, so that an engine looked busier than it was. Seen in TestRelayThatFallsSilentIsReplaced with other timing of the exchange (VM 28 counted a request twice): vm38 said that it was no relay any more, VM 28 forgot its sums, and then vm1, which hadn't heard yet, passed the older sum on.

Cause: a sum of a former role was taken as new, since what had replaced it was forgotten with the role. TestLoadsOfAFormerRoleDoNotCount failed before (7 requests, want 0).

--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -251,6 +251,9 @@
 	}
 	f.receiveUsage(now, source, address, p, o.Usage)
 	for _, l := range o.Loads {
+		if l.Version < f.roleVersion(p) {
+			continue
+		}
 		if f.applyChange(source, p, loadChange, l.Endpoint, l.Version, l, f.loadExpiry(now, l)) {
 			f.receiveLoad(address, l)
 		}
@@ -273,6 +276,16 @@
 	}
 }
 
+// roleVersion returns the version of a process's last news of itself as a member. Loads that are older may
+// be sums that it told in another role, which another VM passes on late.
+func (f *Fleet) roleVersion(p process) int64 {
+	e := f.changes.Get(changeKey{process: p, kind: memberChange})
+	if e == nil {
+		return 0
+	}
+	return e.Version
+}
+
 // applyChange records a change that another VM has sent, and reports whether it is new.
 func (f *Fleet) applyChange(source string, p process, kind changeKind, name string, version int64, value change, until time.Duration) bool {
 	return f.changes.Apply(sycreplica.Entry[changeKey, change]{
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -277,3 +277,17 @@
 		}
 	}
 }
+
+// TestLoadsOfAFormerRoleDoNotCount guards against a sum of loads that a VM told as a relay and that counts
+// for good, since another VM passes it on after the VM has said that it is no relay any more.
+func TestLoadsOfAFormerRoleDoNotCount(t *testing.T) {
+	n := newNetwork(t, 20)
+	f, p := n.vms[19], processOf("vm3/1")
+	member := n.vms[3].ownMember()
+	member.Relay, member.Version = false, 1000
+	late := &sycgossippb.Load{Endpoint: "e", Requests: 7, Version: 999}
+	for _, o := range []*sycgossippb.Origin{{Process: uint64(p), Member: member}, {Process: uint64(p), Loads: []*sycgossippb.Load{late}}} {
+		f.receiveOrigin(n.now, "vm1", o)
+	}
+	must.Eq(t, 0, f.selector.Load("e").Requests)
+}
