Bound what a VM is told at once, so that crowded links don't break the fleet down

Cause: a VM that another one doesn't know yet, or that doesn't answer, is sent all news of the last seconds and everything else at once, again with each call until one gets through. What takes too long is given up, the VM counts as gone, others become relays and are told everything anew. Class of fault: a fallback whose cost nobody bounds.

Now a state has news of caches for a fifth of the receiver's link at most, the latest first; a VM that hasn't sent a state lately only gets what the caller tells of itself; of the VMs that didn't answer four are called again in a period, in turn. TestFleetRecoversFromCrowdedLinks plays links of 0.6 MB/s, restarted relays and emptied caches with 90 VMs: failed before (a VM heard 66 of 89 three seconds after all was calm).

--- a/internal/decide/syctopology/topology.go
+++ b/internal/decide/syctopology/topology.go
@@ -29,6 +29,8 @@
 	homeCapacity = 0.5
 	// megabitsPerCore is the bandwidth, in Mbit/s, that a relay uses with a core.
 	megabitsPerCore = 100
+	// bytesPerMegabit converts a bandwidth from Mbit/s to bytes a second.
+	bytesPerMegabit = 1e6 / 8
 )
 
 // VM is a running VM of a fleet.
@@ -94,6 +96,9 @@
 	return min(cores, megabits/megabitsPerCore)
 }
 
+// BytesPerSecond returns the bandwidth, in bytes a second, that a VM with a capacity has at least.
+func BytesPerSecond(capacity float64) float64 { return capacity * megabitsPerCore * bytesPerMegabit }
+
 // IsDirect reports whether all VMs are relays.
 func (t *Topology) IsDirect() bool { return t.direct }
 
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreplica"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
+	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 	"sycamorecart.example/sycamorecart/internal/peer/sycevidence"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
@@ -22,6 +24,14 @@
 	sentLifetime  = time.Second
 	cacheLifetime = 2 * time.Second
 	idleLifetime  = linkLifetime
+	// newsLinkPart is the part of a VM's bandwidth that the news in the states for it may take. A state
+	// that takes long to arrive is given up and makes the VMs take each other for gone.
+	newsLinkPart = 0.2
+	// minStateNews is the least number of bytes of news that a state may have.
+	minStateNews = 8 << 10
+	// hashSize and newsOverhead estimate the encoded bytes of a block in news, with its tokens,
+	// and of the rest of the message.
+	hashSize, newsOverhead = 11, 24
 )
 
 // changeKind says what a change is about.
@@ -187,11 +197,44 @@
 	return !l.relay || !f.peers.isRelayLink(e.Source)
 }
 
-// encodeChanges adds to a state the changes that the VM at an address doesn't have.
+// encodeChanges adds to a state the changes that the VM at an address doesn't have. Of the news it gets
+// the latest that its link carries in time. The others are left out for good, since they soon mean
+// nothing.
 func (f *Fleet) encodeChanges(now time.Duration, address string, l *link, out *sycgossippb.State) {
-	origins := map[process]*sycgossippb.Origin{}
+	var entries []*sycreplica.Entry[changeKey, change]
 	for _, e := range f.changes.Since(l.acknowledged) {
-		if !f.forwards(e, address, l) || e.ExpiresAt > 0 && now >= e.ExpiresAt {
+		if f.forwards(e, address, l) && (e.ExpiresAt == 0 || now < e.ExpiresAt) {
+			entries = append(entries, e)
+		}
+	}
+	left := f.newsLimit(address)
+	for i, e := range slices.Backward(entries) {
+		if size := newsSize(e.Value); size > 0 {
+			if left -= size; left < 0 {
+				entries[i] = nil
+			}
+		}
+	}
+	encodeEntries(now, entries, out)
+	out.Since, out.Newest = l.acknowledged, f.changes.Newest()
+}
+
+// encodeOwnChanges adds to a state what this VM tells of itself but for the news.
+func (f *Fleet) encodeOwnChanges(now time.Duration, out *sycgossippb.State) {
+	var entries []*sycreplica.Entry[changeKey, change]
+	for _, e := range f.changes.Since(0) {
+		if e.Source == "" && newsSize(e.Value) == 0 && (e.ExpiresAt == 0 || now < e.ExpiresAt) {
+			entries = append(entries, e)
+		}
+	}
+	encodeEntries(now, entries, out)
+}
+
+// encodeEntries adds changes to a state. It leaves out those that are nil.
+func encodeEntries(now time.Duration, entries []*sycreplica.Entry[changeKey, change], out *sycgossippb.State) {
+	origins := map[process]*sycgossippb.Origin{}
+	for _, e := range entries {
+		if e == nil {
 			continue
 		}
 		p := e.Key.process
@@ -206,7 +249,26 @@
 		}
 		encodeChange(now, e, o)
 	}
-	out.Since, out.Newest = l.acknowledged, f.changes.Newest()
+}
+
+// newsLimit returns how many bytes of news a state for the VM at an address may have.
+func (f *Fleet) newsLimit(address string) int {
+	capacity := 0.0
+	if vm := f.peers.vms[address]; vm != nil {
+		capacity = vm.capacity
+	}
+	return max(minStateNews, int(newsLinkPart*syctopology.BytesPerSecond(capacity)*f.Period().Seconds()))
+}
+
+// newsSize returns about how many bytes news of engines' caches take in a state, 0 for other changes.
+func newsSize(value change) int {
+	switch v := value.(type) {
+	case *sycgossippb.Sent:
+		return newsOverhead + hashSize*len(v.Hashes)
+	case *sycgossippb.Cache:
+		return newsOverhead + hashSize*(len(v.Kept)+len(v.Gone))
+	}
+	return 0
 }
 
 // encodeChange adds a change to the changes of its origin.
--- a/internal/peer/sycfleet/exchange_test.go
+++ b/internal/peer/sycfleet/exchange_test.go
@@ -32,6 +32,10 @@
 	index map[string]int
 	// cut reports whether a VM can't call another.
 	cut func(from, to int) bool
+	// bandwidth is how many bytes a second a VM's link carries, nil for any number, and busy is until
+	// when it is in use.
+	bandwidth func(vm int) float64
+	busy      []time.Duration
 	// exchanges and bytes count what each VM has taken part in since the last reset.
 	exchanges, bytes []int
 }
@@ -93,17 +97,32 @@
 	if from == to || n.cut(from, to) {
 		return
 	}
-	n.send(from, to)
-	if !n.cut(to, from) {
-		n.send(to, from)
+	if n.send(from, to) && !n.cut(to, from) && n.send(to, from) {
 		n.vms[from].observeAnswer(n.now, n.vms[to].options.Address)
 	}
 }
 
-// send sends a VM's state to another, encoded as between processes.
-func (n *network) send(from, to int) {
+// carry reports whether the links of two VMs carry a message before it is given up. They are busy until then.
+func (n *network) carry(from, to, size int) bool {
+	const patience = 600 * time.Millisecond
+	if n.bandwidth == nil {
+		return true
+	}
+	end := max(n.now, n.busy[from], n.busy[to]) + time.Duration(float64(size)/min(n.bandwidth(from), n.bandwidth(to))*float64(time.Second))
+	for _, i := range []int{from, to} {
+		n.busy[i] = max(n.busy[i], n.now) + time.Duration(float64(size)/n.bandwidth(i)*float64(time.Second))
+		n.busy[i] = min(n.busy[i], n.now+patience)
+	}
+	return end <= n.now+patience
+}
+
+// send sends a VM's state to another, encoded as between processes, and reports whether it arrives.
+func (n *network) send(from, to int) bool {
 	data, err := proto.Marshal(n.vms[from].buildState(n.now, n.vms[to].options.Address))
 	must.NoError(n.t, err)
+	if !n.carry(from, to, len(data)) {
+		return false
+	}
 	in := &sycgossippb.State{}
 	must.NoError(n.t, proto.Unmarshal(data, in))
 	n.vms[to].receiveState(n.now, in)
@@ -111,6 +130,7 @@
 		n.exchanges[i]++
 		n.bytes[i] += len(data)
 	}
+	return true
 }
 
 // admit lets a VM admit a cost of the customer.
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -291,3 +291,56 @@
 	}
 	must.Eq(t, 0, f.selector.Load("e").Requests)
 }
+
+// TestFleetRecoversFromCrowdedLinks guards against a fleet that breaks down for good, because its VMs can't
+// carry what they are told at once, take each other for gone, become relays and are told everything anew. Relays
+// restart, and all engines drop their caches as they load new weights.
+func TestFleetRecoversFromCrowdedLinks(t *testing.T) {
+	const (
+		engines, blocks = 90, 2000
+		smallLink       = 600e3
+		largeLink       = 12e6
+		rounds          = 20
+	)
+	n := newNetwork(t, engines)
+	n.busy = make([]time.Duration, len(n.vms))
+	n.bandwidth = func(vm int) float64 {
+		if vm < 2*domainCount {
+			return largeLink
+		}
+		return smallLink
+	}
+	tell := func(vm, count int) {
+		report := sycplace.CacheReport{Endpoint: fmt.Sprint("e", vm)}
+		for i := range count {
+			report.Evicted = append(report.Evicted, uint64(vm*blocks+i))
+		}
+		n.vms[vm].applyCacheReports(n.now, []sycplace.CacheReport{report})
+	}
+	for round := range 3 * rounds {
+		for vm := range n.vms {
+			count := 10
+			if round < rounds {
+				count += blocks / rounds
+			}
+			tell(vm, count)
+		}
+		if round == 5 {
+			for _, vm := range []int{0, 1, 2} {
+				o := n.vms[vm].options
+				o.Incarnation, o.FirstStart, o.Seeds = o.Incarnation+"again", false, []string{"vm3"}
+				n.vms[vm] = newFleet(o, n.vms[vm].loop)
+			}
+		}
+		n.run(relayPeriod)
+	}
+	n.run(3 * time.Second)
+	relays := 0
+	for i, f := range n.vms {
+		must.Eq(t, len(n.vms)-1, f.countHeard(n.now), must.Sprintf("VM %d", i))
+		if f.isRelay() {
+			relays++
+		}
+	}
+	must.Eq(t, 2*domainCount, relays)
+}
--- a/internal/peer/sycfleet/links.go
+++ b/internal/peer/sycfleet/links.go
@@ -1,6 +1,7 @@
 package sycfleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 	// probesPerPeriod is how many of the VMs that aren't heard a relay calls in a period, in
 	// turn, to find those that can be reached again.
 	probesPerPeriod = 2
+	// maxRecalls is how many of the VMs that didn't answer a VM calls again in a period.
+	maxRecalls = 4
 	// aliveWithin is how long after it was last heard of a VM counts as running.
 	aliveWithin = 1200 * time.Millisecond
 	// linkLifetime is how long an exchange is remembered after it was last used or tried.
@@ -256,18 +259,24 @@
 	return out
 }
 
-// unreachable returns the VMs that didn't answer and are to be called again.
+// unreachable returns the VMs that didn't answer and are to be called again, those first that have waited
+// longest for it.
 func (f *Fleet) unreachable(now time.Duration) []string {
 	var out []string
 	for address, l := range f.peers.links {
-		if vm := f.peers.vms[address]; vm == nil || vm.leaving || !l.unreachable || now < l.callAt {
-			continue
+		if vm := f.peers.vms[address]; vm != nil && !vm.leaving && l.unreachable && now >= l.callAt {
+			out = append(out, address)
 		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(cmp.Compare(f.peers.links[a].callAt, f.peers.links[b].callAt), cmp.Compare(a, b))
+	})
+	out = out[:min(len(out), maxRecalls)]
+	for _, address := range out {
+		l := f.peers.links[address]
 		l.linkPause = min(2*l.linkPause, maxLinkPause)
 		l.callAt = now + l.linkPause
-		out = append(out, address)
 	}
-	slices.Sort(out)
 	return out
 }
 
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -26,7 +26,8 @@
 func (f *Fleet) Answer(in *sycgossippb.State) *sycgossippb.State { return f.State(in.Address) }
 
 // buildState returns this VM's state for a peer: the changes and the records of topics that it
-// doesn't have, whom this VM hears, and what the peer has asked for.
+// doesn't have, whom this VM hears, and what the peer has asked for. A peer that hasn't sent a state
+// lately only gets what this VM tells of itself.
 func (f *Fleet) buildState(now time.Duration, peer string) *sycgossippb.State {
 	f.publish(now)
 	l := f.peers.link(peer)
@@ -42,6 +43,12 @@
 		ReceivedFrom:  l.incarnation,
 		WantsLevels:   !f.quota.Synced(),
 	}
+	if now-l.receivedAt > aliveWithin {
+		// The peer may not answer, like many others at that time, so it is sent little until it has.
+		f.encodeOwnChanges(now, out)
+		l.sentLoads = f.loads.own
+		return out
+	}
 	f.encodeChanges(now, peer, l, out)
 	f.addHeard(now, peer, l, out)
 	for _, name := range []string{TopicOperator, TopicEndpoints, TopicVMs, TopicStatus} {
