--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -41,6 +41,9 @@
 	next int64
 	// records holds the newest record of each key, including deletions.
 	records map[string]Record
+	// deletionsFrom is the offset from which on records has every deletion. Deletions before it may
+	// be missing, since a snapshot doesn't show them or they were discarded.
+	deletionsFrom int64
 	// deletions is the number of deletions in records.
 	deletions int
 	// discardedTo is the highest offset of a deletion that was discarded from records. It
@@ -83,6 +86,10 @@
 // Next returns the offset from which on the log must be read.
 func (t *Topic) Next() int64 { return t.next }
 
+// DeletionsFrom returns the offset from which on this topic has every deletion. A copy that ends before
+// it can't be brought up to date with the records of Since alone.
+func (t *Topic) DeletionsFrom() int64 { return t.deletionsFrom }
+
 // OutageEnded records that the log became readable again after an outage, and starts the
 // delay of deletions.
 func (t *Topic) OutageEnded(now time.Duration) {
@@ -103,6 +110,9 @@
 // offset before which the caller has passed every record. A deletion that must be delayed
 // is stored and not returned.
 func (t *Topic) Apply(now time.Duration, records []Record, next int64) []Change {
+	if t.next == 0 {
+		t.deletionsFrom = max(t.deletionsFrom, next)
+	}
 	var out []Change
 	for _, r := range records {
 		old, known := t.records[r.Key]
@@ -143,6 +153,7 @@
 		return
 	}
 	t.discardedTo = max(t.discardedTo, offsets[len(offsets)/2-1])
+	t.deletionsFrom = max(t.deletionsFrom, t.discardedTo+1)
 	for key, r := range t.records {
 		if len(r.Value) == 0 && r.Offset <= t.discardedTo {
 			delete(t.records, key)
@@ -164,6 +175,7 @@
 			records = append(records, Record{Offset: max(next-1, r.Offset+1), Key: key})
 		}
 	}
+	t.deletionsFrom = max(t.deletionsFrom, next)
 	return t.Apply(now, records, next)
 }
 
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -344,3 +344,41 @@
 	}
 	must.Eq(t, 2*domainCount, relays)
 }
+
+// TestDeletionIsNotLostBehindASnapshot guards against an endpoint that gets requests for good after it was
+// dropped, since a VM that has started from a snapshot, which doesn't show what was deleted, brought the
+// others up to date before they had read the deletion.
+func TestDeletionIsNotLostBehindASnapshot(t *testing.T) {
+	endpoints := []sycfeed.Record{{Offset: 3, Key: "a", Value: []byte("x")}, {Offset: 4, Key: "b", Value: []byte("x")}}
+	tests := []struct {
+		name string
+		// start gives the started VM its copy, in which b is deleted.
+		start func(n *network, started *sycfeed.Topic)
+	}{
+		{"from the log", func(n *network, started *sycfeed.Topic) { started.Replace(n.now, endpoints[:1], 7) }},
+		{"from another VM", func(n *network, started *sycfeed.Topic) { started.Apply(n.now, endpoints[:1], 7) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNetwork(t, 20)
+			for i, f := range n.vms {
+				topic := f.subscriptions[TopicVMs]
+				if i == 19 {
+					tt.start(n, topic.Topic)
+					topic.Apply(n.now, []sycfeed.Record{{Offset: 7, Key: "c", Value: []byte("x")}}, 8)
+				} else {
+					topic.Apply(n.now, endpoints, 5)
+				}
+				topic.confirm(n.now, n.now)
+			}
+			n.run(time.Second)
+			for i, f := range n.vms {
+				topic := f.subscriptions[TopicVMs]
+				must.Eq(t, 8, topic.Next(), must.Sprintf("VM %d", i))
+				for _, r := range topic.Since(0) {
+					must.True(t, r.Key != "b" || len(r.Value) == 0, must.Sprintf("VM %d", i))
+				}
+			}
+		})
+	}
+}
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxStateRecords limits the records of one topic in one state.
+	// maxStateRecords limits the records of one topic in one state, but for those of a snapshot.
 	maxStateRecords = 200
 	// maxHeardAge is the greatest age at which a VM tells that it has heard of another.
 	maxHeardAge = 3 * time.Second
@@ -74,8 +74,12 @@
 	if !reported || next >= s.Next() {
 		return out
 	}
+	if next == 0 || next < s.DeletionsFrom() {
+		// The other VM may have keys whose deletion this one doesn't know.
+		next, out.Snapshot = 0, true
+	}
 	records := s.Since(next)
-	if len(records) > maxStateRecords {
+	if len(records) > maxStateRecords && !out.Snapshot {
 		records = records[:maxStateRecords]
 		out.Next = records[len(records)-1].Offset + 1
 	}
@@ -209,7 +213,13 @@
 	for _, r := range in.Records {
 		records = append(records, sycfeed.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
 	}
-	changes := s.Apply(now, records, in.Next)
+	var changes []sycfeed.Change
+	switch {
+	case !in.Snapshot:
+		changes = s.Apply(now, records, in.Next)
+	case in.Next > s.Next():
+		changes = s.Replace(now, records, in.Next)
+	}
 	f.applyChanges(now, in.Name, changes)
 	s.loaded = true
 	f.announce(in.Name, len(changes))
