Say no_endpoint for a request that no endpoint has taken by its deadline

Cause: after a refused connection the request waits for its next attempt. If the deadline passed at the end of that wait, or in a later attempt's connecting, the timeout hid what all attempts had shown: that no endpoint had taken the request. The waits of a route with a timeout of 600 ms add up to about that, so that it is hit by chance. Requests to engines had the same fault.

A request that certainly hasn't run is now told no_endpoint when its deadline passes, unless its client has left. A timeout is still told for requests that an endpoint may run or that waited for the selection.

--- a/internal/traffic/sycgateway/generate.go
+++ b/internal/traffic/sycgateway/generate.go
@@ -91,7 +91,7 @@
 		event := gen.planEvent(err)
 		gen.plan.RecordFailure(event)
 		if ctx.Err() != nil || errors.Is(err, errClientGone) {
-			return gen.endRequest(ctx)
+			return gen.endRequest(ctx, err)
 		}
 		action := gen.plan.Decide(gen.x.g.now(), event, gen.spendRetry)
 		if action.Step == sycattempt.GiveUp {
@@ -104,15 +104,21 @@
 			gen.abandonEndpoint(err)
 		}
 		if !sycpause.For(ctx, action.Wait) {
-			return gen.endRequest(ctx)
+			return gen.endRequest(ctx, err)
 		}
 	}
 }
 
 // endRequest cancels the engine's stream and returns the failure of a request whose
-// client is gone or whose deadline has passed.
-func (gen *generator) endRequest(ctx context.Context) error {
+// client is gone or whose deadline has passed. err is the error of its last attempt. A
+// request that no engine had taken by its deadline fails as if no attempt were left.
+func (gen *generator) endRequest(ctx context.Context, err error) error {
 	gen.cancelStream()
+	var fault *sycstream.Error
+	if gen.plan.NotRun() && !clientLeft(ctx) && errors.As(err, &fault) {
+		gen.endGrant(sycwork.Failed)
+		return engineFailure(fault, true)
+	}
 	outcome := sycapi.Unknown
 	if gen.plan.NotRun() {
 		outcome = sycapi.NotRun
--- a/internal/traffic/sycgateway/refusal.go
+++ b/internal/traffic/sycgateway/refusal.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// clientLeft reports whether the context of a request is done because its client closed the
+// connection, and not because its deadline has passed.
+func clientLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+
 // statusClientClosed is the status of requests whose client closed the connection.
 // It is never sent. 499 is the status that nginx logs for them.
 const statusClientClosed = 499
--- a/internal/traffic/sycgateway/service_failure.go
+++ b/internal/traffic/sycgateway/service_failure.go
@@ -51,10 +51,11 @@
 	if errors.As(err, &selErr) {
 		return c.x.refusalFailure(ctx, selErr.cause, c.plan.NotRun())
 	}
-	if ctx.Err() != nil {
+	notTaken := outcome == sycapi.NotRun && !clientLeft(ctx)
+	if ctx.Err() != nil && !notTaken {
 		return c.x.contextFailure(ctx, outcome)
 	}
-	if outcome == sycapi.NotRun {
+	if notTaken {
 		return &sycapi.Failure{
 			Status:     http.StatusServiceUnavailable,
 			Code:       string(sycwork.NoEndpoint),
