Don't abort a stream that began with a comment when its endpoint is silent

What callers saw: a resumable stream that began with a comment, or an empty event, was aborted if its endpoint was then silent until the timeout of the first event, and the other endpoint couldn't take it.

Cause: the comment carries the answer's header to the caller, but the timeout took only an event for the beginning of the answer. So it cancelled the attempt before another endpoint had accepted the stream. Now whatever goes to the caller begins the answer.

The test's rig has real connections on both sides of the relay and scripted endpoints.

--- /dev/null
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -0,0 +1,51 @@
+package sycrelay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestStandby guards against a silent stream that is lost although an endpoint would send the rest, that
+// more endpoints get than its route allows, and of which what endpoints say of themselves is lost.
+func TestStandby(t *testing.T) {
+	full := answerWith(0, http.StatusServiceUnavailable, "Not-Run", "")
+	tests := []struct {
+		name      string
+		attempts  int
+		endpoints []rigEndpoint
+		// asked is how many requests each endpoint receives.
+		asked []int
+		// told must have been told, and untold must not.
+		told, untold string
+	}{
+		{"a comment, then silent, other full", 2, []rigEndpoint{
+			func(w http.ResponseWriter, r *http.Request, _ int) {
+				send(w, ": soon\n\n")
+				pause(r, longSilence)
+				send(w, rigStream)
+			}, full,
+		}, []int{1, 1}, "e1 full", "e0 failed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, tt.attempts, tt.endpoints...)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			status, body, err := r.get(ctx, "/stream/1")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, status)
+			must.Eq(t, rigStream, withoutComments(body))
+			for i, asked := range tt.asked {
+				received, _ := r.count(i)
+				must.Eq(t, asked, received)
+			}
+			must.True(t, r.wasTold(tt.told))
+			must.False(t, r.wasTold(tt.untold))
+		})
+	}
+}
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -153,8 +153,9 @@
 		return false
 	}
 	t.suspendLocked()
+	// Whatever arrives goes to the caller, and with it the answer's header.
+	t.begun = true
 	if advances {
-		t.begun = true
 		t.dropStandbyLocked()
 	}
 	return true
