Don't ask more endpoints to resume a stream than its route allows

Cause: when no attempt was left the timer just wasn't started again, but the next event, and each comment, start it. Now the timer looks whether an attempt is left before it asks anyone.

TestStandby failed before in both new cases: the third endpoint got the request.

--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -13,6 +13,7 @@
 // more endpoints get than its route allows, and of which what endpoints say of themselves is lost.
 func TestStandby(t *testing.T) {
 	full := answerWith(0, http.StatusServiceUnavailable, "Not-Run", "")
+	fail := answerWith(0, http.StatusInternalServerError, "", "failed")
 	tests := []struct {
 		name      string
 		attempts  int
@@ -29,6 +30,19 @@
 				send(w, rigStream)
 			}, full,
 		}, []int{1, 1}, "e1 full", "e0 failed"},
+		{"silent twice, other fails, no attempt left", 2, []rigEndpoint{
+			streamWith(longSilence, longSilence), fail, streamWith(),
+		}, []int{1, 1, 0}, "e1 failed", ""},
+		{"comments after the last attempt", 2, []rigEndpoint{
+			func(w http.ResponseWriter, r *http.Request, _ int) {
+				send(w, rigEventsFrom(0, 2))
+				for range 4 {
+					pause(r, longSilence/3)
+					send(w, ": soon\n\n")
+				}
+				send(w, rigEventsFrom(2, rigEvents))
+			}, fail, streamWith(),
+		}, []int{1, 1, 0}, "e1 failed", ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -112,7 +112,7 @@
 	if !t.begun {
 		return false
 	}
-	if t.standby != nil || !t.running || time.Now().Before(t.until) {
+	if t.standby != nil || !t.running || time.Now().Before(t.until) || !t.hasAttemptsLocked() {
 		return true
 	}
 	s := t.newStandby(t.rejectedBy)
@@ -136,13 +136,16 @@
 		if s.reject() {
 			t.arrivals++
 		}
-		if t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable {
-			t.startLocked(maxStreamPause)
-		}
+		t.startLocked(maxStreamPause)
 	}
 	return true
 }
 
+// hasAttemptsLocked reports whether the request may go to a further endpoint. The caller holds mu.
+func (t *answerTimeout) hasAttemptsLocked() bool {
+	return t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable
+}
+
 // admitEvent stops the timer like suspend when an event arrives, and ends the standby if the event
 // advances the stream. It returns false if the attempt has been cancelled in favour of the standby, which
 // sends this event itself.
