Limit the time in which an endpoint that took over a stream must begin

What callers saw: a stream that had gone to a second endpoint, which then sent nothing at all, stayed there until its deadline, though a third attempt and endpoint were left.

Cause: the time for the first byte of a standby that was adopted began only when its answer's header had arrived. Now it begins with the adoption.

TestStandby (other accepts and hangs, a third is left) failed before: no answer after 10 s. The case beside it, in which the other breaks off, passed before too.

--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -172,12 +172,12 @@
 // adoptStandby makes a standby the present attempt, once the attempt before has ended, and passes on its
 // answer.
 func (x *exchange) adoptStandby(s *standby) result {
-	<-s.done
 	x.target, x.request, x.heard = s.target, s.request, s.started
 	x.attempts++
 	x.tried = append(x.tried, s.target.Endpoint.ID)
 	x.timeout = x.newTimeout(s.cancel)
 	defer x.timeout.stop()
+	<-s.done
 	return x.receive(s.ctx, s.answer, s.err, s.started)
 }
 
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -43,6 +43,12 @@
 				send(w, rigEventsFrom(2, rigEvents))
 			}, fail, streamWith(),
 		}, []int{1, 1, 0}, "e1 failed", ""},
+		{"other accepts and hangs, a third is left", 3, []rigEndpoint{
+			streamWith(time.Hour), answerWith(time.Hour, http.StatusOK, "", ""), streamWith(),
+		}, []int{1, 1, 1}, "e2 served", ""},
+		{"other accepts and breaks off, a third is left", 3, []rigEndpoint{
+			streamWith(time.Hour), func(w http.ResponseWriter, _ *http.Request, _ int) { send(w, "id: 1\nda"); panic(http.ErrAbortHandler) }, streamWith(),
+		}, []int{1, 1, 1}, "e2 served", ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
