Learn from the answer of an endpoint that can't resume a stream

What endpoints saw: an endpoint that rejected a stream as standby and said in the same answer that it leaves, or for how long it wants nothing (Retry-After), got further requests (DRAIN, BUDGET). Other weights, a taken over address and a prompt that ended its engine weren't learned either.

Cause: a standby's rejection had its own, shorter evaluation. Now it goes through the one of all answers, on a copy of the exchange that the standby owns. The copy also ends the reads of the exchange's fields by the timer's goroutine, and the endpoint is selected without the timeout's mutex, so that an event doesn't wait for a slow selection.

TestStandby failed before in three new cases (other leaves, other has other weights, other ends). TestLastAttemptIsNotResumable now gives its exchange a deadline, which it lacked: a standby needs time for its rejection.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -43,7 +43,6 @@
 
 // attempt sends the request to the target once, and passes on the answer if there is one.
 func (x *exchange) attempt(ctx context.Context) result {
-	target := x.target
 	started := time.Now()
 	x.heard = started
 	if time.Until(x.deadline) < minRemaining {
@@ -51,17 +50,17 @@
 		return result{reason: "no_time"}
 	}
 	x.attempts++
-	x.tried = append(x.tried, target.Endpoint.ID)
-	x.logSent(target, x.attempts)
+	x.tried = append(x.tried, x.target.Endpoint.ID)
+	x.logSent()
 	ctx, x.timeout = x.startTimeout(ctx)
 	defer x.timeout.stop()
-	answer, err := x.relay.client.Do(ctx, x.outgoing(target, x.request))
+	answer, err := x.relay.client.Do(ctx, x.outgoing())
 	return x.receive(ctx, answer, err, started)
 }
 
-// outgoing returns the request as it is sent to a target that was selected for it. A stream is to go on
-// after its last event.
-func (x *exchange) outgoing(target *sycplace.Target, selected *sycplace.Request) *sycwire.Request {
+// outgoing returns the request as it is sent to the target. A stream is to go on after its last event.
+func (x *exchange) outgoing() *sycwire.Request {
+	target, selected := x.target, x.request
 	return &sycwire.Request{
 		Address: target.Endpoint.Address,
 		Method:  x.call.Method,
@@ -89,40 +88,54 @@
 		return x.handleNoAnswer(ctx, err, started)
 	}
 	defer func() { _ = answer.Close() }()
+	if why, rejected := x.handleRejection(answer, started); rejected {
+		return why
+	}
+	x.heard = time.Now()
+	x.timeout.admitHead()
+	if x.route.Kind == sycsite.Stream && answer.Status == http.StatusOK {
+		return x.relayStream(answer, started)
+	}
+	x.timeout.suspend()
+	return x.relayBuffered(answer, started)
+}
+
+// disposition returns what an answer says about the request.
+func (x *exchange) disposition(answer *sycwire.Response) Disposition {
+	return x.relay.codec.Disposition(x.target.Endpoint.ID, answer.Status, answer.Header)
+}
+
+// handleRejection learns from an answer, and finishes the attempt if the answer isn't what the caller is to
+// get or, for a stream that has begun, its rest.
+func (x *exchange) handleRejection(answer *sycwire.Response, started time.Time) (why result, rejected bool) {
 	x.applyNotice(answer)
-	switch x.relay.codec.Disposition(x.target.Endpoint.ID, answer.Status, answer.Header) {
+	switch x.disposition(answer) {
 	case NotRun:
 		answer.Discard()
 		x.finishAttempt(sycplace.AtCapacity, started)
-		return result{arrived: true, reason: "endpoint_full"}
+		return result{arrived: true, reason: "endpoint_full"}, true
 	case Moved:
 		x.finishAttempt(sycplace.Moved, started)
 		x.relay.client.Forget(x.target.Endpoint.Address)
-		return result{arrived: true, reason: "endpoint_moved"}
+		return result{arrived: true, reason: "endpoint_moved"}, true
 	case OtherWeights:
-		return x.handleOtherWeights(answer, started)
+		return x.handleOtherWeights(answer, started), true
 	case Unproven:
-		return x.handleUnproven(answer, started)
+		return x.handleUnproven(answer, started), true
 	}
 	x.ran = true
-	x.heard = time.Now()
-	x.timeout.admitHead()
 	if x.answering && answer.Status != http.StatusOK {
 		x.finishAttempt(sycplace.Failed, started)
-		return result{arrived: true, reason: "resume_failed"}
+		return result{arrived: true, reason: "resume_failed"}, true
 	}
-	if x.route.Kind == sycsite.Stream && answer.Status == http.StatusOK {
-		return x.relayStream(answer, started)
-	}
-	x.timeout.suspend()
-	return x.relayBuffered(answer, started)
+	return result{}, false
 }
 
-// logSent logs that the request is sent to a target for the attempt of a number, with the data by which
-// the target was selected.
-func (x *exchange) logSent(t *sycplace.Target, attempt int) {
+// logSent logs that the request is sent to the target, with the data by which the target was selected.
+func (x *exchange) logSent() {
+	t := x.target
 	fields := logrus.Fields{
-		"id": x.call.ID, "attempt": attempt, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
+		"id": x.call.ID, "attempt": x.attempts, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
 		"endpoint": t.Endpoint.ID, "address": t.Endpoint.Address, "load": t.Load.Requests,
 		"expected": t.Expected.Round(time.Millisecond).String(), "left": time.Until(x.deadline).Round(time.Millisecond).String(),
 		"waited": time.Since(x.arrived).Round(time.Millisecond).String(),
--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -110,12 +110,12 @@
 		t.Run(tt.name, func(t *testing.T) {
 			fleet := &fakeFleet{}
 			x := &exchange{
-				relay: &Relay{fleet: fleet}, call: &Call{}, ctx: t.Context(), attempts: tt.made,
+				relay: &Relay{fleet: fleet}, call: &Call{}, ctx: t.Context(), attempts: tt.made, deadline: time.Now().Add(time.Minute),
 				route: &sycsite.Route{Kind: tt.kind, Resumable: true, Attempts: tt.attempts},
 			}
 			x.newRequest()
 			must.Eq(t, tt.resumable, x.request.Resumable)
-			x.newStandby(nil)
+			x.newStandby(nil, 0)
 			must.Eq(t, tt.resumable, fleet.resumable)
 		})
 	}
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -22,16 +22,13 @@
 // present attempt ends only once the other endpoint has accepted the request, since it may be the only
 // one that can complete the stream.
 type standby struct {
-	relay  *Relay
-	call   *Call
-	route  string
-	target *sycplace.Target
-	// request holds the criteria by which the target was selected.
-	request *sycplace.Request
+	// exchange is a copy of the call's, with the standby as the present attempt. Only the standby
+	// uses it.
+	exchange *exchange
 	// ctx is the attempt's context, which cancel ends.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// started is when the attempt started.
+	// started is when the endpoint was selected.
 	started time.Time
 	// sent is closed right before the request's first byte is sent, and done once answer or err is
 	// set.
@@ -45,39 +42,48 @@
 	abandoned bool
 }
 
-// newStandby selects the endpoint of a standby, none of those that have rejected the stream, and begins
-// to send the request there. The stream is to go on after its last event. It returns nil if there is no
-// endpoint.
-func (x *exchange) newStandby(rejectedBy []string) *standby {
-	request := *x.request
+// newStandby selects the endpoint of a standby, none of those that have rejected the stream. Arrivals is
+// how many of these the request reached. It returns nil if there is no endpoint, or no time for one.
+func (x *exchange) newStandby(rejectedBy []string, arrivals int) *standby {
+	if time.Until(x.deadline) < rejectionTime {
+		return nil
+	}
+	own, request := *x, *x.request
+	own.attempts += arrivals
+	own.request, own.ran, own.answering = &request, true, true
 	request.ID = x.relay.fleet.NewID()
 	request.Exclude = slices.Concat(x.tried, rejectedBy)
-	request.Resumable = x.staysResumable()
+	request.Resumable = own.staysResumable()
 	request.Remaining = time.Until(x.deadline)
 	request.Objective = x.route.Objective - time.Since(x.arrived)
-	target, _ := x.relay.fleet.Retry(&request, x.route.Name, true)
-	if target == nil {
+	own.target, _ = x.relay.fleet.Retry(&request, x.route.Name, true)
+	if own.target == nil {
 		return nil
 	}
+	own.attempts++
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
-	s := &standby{
-		relay: x.relay, call: x.call, route: x.route.Name, target: target, request: &request, ctx: ctx, cancel: cancel,
-		started: time.Now(), sent: make(chan struct{}), done: make(chan struct{}),
+	return &standby{
+		exchange: &own, ctx: ctx, cancel: cancel, started: time.Now(), sent: make(chan struct{}), done: make(chan struct{}),
 	}
-	x.logSent(target, x.attempts+1)
-	outgoing := x.outgoing(target, &request)
+}
+
+// begin begins to send the request. The stream is to go on after an event.
+func (s *standby) begin(lastEvent string) {
+	x := s.exchange
+	x.lastEvent = lastEvent
+	x.logSent()
+	outgoing := x.outgoing()
 	permitted := outgoing.Proceed
 	outgoing.Proceed = func() bool {
 		defer close(s.sent)
 		return permitted()
 	}
 	go s.send(outgoing)
-	return s
 }
 
 // send sends the request and waits for the answer's header.
 func (s *standby) send(r *sycwire.Request) {
-	answer, err := s.relay.client.Do(s.ctx, r)
+	answer, err := s.exchange.relay.client.Do(s.ctx, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer, s.err = answer, err
@@ -99,8 +105,7 @@
 	case <-time.After(rejectionTime):
 		return true
 	}
-	return s.err == nil && s.answer.Status == http.StatusOK &&
-		s.relay.codec.Disposition(s.target.Endpoint.ID, s.answer.Status, s.answer.Header) == Answered
+	return s.err == nil && s.answer.Status == http.StatusOK && s.exchange.disposition(s.answer) == Answered
 }
 
 // abandon ends the attempt, whose answer isn't needed.
@@ -120,61 +125,45 @@
 // discard finishes an attempt whose answer isn't needed. The caller holds mu, and done is closed.
 func (s *standby) discard() {
 	if s.answer != nil {
+		s.exchange.applyNotice(s.answer)
 		_ = s.answer.Close()
 	}
-	s.relay.fleet.FinishAttempt(s.request.ID, sycplace.Cancelled, s.route, time.Since(s.started))
+	s.exchange.finishAttempt(sycplace.Cancelled, s.started)
 }
 
-// reject finishes an attempt whose endpoint can't resume the stream, and logs why. It reports whether the
-// request reached the endpoint.
-func (s *standby) reject() (arrived bool) {
-	fields := logrus.Fields{"id": s.call.ID, "endpoint": s.target.Endpoint.ID}
-	var outcome sycplace.Outcome
-	if s.err != nil {
-		outcome, arrived = s.failure()
-		fields["error"] = s.err.Error()
-	} else {
-		outcome, arrived = s.rejection(), true
-		fields["status"] = s.answer.Status
-		_ = s.answer.Close()
-	}
+// withdraw finishes an attempt that hasn't begun to send.
+func (s *standby) withdraw() {
 	s.cancel()
-	s.relay.fleet.FinishAttempt(s.request.ID, outcome, s.route, time.Since(s.started))
-	s.relay.log.WithFields(fields).Info("relay: stream not resumed elsewhere, its endpoint keeps it")
-	return arrived
+	s.exchange.finishAttempt(sycplace.Cancelled, s.started)
 }
 
-// failure returns the outcome of an attempt that got no answer, and whether it reached its endpoint.
-func (s *standby) failure() (outcome sycplace.Outcome, arrived bool) {
+// arrived reports whether the request may have reached an endpoint that has rejected it.
+func (s *standby) arrived() bool {
 	var send *sycwire.SendError
-	switch {
-	case errors.Is(s.err, sycwire.ErrWithheld):
-		return sycplace.Cancelled, false
-	case errors.As(s.err, &send) && !send.Sent:
-		return sycplace.Unreachable, false
-	}
-	return sycplace.Failed, true
+	return !errors.As(s.err, &send) || send.Sent
 }
 
-// rejection returns the outcome of an attempt whose answer isn't the stream.
-func (s *standby) rejection() sycplace.Outcome {
-	switch s.relay.codec.Disposition(s.target.Endpoint.ID, s.answer.Status, s.answer.Header) {
-	case NotRun:
-		return sycplace.AtCapacity
-	case Moved:
-		return sycplace.Moved
-	case OtherWeights:
-		return sycplace.Cancelled
+// reject finishes an attempt whose endpoint can't resume the stream.
+func (s *standby) reject() {
+	var why result
+	if s.err != nil {
+		why = s.exchange.handleNoAnswer(s.ctx, s.err, s.started)
+	} else {
+		why, _ = s.exchange.handleRejection(s.answer, s.started)
+		_ = s.answer.Close()
 	}
-	return sycplace.Failed
+	s.cancel()
+	s.exchange.relay.log.WithFields(logrus.Fields{
+		"id": s.exchange.call.ID, "endpoint": s.exchange.target.Endpoint.ID, "reason": why.reason, "arrived": why.arrived,
+	}).Info("relay: stream not resumed elsewhere, its endpoint keeps it")
 }
 
 // adoptStandby makes a standby the present attempt, once the attempt before has ended, and passes on its
 // answer.
 func (x *exchange) adoptStandby(s *standby) result {
-	x.target, x.request, x.heard = s.target, s.request, s.started
+	x.target, x.request, x.heard = s.exchange.target, s.exchange.request, s.started
 	x.attempts++
-	x.tried = append(x.tried, s.target.Endpoint.ID)
+	x.tried = append(x.tried, x.target.Endpoint.ID)
 	x.timeout = x.newTimeout(s.cancel)
 	defer x.timeout.stop()
 	<-s.done
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -43,6 +43,13 @@
 				send(w, rigEventsFrom(2, rigEvents))
 			}, fail, streamWith(),
 		}, []int{1, 1, 0}, "e1 failed", ""},
+		{"other leaves", 2, []rigEndpoint{
+			streamWith(longSilence), answerWith(0, http.StatusServiceUnavailable, "Leaving", ""),
+		}, []int{1, 1}, "e1 leaves", ""},
+		{"other has other weights", 2, []rigEndpoint{
+			streamWith(longSilence), answerWith(0, http.StatusMisdirectedRequest, "", ""),
+		}, []int{1, 1}, "e1 has weights 7", ""},
+		{"other ends", 2, []rigEndpoint{streamWith(longSilence), reset}, []int{1, 1}, "e1 ended", ""},
 		{"other accepts and hangs, a third is left", 3, []rigEndpoint{
 			streamWith(time.Hour), answerWith(time.Hour, http.StatusOK, "", ""), streamWith(),
 		}, []int{1, 1, 1}, "e2 served", ""},
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -19,9 +19,12 @@
 	cancel context.CancelFunc
 	// hasOther reports whether another endpoint could get the request now.
 	hasOther func() bool
-	// newStandby starts a standby at none of the endpoints that have rejected the stream. It returns nil
-	// if there is no other.
-	newStandby func(rejectedBy []string) *standby
+	// newStandby returns a standby at none of the endpoints that have rejected the stream, nil if there
+	// is no other. Arrivals is how many of these the request reached.
+	newStandby func(rejectedBy []string, arrivals int) *standby
+	// lastEvent returns the ID of the last event that the caller has received. It is called only
+	// while the timer runs.
+	lastEvent func() string
 	// mu guards the fields below it.
 	mu sync.Mutex
 	// timer calls expire when the time is over. It is nil if the request may not be sent to
@@ -60,18 +63,21 @@
 	if !x.mayTryAgain() {
 		return &answerTimeout{cancel: cancel}
 	}
-	present, tried := *x.request, slices.Clone(x.tried)
+	// The timer's goroutine works on a copy, which no attempt changes.
+	own := *x
+	own.tried = slices.Clone(x.tried)
 	hasOther := func() bool {
-		next := present
-		next.Exclude = tried
-		next.Remaining = time.Until(x.deadline)
-		next.Objective = x.route.Objective - time.Since(x.arrived)
-		return x.relay.fleet.CanRetry(&next)
+		next := *own.request
+		next.Exclude = own.tried
+		next.Remaining = time.Until(own.deadline)
+		next.Objective = own.route.Objective - time.Since(own.arrived)
+		return own.relay.fleet.CanRetry(&next)
 	}
 	t := newAnswerTimeout(cancel, hasOther, x.target.FirstByteTimeout())
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.newStandby, t.begun, t.attempts = x.newStandby, x.answering, x.route.Attempts-x.attempts
+	t.newStandby, t.lastEvent = own.newStandby, func() string { return x.lastEvent }
+	t.begun, t.attempts = x.answering, x.route.Attempts-x.attempts
 	return t
 }
 
@@ -95,7 +101,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case !t.running || time.Now().Before(t.until):
+	case !t.expiredLocked():
 		// The answer has gone on meanwhile.
 	case other:
 		t.cancel()
@@ -108,39 +114,66 @@
 // accepted before the endpoint has gone on. It returns false if the answer hasn't begun.
 func (t *answerTimeout) expireBegun() bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.begun {
-		return false
+	begun, rejectedBy, arrivals := t.begun, t.rejectedBy, t.arrivals
+	mayAsk := t.standby == nil && t.expiredLocked() && t.hasAttemptsLocked()
+	t.mu.Unlock()
+	if !begun || !mayAsk {
+		return begun
 	}
-	if t.standby != nil || !t.running || time.Now().Before(t.until) || !t.hasAttemptsLocked() {
-		return true
+	// The selection may take a while, in which events must not wait.
+	s := t.newStandby(rejectedBy, arrivals)
+	if t.beginStandby(s) && t.settle(s, s.accepted()) {
+		s.reject()
 	}
-	s := t.newStandby(t.rejectedBy)
-	if s == nil {
+	return true
+}
+
+// beginStandby begins a standby, unless it is nil or the answer has gone on or ended meanwhile. It reports
+// whether it has.
+func (t *answerTimeout) beginStandby(s *standby) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	expired := t.expiredLocked()
+	switch {
+	case s == nil && expired:
 		t.startLocked(maxStreamPause)
+	case s == nil:
+	case !expired || t.standby != nil:
+		s.withdraw()
+	default:
+		t.standby = s
+		s.begin(t.lastEvent())
 		return true
 	}
-	t.standby = s
-	t.mu.Unlock()
-	accepted := s.accepted()
+	return false
+}
+
+// settle cancels the attempt if a standby was accepted before the endpoint has gone on. It returns true
+// if the standby was rejected.
+func (t *answerTimeout) settle(s *standby, accepted bool) (rejected bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	switch {
 	case t.standby != s:
 		// The endpoint has gone on, or the attempt has ended.
+		return false
 	case accepted:
 		t.switched = true
 		t.cancel()
-	default:
-		t.standby = nil
-		t.rejectedBy = append(t.rejectedBy, s.target.Endpoint.ID)
-		if s.reject() {
-			t.arrivals++
-		}
-		t.startLocked(maxStreamPause)
+		return false
+	}
+	t.standby = nil
+	t.rejectedBy = append(t.rejectedBy, s.exchange.target.Endpoint.ID)
+	if s.arrived() {
+		t.arrivals++
 	}
+	t.startLocked(maxStreamPause)
 	return true
 }
 
+// expiredLocked reports whether the timer runs and the time is over. The caller holds mu.
+func (t *answerTimeout) expiredLocked() bool { return t.running && !time.Now().Before(t.until) }
+
 // hasAttemptsLocked reports whether the request may go to a further endpoint. The caller holds mu.
 func (t *answerTimeout) hasAttemptsLocked() bool {
 	return t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable
