Don't start the timer of an ended attempt when its standby is rejected

Found by reading: an attempt that ended in the moment in which its standby was rejected, or whose caller was slow to take a comment, got its timer started by the rejection. The timer then asked another endpoint, with the state of an exchange that had gone on or was over.

TestRejectionStartsNoStoppedTimer failed before: 54 selections in a minute after the end of the attempt (its two cases share a loop; the first one fails).

--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -167,7 +167,11 @@
 	if s.arrived() {
 		t.arrivals++
 	}
-	t.startLocked(maxStreamPause)
+	if t.running {
+		t.startLocked(maxStreamPause)
+	} else {
+		t.left = maxStreamPause
+	}
 	return true
 }
 
--- a/internal/traffic/sycrelay/timeout_test.go
+++ b/internal/traffic/sycrelay/timeout_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 )
 
 // always reports that there is another endpoint.
@@ -123,3 +124,27 @@
 		})
 	}
 }
+
+// TestRejectionStartsNoStoppedTimer guards against a standby for an attempt that has ended or whose caller
+// is slow: a standby that is rejected meanwhile must not start the timer.
+func TestRejectionStartsNoStoppedTimer(t *testing.T) {
+	for _, end := range []func(timeout *answerTimeout){(*answerTimeout).stop, (*answerTimeout).suspend} {
+		synctest.Test(t, func(t *testing.T) {
+			var asked atomic.Int32
+			timeout := newAnswerTimeout(func() {}, always, time.Second)
+			timeout.begun, timeout.attempts = true, maxUnreachable
+			timeout.newStandby = func([]string, int) *standby { asked.Add(1); return nil }
+			timeout.standby = &standby{exchange: &exchange{target: &sycplace.Target{}}}
+			end(timeout)
+			must.True(t, timeout.settle(timeout.standby, false))
+			time.Sleep(time.Minute)
+			must.Eq(t, 0, asked.Load())
+			// An event starts it.
+			timeout.restart()
+			time.Sleep(maxStreamPause + time.Millisecond)
+			synctest.Wait()
+			must.Eq(t, 1, asked.Load())
+			timeout.stop()
+		})
+	}
+}
