Don't take a sound endpoint out of use for one silence

What callers saw: an endpoint whose streams were all taken over by others during a silence of a second counted as failed once per stream. Three of them took it out of use, and a rollout counted each as a failure of its release.

Cause: an attempt that this VM cancels in favour of an accepted standby was finished as Failed. Now it is Silent: a silence counts as one slow attempt for the endpoint's health, however many streams left during it, and not at all for a rollout. An endpoint that hangs is still taken out, by answers that are overdue (Tick). A break at the endpoint remains a failure.

TestStandby (resumed elsewhere) failed before. TestSilentEndpointStaysInUse shows that what six streams did before takes the endpoint out.

--- a/internal/decide/sycplace/attempt.go
+++ b/internal/decide/sycplace/attempt.go
@@ -17,6 +17,8 @@
 	// cordonGrace is how long after a cordon ends failed attempts are still put down
 	// to the weights reload behind the cordon, and not to the endpoint's health.
 	cordonGrace = 500 * time.Millisecond
+	// silenceSpan is the time in which all answers that an endpoint left silent count as one silence.
+	silenceSpan = time.Second
 )
 
 // attempt is one try of a request at one endpoint that has not ended.
@@ -100,17 +102,19 @@
 	ended.Outcome = o
 	delete(s.attempts, id)
 	a.endpoint.end(a)
+	if (o == Failed || o == Silent) && now < s.cordons[a.endpoint.record.ID]+cordonGrace {
+		// The weights reload behind the cordon broke the answer off.
+		ended.Outcome = Cancelled
+		return ended
+	}
 	switch o {
 	case Served:
 		a.endpoint.health.Observe(now, sychealth.Success)
 		s.endSingle(a.endpoint)
 	case Failed:
-		if now < s.cordons[a.endpoint.record.ID]+cordonGrace {
-			// The weights reload behind the cordon broke the answer off.
-			ended.Outcome = Cancelled
-			return ended
-		}
 		a.endpoint.health.Observe(now, sychealth.Failure)
+	case Silent:
+		a.endpoint.observeSilence(now)
 	case Unreachable:
 		a.endpoint.health.Observe(now, sychealth.Unreachable)
 	case AtCapacity:
@@ -122,6 +126,15 @@
 	return ended
 }
 
+// observeSilence counts a silence as one slow attempt, however many answers were given up during it.
+func (e *endpoint) observeSilence(now time.Duration) {
+	if e.silentUntil > now {
+		return
+	}
+	e.silentUntil = now + silenceSpan
+	e.health.Observe(now, sychealth.Slow)
+}
+
 // Tick updates the health of endpoints whose answers are overdue. An endpoint that
 // has begun no answer since the overdue attempt was sent counts as unreachable, any
 // other as slow.
--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -81,6 +81,8 @@
 	slowdown float64
 	// lastFirstByte is when the first byte of an answer last arrived.
 	lastFirstByte time.Duration
+	// silentUntil is the end of the silenceSpan of the last silence.
+	silentUntil time.Duration
 	// cachedTokens is the length of the cached prefix of the prompt for which an
 	// endpoint is being selected.
 	cachedTokens int
--- a/internal/decide/sycplace/request.go
+++ b/internal/decide/sycplace/request.go
@@ -112,4 +112,7 @@
 	Moved
 	// Cancelled means that nothing waits for the answer any more.
 	Cancelled
+	// Silent means that the answer was given up after a silence, since another endpoint had
+	// accepted the request. The endpoint may be sound.
+	Silent
 )
--- a/internal/decide/sycplace/select_test.go
+++ b/internal/decide/sycplace/select_test.go
@@ -220,6 +220,22 @@
 	}
 }
 
+// TestSilentEndpointStaysInUse guards against a sound endpoint that is taken out of use since all of its
+// streams went elsewhere during one silence.
+func TestSilentEndpointStaysInUse(t *testing.T) {
+	const streams = 6
+	for outcome, want := range map[sycplace.Outcome]string{sycplace.Silent: "healthy", sycplace.Failed: "out"} {
+		s := newSelector(1)
+		for id := range uint64(streams) {
+			selectTarget(t, s, 0, request(id, id))
+		}
+		for id := range uint64(streams) {
+			s.Finish(time.Second, id, outcome)
+		}
+		must.Eq(t, want, s.State("e0"))
+	}
+}
+
 func TestEndpointWithOverdueAnswersIsAvoided(t *testing.T) {
 	s := newSelector(2)
 	failed := selectTarget(t, s, 0, request(1, 7)).Endpoint.ID
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -114,7 +114,7 @@
 		return result{arrived: true, reason: "caller_gone"}
 	}
 	x.recordBreak(err, true, started)
-	x.finishAttempt(sycplace.Failed, started)
+	x.finishAttempt(x.breakOutcome(err), started)
 	x.relay.log.WithError(err).WithFields(logrus.Fields{
 		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "events": x.eventCount,
 		"silent": time.Since(x.heard).Round(time.Millisecond).String(), "given_up": errors.Is(err, os.ErrDeadlineExceeded),
@@ -122,6 +122,15 @@
 	return result{arrived: true, reason: "answer_broken_off"}
 }
 
+// breakOutcome returns the outcome of an attempt that got no whole answer. An endpoint that was silent
+// for so long that another one has taken the request over hasn't failed by that.
+func (x *exchange) breakOutcome(err error) sycplace.Outcome {
+	if x.timeout != nil && x.timeout.hasSwitched() && !endpointEnded(err) {
+		return sycplace.Silent
+	}
+	return sycplace.Failed
+}
+
 // copyHeader copies the header of an endpoint's answer to the caller's, except the headers
 // that concern one connection only.
 func (x *exchange) copyHeader(answer http.Header) {
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -202,7 +202,7 @@
 	default:
 		x.ran = x.ran || sent
 		x.recordBreak(err, false, started)
-		x.finishAttempt(sycplace.Failed, started)
+		x.finishAttempt(x.breakOutcome(err), started)
 		return result{arrived: sent, reason: "endpoint_silent"}
 	}
 }
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -50,7 +50,7 @@
 	}
 	own, request := *x, *x.request
 	own.attempts += arrivals
-	own.request, own.ran, own.answering = &request, true, true
+	own.request, own.timeout, own.ran, own.answering = &request, nil, true, true
 	request.ID = x.relay.fleet.NewID()
 	request.Exclude = slices.Concat(x.tried, rejectedBy)
 	request.Resumable = own.staysResumable()
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -43,6 +43,7 @@
 				send(w, rigEventsFrom(2, rigEvents))
 			}, fail, streamWith(),
 		}, []int{1, 1, 0}, "e1 failed", ""},
+		{"resumed elsewhere", 2, []rigEndpoint{streamWith(longSilence), streamWith()}, []int{1, 1}, "e1 served", "e0 failed"},
 		{"other leaves", 2, []rigEndpoint{
 			streamWith(longSilence), answerWith(0, http.StatusServiceUnavailable, "Leaving", ""),
 		}, []int{1, 1}, "e1 leaves", ""},
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -201,6 +201,13 @@
 	return true
 }
 
+// hasSwitched reports whether the attempt was cancelled in favour of a standby.
+func (t *answerTimeout) hasSwitched() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.switched
+}
+
 // takeStandby returns the standby, which the caller then owns, nil if there is none. It returns the
 // endpoints that have rejected the stream too, and how many of them the request reached.
 func (t *answerTimeout) takeStandby() (s *standby, rejectedBy []string, arrivals int) {
