Let only one of two endpoints keep a stream once both have it

What endpoints saw: a stream whose endpoint went on after a silence of somewhat more than 1.1 s stayed there, while the other endpoint had been asked to resume it and may have begun.

Cause: the first event after the silence dropped the standby, whatever its endpoint was doing. Now an event ends a standby only as long as the request hasn't been sent. After that it waits for the decision, at most a quarter of a second: if the other endpoint rejects, the first one keeps the stream; else it is ended and the other one resumes before this event.

TestOnlyOneEndpointKeepsAStream failed before in the case "first goes on early, other begins late": the first endpoint kept running it. Its other cases passed, once the blame was mended. It checks too that a caller who leaves meanwhile ends the run at both, and that neither endpoint is blamed for it.

--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -194,7 +194,11 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			f.note(&f.received[i])
-			defer context.AfterFunc(r.Context(), func() { f.note(&f.left[i]) })()
+			defer func() {
+				if r.Context().Err() != nil {
+					f.note(&f.left[i])
+				}
+			}()
 			last, err := strconv.Atoi(r.Header.Get("Last"))
 			if err != nil {
 				last = -1
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -30,11 +30,13 @@
 	cancel context.CancelFunc
 	// started is when the endpoint was selected.
 	started time.Time
-	// sent is closed right before the request's first byte is sent, and done once answer or err is
-	// set.
-	sent, done chan struct{}
-	// mu guards abandoned and the end of send.
+	// sent is closed right before the request's first byte is sent, done once answer or err is set, and
+	// settled once it is decided whether the present attempt ends.
+	sent, done, settled chan struct{}
+	// mu guards isSent, abandoned and the end of send.
 	mu sync.Mutex
+	// isSent is set with sent.
+	isSent bool
 	// answer and err are the result of send, set before done is closed.
 	answer *sycwire.Response
 	err    error
@@ -63,7 +65,8 @@
 	own.attempts++
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	return &standby{
-		exchange: &own, ctx: ctx, cancel: cancel, started: time.Now(), sent: make(chan struct{}), done: make(chan struct{}),
+		exchange: &own, ctx: ctx, cancel: cancel, started: time.Now(),
+		sent: make(chan struct{}), done: make(chan struct{}), settled: make(chan struct{}),
 	}
 }
 
@@ -74,13 +77,32 @@
 	x.logSent()
 	outgoing := x.outgoing()
 	permitted := outgoing.Proceed
-	outgoing.Proceed = func() bool {
-		defer close(s.sent)
-		return permitted()
-	}
+	outgoing.Proceed = func() bool { return permitted() && s.proceed() }
 	go s.send(outgoing)
 }
 
+// proceed records that the request is sent from now on. It returns false if the standby was abandoned.
+func (s *standby) proceed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.abandoned {
+		return false
+	}
+	s.isSent = true
+	close(s.sent)
+	return true
+}
+
+// abandonUnsent abandons the standby if nothing has been sent, and reports whether it has.
+func (s *standby) abandonUnsent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isSent {
+		s.abandonLocked()
+	}
+	return s.abandoned
+}
+
 // send sends the request and waits for the answer's header.
 func (s *standby) send(r *sycwire.Request) {
 	answer, err := s.exchange.relay.client.Do(s.ctx, r)
@@ -110,9 +132,14 @@
 
 // abandon ends the attempt, whose answer isn't needed.
 func (s *standby) abandon() {
-	s.cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.abandonLocked()
+}
+
+// abandonLocked is abandon for a caller that holds mu.
+func (s *standby) abandonLocked() {
+	s.cancel()
 	s.abandoned = true
 	select {
 	case <-s.done:
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -77,3 +77,50 @@
 		})
 	}
 }
+
+// TestOnlyOneEndpointKeepsAStream guards against two endpoints that both run a stream, one of them
+// without its caller, and against an endpoint that gets the blame for a caller who left.
+func TestOnlyOneEndpointKeepsAStream(t *testing.T) {
+	const limit = 400 * time.Millisecond
+	tests := []struct {
+		name string
+		// silence is how long the first endpoint is silent, and head when the other's answer begins.
+		silence, head time.Duration
+		// leaves is when the caller leaves.
+		leaves time.Duration
+	}{
+		{"first goes on early, other begins at once", shortSilence, 0, time.Hour},
+		{"first goes on early, other begins late", shortSilence, longSilence, time.Hour},
+		{"first goes on late, other begins late", longSilence, longSilence, time.Hour},
+		{"caller leaves while the other hasn't begun", longSilence, longSilence, shortSilence},
+		{"caller leaves after the other was accepted", longSilence, longSilence, maxStreamPause + rejectionTime + rejectionTime/3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			other := func(w http.ResponseWriter, r *http.Request, first int) {
+				pause(r, tt.head)
+				streamWith(longSilence/2, longSilence/2)(w, r, first)
+			}
+			r := newRig(t, 2, streamWith(tt.silence, longSilence/2, longSilence/2), other)
+			ctx, cancel := context.WithTimeout(t.Context(), tt.leaves)
+			defer cancel()
+			status, body, err := r.get(ctx, "/stream/1")
+			time.Sleep(limit)
+			_, left0 := r.count(0)
+			_, left1 := r.count(1)
+			must.False(t, r.wasTold("e0 failed"))
+			must.False(t, r.wasTold("e1 failed"))
+			must.Eq(t, 1, left0)
+			if tt.leaves < time.Hour {
+				must.Eq(t, 1, left1)
+				return
+			}
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, status)
+			must.Eq(t, rigStream, body)
+			must.Eq(t, 0, left1)
+			must.Less(t, limit, r.left[0][0].Sub(r.received[1][0]))
+		})
+	}
+}
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -148,14 +148,14 @@
 	return false
 }
 
-// settle cancels the attempt if a standby was accepted before the endpoint has gone on. It returns true
-// if the standby was rejected.
+// settle cancels the attempt if a standby was accepted. It returns true if the standby was rejected.
 func (t *answerTimeout) settle(s *standby, accepted bool) (rejected bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer close(s.settled)
 	switch {
 	case t.standby != s:
-		// The endpoint has gone on, or the attempt has ended.
+		// The endpoint has gone on before the standby was sent, or the attempt has ended.
 		return false
 	case accepted:
 		t.switched = true
@@ -183,22 +183,27 @@
 	return t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable
 }
 
-// admitEvent stops the timer like suspend when an event arrives, and ends the standby if the event
-// advances the stream. It returns false if the attempt has been cancelled in favour of the standby, which
-// sends this event itself.
+// admitEvent stops the timer like suspend when an event arrives. If the event advances the stream, it
+// ends a standby that hasn't been sent. It waits for the decision about one that has, since its endpoint
+// may have begun to run the request, which two endpoints mustn't run for long. It returns false if the
+// attempt has been cancelled in favour of the standby, which sends this event itself.
 func (t *answerTimeout) admitEvent(advances bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.switched {
-		return false
-	}
 	t.suspendLocked()
 	// Whatever arrives goes to the caller, and with it the answer's header.
 	t.begun = true
-	if advances {
-		t.dropStandbyLocked()
+	s := t.standby
+	switch {
+	case s == nil || !advances:
+	case s.abandonUnsent():
+		t.standby = nil
+	default:
+		t.mu.Unlock()
+		<-s.settled
+		t.mu.Lock()
 	}
-	return true
+	return !t.switched
 }
 
 // hasSwitched reports whether the attempt was cancelled in favour of a standby.
@@ -218,14 +223,6 @@
 	return s, rejectedBy, arrivals
 }
 
-// dropStandbyLocked ends the standby, if there is one. The caller holds mu.
-func (t *answerTimeout) dropStandbyLocked() {
-	if t.standby != nil {
-		t.standby.abandon()
-		t.standby = nil
-	}
-}
-
 // restart lets the next event take up to maxStreamPause from now on.
 func (t *answerTimeout) restart() {
 	t.mu.Lock()
