Read the body of a rejected request, so that its caller gets the rejection

What callers saw: a request with a body of more than 256 KB, rejected before it is read (no route, no configuration, unknown key, overload), got its answer and a close half a second later. A caller that still sends then, as on a slow link, gets a reset or a broken pipe instead of the 503, and a kept connection was lost each time.

Cause: net/http reads 256 KB of what the handler has left, and closes the connection if there is more. Now the relay reads the rest of such a body, as much as a caller may send, before it answers. Shorter ones are left to net/http as before, and callers that wait for a go-ahead (Expect) aren't asked to send.

--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -13,6 +13,10 @@
 // defaultBodyLimit limits the bytes of a request's body if the configuration names no limit.
 const defaultBodyLimit = 4 << 20
 
+// serverDiscards is the length of a request's body that net/http reads by itself before it sends an answer,
+// if the handler hasn't read it.
+const serverDiscards = 256 << 10
+
 // admit finds the call's route, customer, service and deadline. It rejects the call and
 // returns false if this VM has no configuration yet, no route matches the call, or the call
 // needs a key and no customer has the call's.
@@ -73,14 +77,13 @@
 // readBody reads the call's body. It rejects the call and returns false if the body is too
 // large.
 func (x *exchange) readBody(req *http.Request) bool {
-	limit := int64(x.config.Limits().BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
+	limit := x.bodyLimit()
 	if req.ContentLength > limit {
+		x.unread = nil
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
+	x.unread = nil
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, req.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -95,6 +98,22 @@
 	return true
 }
 
+// bodyLimit returns the longest body that a caller may send, in bytes.
+func (x *exchange) bodyLimit() int64 {
+	if x.config != nil && x.config.Limits().BodyBytes > 0 {
+		return int64(x.config.Limits().BodyBytes)
+	}
+	return defaultBodyLimit
+}
+
+// discardBody reads the body of a rejected request, as much as a caller may send. Otherwise net/http closes
+// the connection after the answer, and a caller that still sends may see a reset instead.
+func (x *exchange) discardBody() {
+	if x.unread != nil {
+		_, _ = io.CopyN(io.Discard, x.unread, x.bodyLimit()+1)
+	}
+}
+
 // newRequest sets the request for which the next attempt's endpoint is selected.
 func (x *exchange) newRequest() {
 	x.request = &sycplace.Request{
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -155,6 +155,7 @@
 
 // fail answers with a status and a reason.
 func (x *exchange) fail(status int, reason string) {
+	x.discardBody()
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
 	body := fmt.Sprintf("{\"error\":%q}\n", reason)
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -77,6 +78,9 @@
 	// is in tokens. The tokens are those of the prompt and of the longest answer or, if the
 	// call doesn't state them, the customer's default. It is 0 if the call needs no key.
 	cost float64
+	// unread is the body of the caller's request until readBody reads it, nil if net/http discards it
+	// by itself or the caller waits for an answer before it sends it.
+	unread io.Reader
 	// body is the call's body, which every attempt sends.
 	body []byte
 	// arrived is when the call arrived.
@@ -127,6 +131,9 @@
 // ServeHTTP processes a caller's request. It implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	x := &exchange{relay: r, writer: w, arrived: time.Now(), ctx: req.Context()}
+	if req.Header.Get("Expect") == "" && (req.ContentLength < 0 || req.ContentLength > serverDiscards) {
+		x.unread = req.Body
+	}
 	x.awaitTurn()
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -31,6 +31,9 @@
 // rigStream is what the caller of a stream must get.
 var rigStream = rigEventsFrom(0, rigEvents)
 
+// rigLong is an answer that is longer than what a relay buffers.
+var rigLong = strings.Repeat("0123456789abcdef", maxBufferedAnswer/16+1000)
+
 // rigEventsFrom returns events of a rig's streams.
 func rigEventsFrom(first, end int) string {
 	var out strings.Builder
@@ -171,10 +174,11 @@
 	return Answered
 }
 
-// rig is a relay with endpoints on loopback addresses. Its route /stream/ is resumable, /once/ runs
-// once and /call/ is repeatable.
+// rig is a relay with endpoints on loopback addresses. Its route /stream/ is resumable, /single/ is a
+// stream that isn't, /once/ runs once and /call/ is repeatable.
 type rig struct {
 	*rigFleet
+	relay   *Relay
 	address string
 }
 
@@ -183,10 +187,10 @@
 	t.Helper()
 	split := []sycsite.TrafficShare{{Service: "s", Weight: 1}}
 	route := func(name string, kind sycsite.Kind) sycsite.Route {
-		return sycsite.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: true, Attempts: attempts, Split: split}
+		return sycsite.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: name == "stream", Attempts: attempts, Split: split}
 	}
 	config, err := sycsite.New(sycsite.Fields{Routes: []sycsite.Route{
-		route("stream", sycsite.Stream), route("once", sycsite.AtMostOnce), route("call", sycsite.Repeatable),
+		route("stream", sycsite.Stream), route("single", sycsite.Stream), route("once", sycsite.AtMostOnce), route("call", sycsite.Repeatable),
 	}})
 	must.NoError(t, err)
 	f := &rigFleet{config: config, received: make([][]time.Time, len(endpoints)), left: make([][]time.Time, len(endpoints))}
@@ -212,9 +216,10 @@
 	}
 	client := sycwire.New(sycwire.Defaults())
 	t.Cleanup(func() { _ = client.Close() })
-	callers := httptest.NewServer(New(Options{Fleet: f, Codec: rigCodec{}, Client: client}))
+	relay := New(Options{Fleet: f, Codec: rigCodec{}, Client: client})
+	callers := httptest.NewServer(relay)
 	t.Cleanup(callers.Close)
-	return &rig{rigFleet: f, address: strings.TrimPrefix(callers.URL, "http://")}
+	return &rig{rigFleet: f, relay: relay, address: strings.TrimPrefix(callers.URL, "http://")}
 }
 
 // get requests a path and returns the answer's status and body, and why it isn't whole.
@@ -234,8 +239,27 @@
 	return answer.StatusCode, string(data), err
 }
 
+// longAnswer returns an endpoint whose answer is longer than what a relay buffers, and that pauses before
+// the first, in the middle of the first and after the first maxBufferedAnswer bytes.
+func longAnswer(before, early, late time.Duration) rigEndpoint {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		pause(r, before)
+		send(w, rigLong[:maxBufferedAnswer/2])
+		pause(r, early)
+		send(w, rigLong[maxBufferedAnswer/2:maxBufferedAnswer+1])
+		pause(r, late)
+		send(w, rigLong[maxBufferedAnswer+1:])
+	}
+}
+
+// broken is a pause at whose place an endpoint closes its connection.
+const broken = -1
+
 // pause waits, and ends the endpoint's handler if its caller leaves meanwhile.
 func pause(r *http.Request, wait time.Duration) {
+	if wait == broken {
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
