Exclude the endpoint that rejected a stream, not the one with other weights

Found by reading: a stream whose endpoint answered that it has other weights, while a standby had been rejected, was to go to the same endpoint again, but the endpoint that had rejected it was taken off the list of tried ones instead.

Cause: the endpoints that reject a standby were put behind the present attempt's, and the last one of the list is the one to be tried again.

TestSameEndpointIsAskedAgain failed before.

--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -90,6 +90,20 @@
 	must.Eq(t, 1, x.attempts)
 }
 
+// TestSameEndpointIsAskedAgain guards against a request that goes to an endpoint that has rejected it as a
+// standby, instead of the one that only had other weights.
+func TestSameEndpointIsAskedAgain(t *testing.T) {
+	fleet := &fakeFleet{target: &sycplace.Target{}}
+	x := &exchange{
+		relay: &Relay{fleet: fleet}, call: &Call{}, route: &sycsite.Route{Kind: sycsite.Repeatable, Attempts: 3},
+		attempts: 1, tried: []string{"e0"}, timeout: &answerTimeout{rejectedBy: []string{"e1"}, arrivals: 1},
+	}
+	must.Nil(t, x.takeStandby())
+	must.True(t, x.nextAttempt(t.Context(), result{arrived: true, sameEndpoint: true}))
+	must.Eq(t, []string{"e1"}, fleet.excluded)
+	must.Eq(t, 1, x.attempts)
+}
+
 // TestLastAttemptIsNotResumable guards against a stream that is lost because the holder of the duties makes
 // its engine break it off, although the stream has no attempt left.
 func TestLastAttemptIsNotResumable(t *testing.T) {
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -204,7 +204,10 @@
 		return nil
 	}
 	s, rejectedBy, arrivals := x.timeout.takeStandby()
-	x.tried = append(x.tried, rejectedBy...)
+	if len(rejectedBy) > 0 {
+		// The present attempt's endpoint stays the last one.
+		x.tried = slices.Insert(x.tried, len(x.tried)-1, rejectedBy...)
+	}
 	x.attempts += arrivals
 	return s
 }
