Let a signal that arrives while a VM starts wait until it has started

What callers saw: a process that got SIGHUP or SIGTERM while it read its settings, opened its listeners or joined was ended by the signal, with the requests that it had accepted by then. On a machine with many VMs a start takes long, and signals come in series.

Cause: the signals were asked for only after the start. Now that is the first thing that the command does; SIGTERM then drains as ever.

--- a/cmd/sycamorecart/join.go
+++ b/cmd/sycamorecart/join.go
@@ -39,6 +39,8 @@
 type join struct {
 	// settings is the path of the VM's settings file.
 	settings string
+	// stop gets the signals that end the VM, and reloads those after which it reads the settings again.
+	stop, reloads chan os.Signal
 }
 
 func newJoin() subcommands.Command { return &join{} }
@@ -59,6 +61,12 @@
 
 // Execute implements subcommands.Command.
 func (c *join) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// A signal while the VM starts must not end it at once.
+	c.stop, c.reloads = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(c.stop, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(c.stop)
+	signal.Notify(c.reloads, syscall.SIGHUP)
+	defer signal.Stop(c.reloads)
 	return runVM(f, joinUsage, c.settings, sycsetting.ReadNode, c.run)
 }
 
@@ -84,18 +92,14 @@
 // waitForStop returns on SIGTERM or SIGINT. Until then it reloads the settings
 // file on SIGHUP and whenever the file's modification time changes.
 func (c *join) waitForStop() {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	applied := modTime(c.settings)
 	for {
 		select {
-		case <-stop:
+		case <-c.stop:
 			return
-		case <-reload:
+		case <-c.reloads:
 			c.reload()
 			applied = modTime(c.settings)
 		case <-ticker.C:
