Lease: a restored log begins an era in which nobody holds it

A lease granted after the copy was taken is gone from a restored log: a second VM can acquire it at the same offset while the first one believes that it holds it, and fencing numbers, which are offsets, go down, so that engines reject the orders of the next holder and accept those of the former one.

Numbers and fencing numbers are now made of the era and the offset; in era 0 they are what they were. Restored (or any record or end of a higher era) ends the holding, voids appends under way, and makes every VM, the former holder too, wait the duration and the margin from when it learned of the era. That suffices: a grant of a former era was proposed before the restore, so its holder stops by its own clock before anybody's wait is over.

--- a/internal/decide/syclease/lease.go
+++ b/internal/decide/syclease/lease.go
@@ -9,13 +9,28 @@
 // stops before another VM may take the lease, however late an append takes effect, as
 // long as the rates of the VMs' clocks differ by no more than a margin.
 //
+// The log may be restored from an older copy, which begins a new era. Then records that granted the
+// lease may be gone, and their offsets are given out again. In a new era nobody holds the lease:
+// its holder stops as soon as it learns of the era, and every VM waits until the lease of a holder
+// that hasn't learned of it has surely ended. Numbers and fencing numbers of an era are higher than
+// those of the eras before.
+//
 // The package has no clock and does no I/O: the caller passes the time, the records and
 // the results of appends.
 package syclease
 
-import "time"
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
+)
 
 const (
+	// offsetBits is the number of the low bits of a number or fencing number that hold the
+	// offset. The bits above hold the era. With an era below 2^21 they are 53 bits together,
+	// which a JSON number holds without loss.
+	offsetBits = 32
+
 	// marginPercent is the part of a lease's duration, in percent, that a VM waits after
 	// the end of another VM's lease. It bounds how much faster one VM's clock may run
 	// than another's.
@@ -26,6 +41,15 @@
 	retryDelay = 300 * time.Millisecond
 )
 
+// NumberAt returns the number of the record at a position in the log.
+func NumberAt(p sycfeed.Position) uint64 { return FenceAt(p) + 1 }
+
+// FenceAt returns the fencing number of the record at a position in the log.
+func FenceAt(p sycfeed.Position) uint64 { return uint64(p.Era)<<offsetBits + uint64(p.Offset) }
+
+// eraOf returns the era of a record's number.
+func eraOf(number uint64) int64 { return int64(number >> offsetBits) }
+
 // Options configures a Lease.
 type Options struct {
 	// Self identifies the process of this VM: each start of the VM has another value.
@@ -44,7 +68,8 @@
 
 // Record is one lease record of the log.
 type Record struct {
-	// Number is the record's position among the lease records, counted from 1.
+	// Number is the record's place among the lease records, see NumberAt. In era 0 it
+	// counts from 1.
 	Number uint64
 	// Fence is the fencing number, which increases from record to record. A holder sends
 	// it with its actions, so that actions of a former holder can be rejected.
@@ -74,6 +99,8 @@
 	// readAt is when newest was read or, if that was later, when the log was first read to
 	// its end.
 	readAt time.Duration
+	// restoredAt is when the era of last became known, valid if that isn't era 0.
+	restoredAt time.Duration
 	// term is the fence of the first record in the unbroken series of records, ending
 	// with newest, that have the same holder.
 	term uint64
@@ -103,7 +130,23 @@
 // next append must be for the number after it.
 func (l *Lease) LastNumber() uint64 { return l.last }
 
-// Newest returns the newest record applied.
+// Next returns the position after LastNumber, from which on to read the log and at which to append.
+func (l *Lease) Next() sycfeed.Position {
+	return sycfeed.Position{Era: eraOf(l.last), Offset: int64(l.last & (1<<offsetBits - 1))}
+}
+
+// Restored records that the log is known to be in an era. If the era is new, nobody holds the lease,
+// no append that has started grants it any more, and the log must be read from its start.
+func (l *Lease) Restored(now time.Duration, era int64) {
+	if era <= eraOf(l.last) {
+		return
+	}
+	l.last, l.newest, l.restoredAt, l.readAt = FenceAt(sycfeed.Position{Era: era}), Record{}, now, now
+	l.granted, l.ready = false, !l.options.LimitedRetention
+	clear(l.proposedAt)
+}
+
+// Newest returns the newest record applied in the present era.
 func (l *Lease) Newest() Record { return l.newest }
 
 // Apply applies a record that was read from the log at the time now. Records up to
@@ -112,6 +155,7 @@
 	if r.Number <= l.last {
 		return
 	}
+	l.Restored(now, eraOf(r.Number))
 	sameSeries := r.Holder == l.newest.Holder && !l.newest.Released && r.Number == l.newest.Number+1
 	if !sameSeries {
 		l.term = r.Fence
@@ -125,8 +169,13 @@
 	clear(l.proposedAt)
 }
 
-// ReachedEnd records that the log was read to its end, which is the record number.
+// ReachedEnd records that the log was read to its end, which is the record number. A read of a former
+// era changes nothing.
 func (l *Lease) ReachedEnd(now time.Duration, number uint64) {
+	l.Restored(now, eraOf(number))
+	if eraOf(number) < eraOf(l.last) {
+		return
+	}
 	if !l.ready {
 		l.readAt = now
 	}
@@ -160,19 +209,29 @@
 	return now >= l.freeAt()+l.options.Delay
 }
 
-// freeAt returns the time from which on the newest record's lease has surely ended.
+// freeAt returns the time from which on the newest record's lease and all leases of former eras have
+// surely ended.
 func (l *Lease) freeAt() time.Duration {
+	former := time.Duration(0)
+	if eraOf(l.last) > 0 {
+		former = l.restoredAt + withMargin(l.options.Duration)
+	}
 	duration := l.newest.Duration
 	if duration == 0 {
 		duration = l.options.Duration
 	}
 	switch {
 	case l.newest.Released:
-		return l.readAt
+		return max(l.readAt, former)
 	case l.newest.Number == 0 && !l.options.LimitedRetention:
-		return 0
+		return former
 	}
-	return l.readAt + duration + duration*marginPercent/100
+	return max(l.readAt+withMargin(duration), former)
+}
+
+// withMargin returns how long to wait for the end of a lease of another VM.
+func withMargin(duration time.Duration) time.Duration {
+	return duration + duration*marginPercent/100
 }
 
 // Propose records that an append for the number after LastNumber starts now, and returns
