Positions in place of offsets between store, adapter and fleet

The store may come back from a copy some seconds old. Offsets then go back and are given out again, and its answers name a new era (Store-Era). The client didn't read the era, and all that follows the log compared bare offsets, so records that operators and endpoints wrote again counted as old until offsets had passed the former ones.

Topics, VMs' states (feeds, records, rollouts) and calls of the duty log name positions. The messages among VMs gain fields only; 0 stands for a store that sends no header. The lease still counts offsets of era 0, and topics don't yet tell what a restored log shares with the former one: both follow.

--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -2,7 +2,7 @@
 // a log.
 //
 // A VM gets records by reading the log and from other VMs. A record replaces another one
-// of the same key only if its offset is higher, whatever its source. A record without a
+// of the same key only if its position is later, whatever its source. A record without a
 // value deletes its key.
 //
 // The package has no clock and does no I/O: the caller passes the time, as a duration
@@ -16,8 +16,8 @@
 
 // Record is one record of the log.
 type Record struct {
-	// Offset is the record's position in the log.
-	Offset int64
+	// Position is the record's place in the log.
+	Position Position
 	// Key names the entry that the record sets or deletes.
 	Key string
 	// Value is the content of the entry. It is empty in the deletion of a key.
@@ -37,15 +37,15 @@
 
 // Topic is the state of one replicated topic. It is not safe for concurrent use.
 type Topic struct {
-	// next is the offset before which every record has been seen.
-	next int64
+	// next is the position before which every record has been seen.
+	next Position
 	// records holds the newest record of each key, including deletions.
 	records map[string]Record
 	// deletions is the number of deletions in records.
 	deletions int
-	// discardedTo is the highest offset of a deletion that was discarded from records. It
-	// is below next. An unknown key with a record up to this offset has been deleted.
-	discardedTo int64
+	// discardedTo is the latest position of a deletion that was discarded from records. It
+	// is before next. An unknown key with a record up to this position has been deleted.
+	discardedTo Position
 	// delay is the configured delay of deletions.
 	delay DeletionDelay
 	// outageEnded is when the log last became readable again after an outage.
@@ -77,11 +77,11 @@
 
 // New returns a topic without records.
 func New(delay DeletionDelay) *Topic {
-	return &Topic{records: map[string]Record{}, discardedTo: -1, delay: delay, delayed: map[string]delayedDeletion{}}
+	return &Topic{records: map[string]Record{}, discardedTo: Position{Offset: -1}, delay: delay, delayed: map[string]delayedDeletion{}}
 }
 
-// Next returns the offset from which on the log must be read.
-func (t *Topic) Next() int64 { return t.next }
+// Next returns the position from which on the log must be read.
+func (t *Topic) Next() Position { return t.next }
 
 // OutageEnded records that the log became readable again after an outage, and starts the
 // delay of deletions.
@@ -100,68 +100,68 @@
 }
 
 // Apply applies records and returns those that became the newest of their keys. next is the
-// offset before which the caller has passed every record. A deletion that must be delayed
+// position before which the caller has passed every record. A deletion that must be delayed
 // is stored and not returned.
-func (t *Topic) Apply(now time.Duration, records []Record, next int64) []Change {
+func (t *Topic) Apply(now time.Duration, records []Record, next Position) []Change {
 	var out []Change
 	for _, r := range records {
 		old, known := t.records[r.Key]
-		if known && old.Offset >= r.Offset || !known && r.Offset <= t.discardedTo {
+		if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) {
 			continue
 		}
 		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < t.delayUntil {
-			if d, isDelayed := t.delayed[r.Key]; !isDelayed || d.record.Offset < r.Offset {
+			if d, isDelayed := t.delayed[r.Key]; !isDelayed || d.record.Position.Before(r.Position) {
 				t.delayed[r.Key] = delayedDeletion{record: r, due: t.deletionDue(now)}
 			}
 			continue
 		}
-		if d, isDelayed := t.delayed[r.Key]; isDelayed && d.record.Offset < r.Offset {
+		if d, isDelayed := t.delayed[r.Key]; isDelayed && d.record.Position.Before(r.Position) {
 			delete(t.delayed, r.Key)
 		}
 		out = append(out, t.set(r))
 	}
-	t.next = max(t.next, next)
+	t.next = latest(t.next, next)
 	t.discardDeletions()
 	return out
 }
 
 // discardDeletions removes the older half of the stored deletions before next if there are
 // too many. Before next every key that exists has a stored record, so a record of an unknown
-// key at an offset up to discardedTo is known to be deleted.
+// key at a position up to discardedTo is known to be deleted.
 func (t *Topic) discardDeletions() {
 	if t.deletions <= maxDeletions {
 		return
 	}
-	var offsets []int64
+	var positions []Position
 	for _, r := range t.records {
-		if len(r.Value) == 0 && r.Offset < t.next {
-			offsets = append(offsets, r.Offset)
+		if len(r.Value) == 0 && r.Position.Before(t.next) {
+			positions = append(positions, r.Position)
 		}
 	}
-	slices.Sort(offsets)
-	if len(offsets) < 2 {
+	slices.SortFunc(positions, Position.Compare)
+	if len(positions) < 2 {
 		return
 	}
-	t.discardedTo = max(t.discardedTo, offsets[len(offsets)/2-1])
+	t.discardedTo = latest(t.discardedTo, positions[len(positions)/2-1])
 	for key, r := range t.records {
-		if len(r.Value) == 0 && r.Offset <= t.discardedTo {
+		if len(r.Value) == 0 && !t.discardedTo.Before(r.Position) {
 			delete(t.records, key)
 			t.deletions--
 		}
 	}
 }
 
-// Replace applies the newest records of all keys that exist at the offset next. Keys that
-// are missing from them were deleted at an offset below next. It returns the changes like
+// Replace applies the newest records of all keys that exist at the position next. Keys that
+// are missing from them were deleted before next. It returns the changes like
 // Apply.
-func (t *Topic) Replace(now time.Duration, records []Record, next int64) []Change {
+func (t *Topic) Replace(now time.Duration, records []Record, next Position) []Change {
 	present := map[string]bool{}
 	for _, r := range records {
 		present[r.Key] = true
 	}
 	for key, r := range t.records {
-		if !present[key] && len(r.Value) > 0 && r.Offset < next {
-			records = append(records, Record{Offset: max(next-1, r.Offset+1), Key: key})
+		if !present[key] && len(r.Value) > 0 && r.Position.Before(next) {
+			records = append(records, Record{Position: latest(next.Plus(-1), r.Position.Plus(1)), Key: key})
 		}
 	}
 	return t.Apply(now, records, next)
@@ -175,7 +175,7 @@
 			continue
 		}
 		delete(t.delayed, key)
-		if t.records[key].Offset < d.record.Offset {
+		if t.records[key].Position.Before(d.record.Position) {
 			out = append(out, t.set(d.record))
 		}
 	}
@@ -194,20 +194,28 @@
 	return Change{Record: r, Deleted: len(r.Value) == 0}
 }
 
-// Since returns the newest records and the delayed deletions at the offset from or later,
-// ordered by offset.
-func (t *Topic) Since(from int64) []Record {
+// Since returns the newest records and the delayed deletions at the position from or later,
+// ordered by position.
+func (t *Topic) Since(from Position) []Record {
 	var out []Record
 	for _, r := range t.records {
-		if r.Offset >= from {
+		if !r.Position.Before(from) {
 			out = append(out, r)
 		}
 	}
 	for _, d := range t.delayed {
-		if d.record.Offset >= from {
+		if !d.record.Position.Before(from) {
 			out = append(out, d.record)
 		}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return int(a.Offset - b.Offset) })
+	slices.SortFunc(out, func(a, b Record) int { return a.Position.Compare(b.Position) })
 	return out
 }
+
+// latest returns the later one of two positions.
+func latest(p, q Position) Position {
+	if p.Before(q) {
+		return q
+	}
+	return p
+}
--- a/internal/decide/sycfeed/topic_test.go
+++ b/internal/decide/sycfeed/topic_test.go
@@ -12,9 +12,12 @@
 // delay is the deletion delay of the tests.
 var delay = sycfeed.DeletionDelay{AfterOutage: 2 * time.Second, NewDeletion: time.Second}
 
+// at returns a position in era 0.
+func at(offset int64) sycfeed.Position { return sycfeed.Position{Offset: offset} }
+
 // rec returns a record. An empty value deletes the key.
 func rec(offset int64, key, value string) sycfeed.Record {
-	return sycfeed.Record{Offset: offset, Key: key, Value: []byte(value)}
+	return sycfeed.Record{Position: at(offset), Key: key, Value: []byte(value)}
 }
 
 // keys returns the keys of changes, with a minus sign before deleted keys.
@@ -33,19 +36,19 @@
 // TestOlderRecordsChangeNothing checks that a record with a lower offset is ignored.
 func TestOlderRecordsChangeNothing(t *testing.T) {
 	topic := sycfeed.New(delay)
-	must.Eq(t, []string{"a", "b"}, keys(topic.Apply(0, []sycfeed.Record{rec(4, "a", "new"), rec(5, "b", "x")}, 6)))
-	must.Nil(t, topic.Apply(0, []sycfeed.Record{rec(2, "a", "old")}, 3))
-	must.Eq(t, int64(6), topic.Next())
-	must.Eq(t, []sycfeed.Record{rec(5, "b", "x")}, topic.Since(5))
+	must.Eq(t, []string{"a", "b"}, keys(topic.Apply(0, []sycfeed.Record{rec(4, "a", "new"), rec(5, "b", "x")}, at(6))))
+	must.Nil(t, topic.Apply(0, []sycfeed.Record{rec(2, "a", "old")}, at(3)))
+	must.Eq(t, at(6), topic.Next())
+	must.Eq(t, []sycfeed.Record{rec(5, "b", "x")}, topic.Since(at(5)))
 }
 
 // TestReplaceDeletesMissingKeys checks that Replace deletes the keys that are missing from
 // the records.
 func TestReplaceDeletesMissingKeys(t *testing.T) {
 	topic := sycfeed.New(delay)
-	topic.Apply(0, []sycfeed.Record{rec(4, "a", "x"), rec(5, "b", "x")}, 6)
-	must.Eq(t, []string{"c", "-a"}, keys(topic.Replace(0, []sycfeed.Record{rec(5, "b", "x"), rec(8, "c", "x")}, 9)))
-	must.Eq(t, int64(9), topic.Next())
+	topic.Apply(0, []sycfeed.Record{rec(4, "a", "x"), rec(5, "b", "x")}, at(6))
+	must.Eq(t, []string{"c", "-a"}, keys(topic.Replace(0, []sycfeed.Record{rec(5, "b", "x"), rec(8, "c", "x")}, at(9))))
+	must.Eq(t, at(9), topic.Next())
 }
 
 // TestDeletionsAreDelayedAfterAnOutage checks that a key's deletion after an outage is
@@ -60,11 +63,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			topic := sycfeed.New(delay)
-			topic.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, 2)
+			topic.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, at(2))
 			topic.OutageEnded(time.Second)
-			must.Nil(t, topic.Apply(time.Second, []sycfeed.Record{rec(2, "a", "")}, 3))
+			must.Nil(t, topic.Apply(time.Second, []sycfeed.Record{rec(2, "a", "")}, at(3)))
 			if tt.rewritten {
-				topic.Apply(2*time.Second, []sycfeed.Record{rec(3, "a", "y")}, 4)
+				topic.Apply(2*time.Second, []sycfeed.Record{rec(3, "a", "y")}, at(4))
 			}
 			must.Eq(t, tt.want, keys(topic.ApplyDelayed(time.Second+delay.AfterOutage)))
 		})
@@ -89,9 +92,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			topic := sycfeed.New(delay)
-			topic.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, 2)
+			topic.Apply(0, []sycfeed.Record{rec(1, "a", "x")}, at(2))
 			topic.OutageEnded(ended)
-			must.Nil(t, topic.Apply(tt.at, []sycfeed.Record{rec(2, "a", "")}, 3))
+			must.Nil(t, topic.Apply(tt.at, []sycfeed.Record{rec(2, "a", "")}, at(3)))
 			must.Nil(t, topic.ApplyDelayed(tt.due-1))
 			must.Eq(t, []string{"-a"}, keys(topic.ApplyDelayed(tt.due)))
 		})
@@ -103,15 +106,15 @@
 func TestOldDeletionsAreDiscarded(t *testing.T) {
 	const count = 20000
 	topic := sycfeed.New(delay)
-	topic.Apply(0, []sycfeed.Record{rec(0, "stays", "x")}, 1)
+	topic.Apply(0, []sycfeed.Record{rec(0, "stays", "x")}, at(1))
 	offset := int64(1)
 	for i := range count {
 		key := fmt.Sprint("k", i)
-		topic.Apply(0, []sycfeed.Record{rec(offset, key, "x"), rec(offset+1, key, "")}, offset+2)
+		topic.Apply(0, []sycfeed.Record{rec(offset, key, "x"), rec(offset+1, key, "")}, at(offset+2))
 		offset += 2
 	}
-	must.Less(t, 4000, len(topic.Since(0)))
-	must.Nil(t, topic.Apply(0, []sycfeed.Record{rec(1, "k0", "x"), rec(2*count-1, fmt.Sprint("k", count-1), "x")}, offset))
-	must.Eq(t, []sycfeed.Record{rec(0, "stays", "x")}, topic.Since(0)[:1])
-	must.Eq(t, []string{"new", "stays"}, keys(topic.Apply(0, []sycfeed.Record{rec(offset, "new", "x"), rec(offset+1, "stays", "y")}, offset+2)))
+	must.Less(t, 4000, len(topic.Since(at(0))))
+	must.Nil(t, topic.Apply(0, []sycfeed.Record{rec(1, "k0", "x"), rec(2*count-1, fmt.Sprint("k", count-1), "x")}, at(offset)))
+	must.Eq(t, []sycfeed.Record{rec(0, "stays", "x")}, topic.Since(at(0))[:1])
+	must.Eq(t, []string{"new", "stays"}, keys(topic.Apply(0, []sycfeed.Record{rec(offset, "new", "x"), rec(offset+1, "stays", "y")}, at(offset+2))))
 }
--- a/internal/peer/sycfleet/crowd_test.go
+++ b/internal/peer/sycfleet/crowd_test.go
@@ -20,16 +20,19 @@
 	vms []sycfeed.Record
 }
 
+// OnEra does nothing.
+func (crowdLog) OnEra(func(int64)) {}
+
 // Newest returns the VMs.
-func (l crowdLog) Newest(_ context.Context, topic string) ([]sycfeed.Record, int64, error) {
+func (l crowdLog) Newest(_ context.Context, topic string) ([]sycfeed.Record, sycfeed.Position, error) {
 	if topic != sycfleet.TopicVMs {
-		return nil, 0, nil
+		return nil, sycfeed.Position{}, nil
 	}
-	return l.vms, int64(len(l.vms)), nil
+	return l.vms, sycfeed.Position{Offset: int64(len(l.vms))}, nil
 }
 
 // Read waits until the test ends.
-func (crowdLog) Read(ctx context.Context, _ string, from int64, _ time.Duration) ([]sycfeed.Record, int64, error) {
+func (crowdLog) Read(ctx context.Context, _ string, from sycfeed.Position, _ time.Duration) ([]sycfeed.Record, sycfeed.Position, error) {
 	<-ctx.Done()
 	return nil, from, nil
 }
@@ -38,8 +41,8 @@
 func (crowdLog) Put(context.Context, string, string, []byte) error { return nil }
 
 // ReadDuty fails.
-func (crowdLog) ReadDuty(context.Context, int64, time.Duration) ([][]byte, int64, int64, error) {
-	return nil, 0, 0, errors.New("no duty log")
+func (crowdLog) ReadDuty(context.Context, sycfeed.Position, time.Duration) (records [][]byte, first, end sycfeed.Position, err error) {
+	return nil, first, end, errors.New("no duty log")
 }
 
 // crowdEngines are engines that say nothing.
@@ -58,7 +61,7 @@
 	log := crowdLog{}
 	for i := range vms {
 		value := fmt.Sprintf(`{"name":"vm-%d","failure_domain":"z%d","incarnation":"vm-%d/1"}`, i, i%3, i)
-		log.vms = append(log.vms, sycfeed.Record{Offset: int64(i), Key: fmt.Sprint("127.0.1.", i+1, ":1"), Value: []byte(value)})
+		log.vms = append(log.vms, sycfeed.Record{Position: sycfeed.Position{Offset: int64(i)}, Key: fmt.Sprint("127.0.1.", i+1, ":1"), Value: []byte(value)})
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/syclease"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreplica"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
@@ -54,13 +55,13 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, dutyReadWait+readGrace)
-		records, first, end, err := f.options.Log.ReadDuty(call, from, dutyReadWait)
+		records, first, end, err := f.options.Log.ReadDuty(call, sycfeed.Position{Offset: from}, dutyReadWait)
 		cancel()
 		if err != nil {
 			f.pause(retryPause)
 			continue
 		}
-		f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, records, first, end) })
+		f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, records, first.Offset, end.Offset) })
 		f.pause(retryPause)
 	}
 	return nil
@@ -164,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
 	defer cancel()
-	if err := f.options.Log.AppendDuty(ctx, at, data); err != nil {
+	if err := f.options.Log.AppendDuty(ctx, sycfeed.Position{Offset: at}, data); err != nil {
 		f.log.WithError(err).WithField("offset", at).Info("fleet: lease not granted")
 		return
 	}
--- a/internal/peer/sycfleet/exchange_test.go
+++ b/internal/peer/sycfleet/exchange_test.go
@@ -150,14 +150,14 @@
 		})
 		reader := n.vms[count-1]
 		reader.subscriptions[TopicStatus].confirm(n.now, n.now)
-		reader.subscriptions[TopicStatus].Apply(n.now, []sycfeed.Record{{Offset: 0, Key: "k"}}, 1)
+		reader.subscriptions[TopicStatus].Apply(n.now, []sycfeed.Record{{Key: "k"}}, sycfeed.Position{Offset: 1})
 		start := n.now
 		n.run(maxHops*directPeriod + 10*time.Millisecond)
 		for vm, f := range n.vms {
 			must.LessEq(t, 1000-2*float64(count)+1000*(n.now-start).Seconds(), n.level(vm), must.Sprintf("VM %d of %d", vm, count))
 			must.GreaterEq(t, 1000-2*float64(count), n.level(vm), must.Sprintf("VM %d of %d", vm, count))
 			must.Eq(t, 1, f.selector.Load("e").Requests, must.Sprintf("VM %d of %d", vm, count))
-			must.Eq(t, 1, f.subscriptions[TopicStatus].Next(), must.Sprintf("VM %d of %d", vm, count))
+			must.Eq(t, sycfeed.Position{Offset: 1}, f.subscriptions[TopicStatus].Next(), must.Sprintf("VM %d of %d", vm, count))
 		}
 	}
 }
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -152,6 +152,7 @@
 func New(o Options) (*Fleet, error) {
 	f := newFleet(o, sycloop.NewBootTime())
 	o.Engines.OnNotice(f.ApplyNotice)
+	o.Log.OnEra(f.observeEra)
 	mesh, err := sycgossip.New(sycgossip.Options{
 		Listener: o.Listener,
 		Self:     o.Address,
@@ -200,6 +201,11 @@
 	return f
 }
 
+// observeEra records that the log has been restored from an older copy.
+func (f *Fleet) observeEra(era int64) {
+	f.log.WithField("era", era).Info("fleet: log restored")
+}
+
 // kick starts an exchange with all partners at once.
 func (f *Fleet) kick() {
 	if mesh := f.mesh.Load(); mesh != nil {
@@ -272,7 +278,7 @@
 	}
 	record, err := f.options.Decoder.Operator(c.Key, c.Value)
 	if err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"key": c.Key, "offset": c.Offset}).Error("fleet: decoding an operator's record failed")
+		f.log.WithError(err).WithFields(logrus.Fields{"key": c.Key, "position": c.Position}).Error("fleet: decoding an operator's record failed")
 		return
 	}
 	switch r := record.(type) {
@@ -286,7 +292,7 @@
 		}
 		f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), r.Model, r.Version)
 	case Rollout:
-		f.startRollout(now, r, c.Offset)
+		f.startRollout(now, r, c.Position)
 	}
 }
 
@@ -334,7 +340,7 @@
 	}
 	e, err := f.options.Decoder.Endpoint(c.Key, c.Value)
 	if err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "offset": c.Offset}).Warn("fleet: decoding an endpoint's record failed")
+		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "position": c.Position}).Warn("fleet: decoding an endpoint's record failed")
 		f.selector.Drop(c.Key)
 		return
 	}
@@ -346,7 +352,7 @@
 	if !known || old.Leaving != e.Leaving || old.Incarnation != e.Incarnation || !maps.Equal(old.Weights, e.Weights) {
 		f.log.WithFields(logrus.Fields{
 			"endpoint": e.ID, "service": e.Service, "address": e.Address, "leaving": e.Leaving,
-			"release": e.Release, "weights": e.Weights, "offset": c.Offset,
+			"release": e.Release, "weights": e.Weights, "position": c.Position,
 		}).Info("fleet: endpoint changed")
 	}
 }
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -26,7 +26,7 @@
 	ctx := f.tomb.Context(context.Background())
 	healthy, snapshot := true, true
 	for f.tomb.Alive() {
-		var next int64
+		var next sycfeed.Position
 		var wait time.Duration
 		shouldRead := false
 		f.loop.DoControl(func(now time.Duration) {
@@ -43,6 +43,8 @@
 			snapshot = true
 			continue
 		}
+		var era *EraError
+		snapshot = snapshot || errors.As(err, &era)
 		if err != nil {
 			if healthy && f.tomb.Alive() {
 				f.log.WithError(err).WithField("feed", topic).Warn("fleet: log lost")
@@ -71,9 +73,9 @@
 	return slices.Contains(f.topology.Readers(readerCount), f.options.Address)
 }
 
-// readTopic reads a snapshot of a topic, or its records from an offset on. It returns the
-// offset after them.
-func (f *Fleet) readTopic(ctx context.Context, topic string, from int64, wait time.Duration, snapshot bool) ([]sycfeed.Record, int64, error) {
+// readTopic reads a snapshot of a topic, or its records from a position on. It returns
+// the position after them.
+func (f *Fleet) readTopic(ctx context.Context, topic string, from sycfeed.Position, wait time.Duration, snapshot bool) ([]sycfeed.Record, sycfeed.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
 	defer cancel()
 	if snapshot {
@@ -82,8 +84,8 @@
 	return f.options.Log.Read(ctx, topic, from, wait)
 }
 
-// applyRead applies the records of a read, which end before the offset next.
-func (f *Fleet) applyRead(now time.Duration, topic string, records []sycfeed.Record, next int64, snapshot bool) {
+// applyRead applies the records of a read, which end before the position next.
+func (f *Fleet) applyRead(now time.Duration, topic string, records []sycfeed.Record, next sycfeed.Position, snapshot bool) {
 	s := f.subscriptions[topic]
 	s.confirm(now, now)
 	var changes []sycfeed.Change
--- a/internal/peer/sycfleet/links.go
+++ b/internal/peer/sycfleet/links.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 )
@@ -44,8 +45,8 @@
 	received int64
 	// acknowledged is the number of this VM's latest change that the process has.
 	acknowledged int64
-	// next holds, by topic, the offset after the last record that the process has.
-	next map[string]int64
+	// next holds, by topic, the position from which on the process wants records.
+	next map[string]sycfeed.Position
 	// receivedAt is when its last state was received, and sentAt when the last state for it
 	// was built.
 	receivedAt, sentAt time.Duration
@@ -69,7 +70,7 @@
 func (p *peers) link(address string) *link {
 	l := p.links[address]
 	if l == nil {
-		l = &link{relay: true, next: map[string]int64{}}
+		l = &link{relay: true, next: map[string]sycfeed.Position{}}
 		p.links[address] = l
 	}
 	return l
@@ -85,7 +86,7 @@
 // reset forgets the exchange with a former process.
 func (l *link) reset(incarnation string) {
 	*l = link{
-		incarnation: incarnation, relay: true, next: map[string]int64{},
+		incarnation: incarnation, relay: true, next: map[string]sycfeed.Position{},
 		receivedAt: l.receivedAt, sentAt: l.sentAt, answeredAt: l.answeredAt, callingSince: l.callingSince,
 	}
 }
--- a/internal/peer/sycfleet/metric.go
+++ b/internal/peer/sycfleet/metric.go
@@ -57,7 +57,7 @@
 	}
 	for name, s := range f.subscriptions {
 		out[fmt.Sprintf(`feed_age_seconds{feed=%q}`, name)] = (now - s.confirmedAt).Seconds()
-		out[fmt.Sprintf(`feed_next_offset{feed=%q}`, name)] = float64(s.Next())
+		out[fmt.Sprintf(`feed_next_offset{feed=%q}`, name)] = float64(s.Next().Offset)
 	}
 	for model, version := range f.weights {
 		out[fmt.Sprintf(`weights_version{model=%q}`, model)] = float64(version)
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
@@ -36,24 +37,39 @@
 	TopicStatus = "status"
 )
 
-// Log is the log that all VMs share: the topics and the duty log.
+// EraError means that an answer of the log is of another era than the call is about, because the
+// log has been restored. What the call asked for is unknown.
+type EraError struct {
+	// Era is the era of the answer.
+	Era int64
+}
+
+// Error returns the era.
+func (e *EraError) Error() string { return fmt.Sprintf("the log is in era %d", e.Era) }
+
+// Log is the log that all VMs share: the topics and the duty log. Each restore from an older
+// copy begins a new era of all of it.
 type Log interface {
-	// Read returns the records of a topic from an offset on, and the offset after them. It
+	// OnEra sets the function that is called with the era of an answer that is higher than
+	// those of all answers before, 0 at first. It is called once, before all other methods.
+	OnEra(observe func(era int64))
+	// Read returns the records of a topic from a position on, and the position after them. It
 	// waits for the first for up to the given time. It fails with ErrTruncated if the log no
-	// longer keeps the record at the offset.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (records []sycfeed.Record, next int64, err error)
-	// Newest returns the newest record of each key of a topic, and the offset from which to
-	// read on.
-	Newest(ctx context.Context, topic string) (records []sycfeed.Record, next int64, err error)
+	// longer keeps the record at the position, and with an *EraError if the log is in another
+	// era.
+	Read(ctx context.Context, topic string, from sycfeed.Position, wait time.Duration) (records []sycfeed.Record, next sycfeed.Position, err error)
+	// Newest returns the newest record of each key of a topic, and the position from which to
+	// read on. It fails with an *EraError if the era changes meanwhile.
+	Newest(ctx context.Context, topic string) (records []sycfeed.Record, next sycfeed.Position, err error)
 	// Put writes the newest value of a key of a topic. An empty value drops the key.
 	Put(ctx context.Context, topic, key string, value []byte) error
-	// ReadDuty returns the records of the duty log from an offset on, the offset of the
-	// first, and the offset after the log's last record. It waits for the first record for
-	// up to the given time.
-	ReadDuty(ctx context.Context, from int64, wait time.Duration) (records [][]byte, first, end int64, err error)
-	// AppendDuty appends a record to the duty log at an offset. It fails if the log doesn't
-	// end there.
-	AppendDuty(ctx context.Context, at int64, record []byte) error
+	// ReadDuty returns the records of the duty log from a position on, the position of the
+	// first, and the position after the log's last record. It waits for the first record for
+	// up to the given time. It fails with an *EraError if the log is in another era.
+	ReadDuty(ctx context.Context, from sycfeed.Position, wait time.Duration) (records [][]byte, first, end sycfeed.Position, err error)
+	// AppendDuty appends a record to the duty log at a position. It fails if the log doesn't
+	// end there, with an *EraError if the log is in another era.
+	AppendDuty(ctx context.Context, at sycfeed.Position, record []byte) error
 	// Report publishes the state of a service's rollout.
 	Report(ctx context.Context, r RolloutReport) error
 }
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -24,8 +24,8 @@
 // rollout is this VM's state of a service's move to another release.
 type rollout struct {
 	Rollout
-	// offset is the offset of the operator's record.
-	offset int64
+	// asked is the position of the operator's record.
+	asked sycfeed.Position
 	// move decides the release's traffic share and the outcome.
 	move *sycrelease.Move
 	// ledger holds the evidence of all VMs: counts of requests at either version.
@@ -43,23 +43,31 @@
 	lastPublish time.Duration
 }
 
+// offsetBits is the number of low bits of a generation of evidence that hold an offset.
+const offsetBits = 40
+
+// generation returns the generation of the evidence, which is higher for a later record of the
+// operator.
+func (r *rollout) generation() uint64 {
+	return uint64(r.asked.Era)<<offsetBits | uint64(r.asked.Offset)
+}
+
 // subjects returns the subjects that the evidence compares: the release and the previous ones.
-// Their generation is the offset of the operator's record.
 func (r *rollout) subjects() (candidate, previous sycrollout.Subject) {
-	generation := uint64(r.offset)
+	generation := r.generation()
 	return sycrollout.Subject{Version: r.Release, Generation: generation},
 		sycrollout.Subject{Version: previousReleases, Generation: generation}
 }
 
 // startRollout starts the rollout of an operator's record, unless it is older than the
 // service's present one.
-func (f *Fleet) startRollout(now time.Duration, request Rollout, offset int64) {
-	if old := f.rollouts[request.Service]; old != nil && old.offset >= offset {
+func (f *Fleet) startRollout(now time.Duration, request Rollout, asked sycfeed.Position) {
+	if old := f.rollouts[request.Service]; old != nil && !old.asked.Before(asked) {
 		return
 	}
 	r := &rollout{
 		Rollout: request,
-		offset:  offset,
+		asked:   asked,
 		move:    sycrelease.New(now, request.TimeLimit, f.options.MaxTrialShare),
 		ledger:  sycrollout.NewLedger(),
 	}
@@ -148,7 +156,7 @@
 	}
 	return sycrollout.Cell{
 		Version:    version,
-		Generation: uint64(r.offset),
+		Generation: r.generation(),
 		Route:      route,
 		Load:       sycrollout.LoadClass(e.Requests),
 		Size:       sycrollout.SizeClass(e.Tokens),
@@ -234,11 +242,12 @@
 	var out []*sycgossippb.Rollout
 	for _, r := range f.rollouts {
 		out = append(out, &sycgossippb.Rollout{
-			Service: r.Service,
-			Release: r.Release,
-			Asked:   r.offset,
-			Share:   r.share,
-			State:   string(r.move.State()),
+			Service:  r.Service,
+			Release:  r.Release,
+			Asked:    r.asked.Offset,
+			AskedEra: r.asked.Era,
+			Share:    r.share,
+			State:    string(r.move.State()),
 		})
 	}
 	return out
@@ -249,7 +258,7 @@
 
 // findRollout returns the rollout that a message is about, nil if this VM has another or none.
 func (f *Fleet) findRollout(m *sycgossippb.Rollout) *rollout {
-	if r := f.rollouts[m.Service]; r != nil && r.offset == m.Asked {
+	if r := f.rollouts[m.Service]; r != nil && r.asked == (sycfeed.Position{Era: m.AskedEra, Offset: m.Asked}) {
 		return r
 	}
 	return nil
--- a/internal/peer/sycfleet/rollout_test.go
+++ b/internal/peer/sycfleet/rollout_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrelease"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
 )
@@ -25,7 +26,7 @@
 func TestEndedRolloutIsNotJudged(t *testing.T) {
 	n := newNetwork(t, 2)
 	f := n.vms[0]
-	f.startRollout(n.now, request, 1)
+	f.startRollout(n.now, request, sycfeed.Position{Offset: 1})
 	r := f.rollouts["s"]
 	r.move.AdoptState(sycrelease.Completed)
 	fail(r, 100)
@@ -38,11 +39,11 @@
 func TestEvidenceIsKeptForARolloutThatIsLearnedLater(t *testing.T) {
 	n := newNetwork(t, 12)
 	for _, f := range n.vms[:11] {
-		f.startRollout(n.now, request, 1)
+		f.startRollout(n.now, request, sycfeed.Position{Offset: 1})
 	}
 	fail(n.vms[10].rollouts["s"], 100)
 	n.run(time.Second)
-	n.vms[11].startRollout(n.now, request, 1)
+	n.vms[11].startRollout(n.now, request, sycfeed.Position{Offset: 1})
 	n.vms[11].rolloutTick(n.now, false)
 	must.NotEq(t, "", n.vms[11].rollouts["s"].failureReason)
 }
@@ -53,7 +54,7 @@
 	kept := 0
 	for offset := int64(1); offset < 4; offset++ {
 		for _, f := range n.vms {
-			f.startRollout(n.now, request, offset)
+			f.startRollout(n.now, request, sycfeed.Position{Offset: offset})
 			fail(f.rollouts["s"], 1)
 		}
 		n.run(time.Second)
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -58,22 +58,23 @@
 	return out
 }
 
-// topicState returns the offset and the age of this VM's copy of a topic, and the records that
+// topicState returns the position and the age of this VM's copy of a topic, and the records that
 // another VM lacks by its last state.
 func (f *Fleet) topicState(now time.Duration, name string, l *link) *sycgossippb.Feed {
 	s := f.subscriptions[name]
-	out := &sycgossippb.Feed{Name: name, Next: s.Next(), AgeMilliseconds: (now - s.confirmedAt).Milliseconds()}
+	out := &sycgossippb.Feed{Name: name, Era: s.Next().Era, Next: s.Next().Offset, AgeMilliseconds: (now - s.confirmedAt).Milliseconds()}
 	next, reported := l.next[name]
-	if !reported || next >= s.Next() {
+	if !reported || !next.Before(s.Next()) {
 		return out
 	}
 	records := s.Since(next)
 	if len(records) > maxStateRecords {
 		records = records[:maxStateRecords]
-		out.Next = records[len(records)-1].Offset + 1
+		end := records[len(records)-1].Position.Plus(1)
+		out.Era, out.Next = end.Era, end.Offset
 	}
 	for _, r := range records {
-		out.Records = append(out.Records, &sycgossippb.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+		out.Records = append(out.Records, &sycgossippb.Record{Era: r.Position.Era, Offset: r.Position.Offset, Key: r.Key, Value: r.Value})
 	}
 	return out
 }
@@ -122,7 +123,7 @@
 	f.subtractOwnLoads(in.Address, l)
 	f.receiveCaches(now, in)
 	for _, topic := range in.Feeds {
-		l.next[topic.Name] = topic.Next
+		l.next[topic.Name] = sycfeed.Position{Era: topic.Era, Offset: topic.Next}
 		f.receiveTopic(now, topic)
 	}
 	f.receiveRollouts(in)
@@ -191,8 +192,9 @@
 	if s == nil {
 		return
 	}
+	next := sycfeed.Position{Era: in.Era, Offset: in.Next}
 	// The copy is as recent as the sender's only if it lacks none of the sender's records.
-	if in.Next >= s.Next() && (len(in.Records) > 0 || in.Next == s.Next()) {
+	if next == s.Next() || s.Next().Before(next) && len(in.Records) > 0 {
 		s.confirm(now, now-time.Duration(in.AgeMilliseconds)*time.Millisecond)
 	}
 	if len(in.Records) == 0 {
@@ -200,9 +202,9 @@
 	}
 	records := make([]sycfeed.Record, 0, len(in.Records))
 	for _, r := range in.Records {
-		records = append(records, sycfeed.Record{Offset: r.Offset, Key: r.Key, Value: r.Value})
+		records = append(records, sycfeed.Record{Position: sycfeed.Position{Era: r.Era, Offset: r.Offset}, Key: r.Key, Value: r.Value})
 	}
-	changes := s.Apply(now, records, in.Next)
+	changes := s.Apply(now, records, next)
 	f.applyChanges(now, in.Name, changes)
 	s.loaded = true
 	f.announce(in.Name, len(changes))
