Duties end with the log's era, and the next holder's fencing number is higher

Duty records, appends and the holder's news now name positions, and the lease is told of each new era. The holder stops at the first answer of any call with a higher era, or when a VM's state names one (State.era, new); an append that was under way grants nothing. Versions of the holder's news of different eras aren't comparable, so that the era is part of their key, and news of a former era change nothing. Until the lease is free again only the readers of the topics read the duty log, at first without waiting for records, so that the calls that a restore costs don't grow with the fleet.

Gossip's messages gain a field; 0 stands for a log that was never restored.

--- a/internal/decide/syclease/lease.go
+++ b/internal/decide/syclease/lease.go
@@ -47,7 +47,12 @@
 // FenceAt returns the fencing number of the record at a position in the log.
 func FenceAt(p sycfeed.Position) uint64 { return uint64(p.Era)<<offsetBits + uint64(p.Offset) }
 
-// eraOf returns the era of a record's number.
+// PositionOf returns the position of the record with a fencing number.
+func PositionOf(fence uint64) sycfeed.Position {
+	return sycfeed.Position{Era: eraOf(fence), Offset: int64(fence & (1<<offsetBits - 1))}
+}
+
+// eraOf returns the era of a number or fencing number.
 func eraOf(number uint64) int64 { return int64(number >> offsetBits) }
 
 // Options configures a Lease.
@@ -131,9 +136,7 @@
 func (l *Lease) LastNumber() uint64 { return l.last }
 
 // Next returns the position after LastNumber, from which on to read the log and at which to append.
-func (l *Lease) Next() sycfeed.Position {
-	return sycfeed.Position{Era: eraOf(l.last), Offset: int64(l.last & (1<<offsetBits - 1))}
-}
+func (l *Lease) Next() sycfeed.Position { return PositionOf(l.last) }
 
 // Restored records that the log is known to be in an era. If the era is new, nobody holds the lease,
 // no append that has started grants it any more, and the log must be read from its start.
@@ -183,6 +186,10 @@
 	l.last = max(l.last, number)
 }
 
+// KnowsEnd reports whether the log was read to its end in the present era. In a log of limited retention
+// this VM asks for the lease only then.
+func (l *Lease) KnowsEnd() bool { return l.ready }
+
 // Holds reports whether this VM holds the lease now, and returns the fencing number to
 // act with.
 func (l *Lease) Holds(now time.Duration) (fence uint64, ok bool) {
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -47,7 +47,7 @@
 	kind    changeKind
 	// name is the customer, the endpoint or the cell of evidence.
 	name string
-	// number tells apart changes that replace nothing.
+	// number tells apart changes that replace nothing. For the duties it is the era of the log.
 	number int64
 }
 
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,31 +45,58 @@
 func (f *Fleet) followDuty() error {
 	ctx := f.tomb.Context(context.Background())
 	for f.tomb.Alive() {
-		var from int64
-		received := false
+		var from sycfeed.Position
+		wait, shouldRead := dutyReadWait, false
 		f.loop.DoControl(func(now time.Duration) {
-			_, holds := f.lease.Holds(now)
-			from, received = int64(f.lease.LastNumber()), holds || now-f.observed.holderSeen < holderSilence
+			from, shouldRead = f.lease.Next(), f.shouldReadDuty(now)
+			if from.Era > 0 && !f.lease.KnowsEnd() {
+				// The end of a restored log must be known before the lease can be taken.
+				wait = 0
+			}
 		})
-		if received {
+		if !shouldRead {
 			f.pause(retryPause)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, dutyReadWait+readGrace)
-		records, first, end, err := f.options.Log.ReadDuty(call, sycfeed.Position{Offset: from}, dutyReadWait)
+		call, cancel := context.WithTimeout(ctx, wait+readGrace)
+		records, first, end, err := f.options.Log.ReadDuty(call, from, wait)
 		cancel()
 		if err != nil {
 			f.pause(retryPause)
 			continue
 		}
-		f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, records, first.Offset, end.Offset) })
+		f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, records, first, end) })
 		f.pause(retryPause)
 	}
 	return nil
 }
 
-// dutyRecord is a record of the duty log, which grants, renews or releases the lease. The
-// record at offset n is the lease's record number n+1.
+// shouldReadDuty reports whether this VM should read the duty log: it neither holds the lease nor
+// hears from its holder. After a restore of the log nobody holds it for a time, in which only the
+// readers of the topics read the duty log.
+func (f *Fleet) shouldReadDuty(now time.Duration) bool {
+	if _, holds := f.lease.Holds(now); holds || now-f.observed.holderSeen < holderSilence {
+		return false
+	}
+	return now >= f.observed.allReadDutyAt || slices.Contains(f.topology.Readers(readerCount), f.options.Address)
+}
+
+// observeEra records that the log is in an era, as an answer of the log or another VM says. In a new
+// era nobody holds the lease, and what was told of the duties before is void.
+func (f *Fleet) observeEra(now time.Duration, era int64) {
+	if era <= f.lease.Next().Era {
+		return
+	}
+	_, held := f.lease.Holds(now)
+	f.log.WithFields(logrus.Fields{"era": era, "held": held}).Warn("fleet: log was restored from a copy, the duties are free")
+	f.lease.Restored(now, era)
+	f.changes.dutyVersion = 0
+	f.changes.DropIf(func(e *sycreplica.Entry[changeKey, change]) bool { return e.Key.kind == dutyChange })
+	f.observed.holderSeen = now - holderSilence
+	f.observed.allReadDutyAt = now + 2*f.options.LeaseDuration + takeoverSpread
+}
+
+// dutyRecord is a record of the duty log, which grants, renews or releases the lease.
 type dutyRecord struct {
 	// Holder is the incarnation of the VM that wrote the record.
 	Holder string `json:"holder"`
@@ -78,32 +106,32 @@
 	Released bool `json:"released,omitempty"`
 }
 
-// leaseRecord returns the lease's record for the duty record at an offset.
-func (r dutyRecord) leaseRecord(offset int64) syclease.Record {
+// leaseRecord returns the lease's record for the duty record at a position.
+func (r dutyRecord) leaseRecord(at sycfeed.Position) syclease.Record {
 	return syclease.Record{
-		Number:   uint64(offset) + 1,
-		Fence:    uint64(offset),
+		Number:   syclease.NumberAt(at),
+		Fence:    syclease.FenceAt(at),
 		Holder:   r.Holder,
 		Proposal: r.Proposal,
 		Released: r.Released,
 	}
 }
 
-// applyDutyRecords applies records of the duty log to the lease. The first is at the offset
-// first, and the log ends at the offset end.
-func (f *Fleet) applyDutyRecords(now time.Duration, records [][]byte, first, end int64) {
+// applyDutyRecords applies records of the duty log to the lease. The first is at the position
+// first, and the log ends at the position end.
+func (f *Fleet) applyDutyRecords(now time.Duration, records [][]byte, first, end sycfeed.Position) {
 	before := f.lease.Newest().Holder
 	for i, data := range records {
 		var r dutyRecord
-		offset := first + int64(i)
+		at := first.Plus(i)
 		if err := json.Unmarshal(data, &r); err != nil {
-			f.log.WithError(err).WithField("offset", offset).Error("fleet: decoding a duty record failed")
+			f.log.WithError(err).WithField("position", at).Error("fleet: decoding a duty record failed")
 		}
-		f.lease.Apply(now, r.leaseRecord(offset))
+		f.lease.Apply(now, r.leaseRecord(at))
 	}
-	f.lease.ReachedEnd(now, uint64(end))
+	f.lease.ReachedEnd(now, syclease.FenceAt(end))
 	if after := f.lease.Newest().Holder; after != before {
-		f.log.WithFields(logrus.Fields{"holder": after, "own": after == f.options.Incarnation, "offset": end}).Info("fleet: duties change hands")
+		f.log.WithFields(logrus.Fields{"holder": after, "own": after == f.options.Incarnation, "position": end}).Info("fleet: duties change hands")
 	}
 }
 
@@ -111,7 +139,7 @@
 // lease, it orders engines to load weights and decides rollouts.
 func (f *Fleet) dutyTick(now time.Duration) {
 	if f.lease.Due(now) && !f.leaving.Load() {
-		at := int64(f.lease.LastNumber())
+		at := f.lease.Next()
 		record := dutyRecord{Holder: f.options.Incarnation, Proposal: f.lease.Propose(now)}
 		f.tomb.Go(func() error {
 			f.appendDuty(record, at)
@@ -146,14 +174,19 @@
 		return
 	}
 	f.orders.Wait()
-	var at int64
-	f.loop.DoControl(func(time.Duration) { at = int64(f.lease.LastNumber()) })
+	var at sycfeed.Position
+	f.loop.DoControl(func(time.Duration) {
+		at, held = f.lease.Next(), f.lease.Newest().Holder == f.options.Incarnation
+	})
+	if !held {
+		return
+	}
 	f.appendDuty(dutyRecord{Holder: f.options.Incarnation, Released: true}, at)
 }
 
-// appendDuty appends a record to the duty log at an offset, which fails if another VM has
-// appended there, and reports the result to the lease.
-func (f *Fleet) appendDuty(record dutyRecord, at int64) {
+// appendDuty appends a record to the duty log at a position, which fails if another VM has
+// appended there or the log was restored, and reports the result to the lease.
+func (f *Fleet) appendDuty(record dutyRecord, at sycfeed.Position) {
 	granted := false
 	defer func() {
 		f.loop.PostControl(func(now time.Duration) { f.lease.Settled(now, granted) })
@@ -165,19 +198,20 @@
 	}
 	ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
 	defer cancel()
-	if err := f.options.Log.AppendDuty(ctx, sycfeed.Position{Offset: at}, data); err != nil {
-		f.log.WithError(err).WithField("offset", at).Info("fleet: lease not granted")
+	if err := f.options.Log.AppendDuty(ctx, at, data); err != nil {
+		f.log.WithError(err).WithField("position", at).Info("fleet: lease not granted")
 		return
 	}
 	granted = true
-	f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, [][]byte{data}, at, at+1) })
+	f.loop.DoControl(func(now time.Duration) { f.applyDutyRecords(now, [][]byte{data}, at, at.Plus(1)) })
 }
 
 // publishDuty records what this VM tells as the holder of the duties: the lease if this VM holds
 // or has released it, the cordons that it has announced with the weights that those engines have
 // reported, and its decisions about rollouts.
 func (f *Fleet) publishDuty(now time.Duration) {
-	message := &sycgossippb.Duty{Offset: int64(f.lease.Newest().Number) - 1, Holder: f.options.Incarnation}
+	at := syclease.PositionOf(f.lease.Newest().Fence)
+	message := &sycgossippb.Duty{Era: at.Era, Offset: at.Offset, Holder: f.options.Incarnation}
 	_, holds := f.lease.Holds(now)
 	if message.Released = !holds; !holds && !(f.leaving.Load() && f.lease.Released()) {
 		return
@@ -201,25 +235,33 @@
 	message.Rollouts = f.encodeRollouts()
 	f.changes.dutyVersion = max(f.changes.dutyVersion+1, message.Offset<<dutyVersionBits)
 	f.changes.Apply(sycreplica.Entry[changeKey, change]{
-		Key: changeKey{kind: dutyChange}, Value: dutyNews{message: message, process: f.changes.process, at: now}, Version: f.changes.dutyVersion,
+		Key: dutyKey(at.Era), Value: dutyNews{message: message, process: f.changes.process, at: now}, Version: f.changes.dutyVersion,
 	}, true)
 }
 
+// dutyKey returns the key of what the holder of the duties tells in an era of the log. Versions of
+// different eras can't be compared.
+func dutyKey(era int64) changeKey { return changeKey{kind: dutyChange, number: era} }
+
 // encode returns the message with its present age and its version.
 func (n dutyNews) encode(now time.Duration, version int64) *sycgossippb.Duty {
 	d := n.message
 	return &sycgossippb.Duty{
-		Offset: d.Offset, Holder: d.Holder, Released: d.Released, Holds: d.Holds, Rollouts: d.Rollouts,
+		Era: d.Era, Offset: d.Offset, Holder: d.Holder, Released: d.Released, Holds: d.Holds, Rollouts: d.Rollouts,
 		AgeMilliseconds: (now - n.at).Milliseconds(), Version: version,
 	}
 }
 
 // receiveDuty applies what the holder of the duties tells: its lease, cordons, the weights of
-// engines and decisions about rollouts.
+// engines and decisions about rollouts. A holder of a former era holds nothing any more.
 func (f *Fleet) receiveDuty(now time.Duration, source string, p process, in *sycgossippb.Duty) {
+	f.observeEra(now, in.Era)
+	if in.Era < f.lease.Next().Era {
+		return
+	}
 	at := now - time.Duration(in.AgeMilliseconds)*time.Millisecond
 	isNew := f.changes.Apply(sycreplica.Entry[changeKey, change]{
-		Key: changeKey{kind: dutyChange}, Value: dutyNews{message: in, process: p, at: at}, Version: in.Version, Source: source,
+		Key: dutyKey(in.Era), Value: dutyNews{message: in, process: p, at: at}, Version: in.Version, Source: source,
 	}, f.peers.addresses[p] == source)
 	if !isNew {
 		return
@@ -237,6 +279,6 @@
 	if !in.Released {
 		f.observed.holderSeen = max(f.observed.holderSeen, at)
 	}
-	f.lease.Apply(now, dutyRecord{Holder: in.Holder, Released: in.Released}.leaseRecord(in.Offset))
+	f.lease.Apply(now, dutyRecord{Holder: in.Holder, Released: in.Released}.leaseRecord(sycfeed.Position{Era: in.Era, Offset: in.Offset}))
 	f.applyDecisions(now, in.Rollouts)
 }
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -21,10 +21,12 @@
 func (silentLog) Put(context.Context, string, string, []byte) error { return nil }
 
 // grant gives a VM the lease.
-func (n *network) grant(vm int) {
-	f := n.vms[vm]
+func (n *network) grant(vm int) { n.grantAt(n.vms[vm], sycfeed.Position{Offset: 1}) }
+
+// grantAt gives a VM the lease by a record at a position.
+func (n *network) grantAt(f *Fleet, at sycfeed.Position) {
 	proposal := f.lease.Propose(n.now)
-	f.lease.Apply(n.now, dutyRecord{Holder: f.options.Incarnation, Proposal: proposal}.leaseRecord(1))
+	f.lease.Apply(n.now, dutyRecord{Holder: f.options.Incarnation, Proposal: proposal}.leaseRecord(at))
 	f.lease.Settled(n.now, true)
 }
 
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -152,7 +152,9 @@
 func New(o Options) (*Fleet, error) {
 	f := newFleet(o, sycloop.NewBootTime())
 	o.Engines.OnNotice(f.ApplyNotice)
-	o.Log.OnEra(f.observeEra)
+	o.Log.OnEra(func(era int64) {
+		f.loop.DoControl(func(now time.Duration) { f.observeEra(now, era) })
+	})
 	mesh, err := sycgossip.New(sycgossip.Options{
 		Listener: o.Listener,
 		Self:     o.Address,
@@ -201,11 +203,6 @@
 	return f
 }
 
-// observeEra records that the log has been restored from an older copy.
-func (f *Fleet) observeEra(era int64) {
-	f.log.WithField("era", era).Info("fleet: log restored")
-}
-
 // kick starts an exchange with all partners at once.
 func (f *Fleet) kick() {
 	if mesh := f.mesh.Load(); mesh != nil {
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -28,6 +28,9 @@
 	reported map[string]reportedWeights
 	// holderSeen is when the lease holder last told that it holds the lease.
 	holderSeen time.Duration
+	// allReadDutyAt is the time before which only few VMs read the duty log, since the log was
+	// restored.
+	allReadDutyAt time.Duration
 	// dutyToldAt is when this VM, as the holder, last told of its duties, and dutyChanged
 	// is set if there is something new to tell.
 	dutyToldAt  time.Duration
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -41,6 +41,7 @@
 		Received:      l.received,
 		ReceivedFrom:  l.incarnation,
 		WantsLevels:   !f.quota.Synced(),
+		Era:           f.lease.Next().Era,
 	}
 	f.encodeChanges(now, peer, l, out)
 	f.addHeard(now, peer, l, out)
@@ -104,6 +105,7 @@
 	f.learnMember(now, &sycgossippb.Member{
 		Address: in.Address, FailureDomain: in.FailureDomain, Incarnation: in.Incarnation, Leaving: in.Leaving, Capacity: in.Capacity, Relay: in.Relay,
 	}, true)
+	f.observeEra(now, in.Era)
 	l := f.peers.link(in.Address)
 	f.updateLink(now, l, in)
 	if len(in.Levels) > 0 {
