--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -81,9 +81,9 @@
 	return now >= f.observed.allReadDutyAt || slices.Contains(f.topology.Readers(readerCount), f.options.Address)
 }
 
-// observeEra records that the log is in an era, as an answer of the log or another VM says. In a new
-// era nobody holds the lease, and what was told of the duties before is void.
-func (f *Fleet) observeEra(now time.Duration, era int64) {
+// endDuties ends the duties of former eras, since the log is in an era, as an answer of the log or another
+// VM says. In a new era nobody holds the lease, and what was told of the duties before is void.
+func (f *Fleet) endDuties(now time.Duration, era int64) {
 	if era <= f.lease.Next().Era {
 		return
 	}
@@ -255,7 +255,7 @@
 // receiveDuty applies what the holder of the duties tells: its lease, cordons, the weights of
 // engines and decisions about rollouts. A holder of a former era holds nothing any more.
 func (f *Fleet) receiveDuty(now time.Duration, source string, p process, in *sycgossippb.Duty) {
-	f.observeEra(now, in.Era)
+	f.endDuties(now, in.Era)
 	if in.Era < f.lease.Next().Era {
 		return
 	}
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -152,9 +152,7 @@
 func New(o Options) (*Fleet, error) {
 	f := newFleet(o, sycloop.NewBootTime())
 	o.Engines.OnNotice(f.ApplyNotice)
-	o.Log.OnEra(func(era int64) {
-		f.loop.DoControl(func(now time.Duration) { f.observeEra(now, era) })
-	})
+	o.Log.OnEra(f.observeEra)
 	mesh, err := sycgossip.New(sycgossip.Options{
 		Listener: o.Listener,
 		Self:     o.Address,
@@ -203,6 +201,11 @@
 	return f
 }
 
+// observeEra records the era of an answer of the log.
+func (f *Fleet) observeEra(era int64) {
+	f.loop.PostControl(func(now time.Duration) { f.endDuties(now, era) })
+}
+
 // kick starts an exchange with all partners at once.
 func (f *Fleet) kick() {
 	if mesh := f.mesh.Load(); mesh != nil {
--- a/internal/peer/sycfleet/restore_test.go
+++ b/internal/peer/sycfleet/restore_test.go
@@ -34,7 +34,7 @@
 		holding, followed := n.holders()
 		must.Eq(t, 1, holding)
 		must.Eq(t, count, followed)
-		n.vms[4].observeEra(n.now, 1)
+		n.vms[4].endDuties(n.now, 1)
 		n.run(maxHops * relayPeriod)
 		n.vms[1].receiveState(n.now, late)
 		n.run(time.Second)
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -105,7 +105,7 @@
 	f.learnMember(now, &sycgossippb.Member{
 		Address: in.Address, FailureDomain: in.FailureDomain, Incarnation: in.Incarnation, Leaving: in.Leaving, Capacity: in.Capacity, Relay: in.Relay,
 	}, true)
-	f.observeEra(now, in.Era)
+	f.endDuties(now, in.Era)
 	l := f.peers.link(in.Address)
 	f.updateLink(now, l, in)
 	if len(in.Levels) > 0 {
