Rollouts over a restore: states are published again, repeated requests don't start anew

What callers see: a rollout has completed, the store comes back from a copy that lacks request and state, and the operator writes the request again. A request that comes again while its rollout runs would be a new one and go back to the first share.

On a new era the holder no longer takes any state for published; only a record of the era itself says so. A request with the content of the rollout that this VM runs is the same one if it comes within 30 s of the restore or at the same offset. The generation of the evidence stays that of the first request, and is told, so that a VM that has started since compares the same evidence; a rollout is found by its release and offset, since a record that a restored log shares has the same offset in both eras.

Not told apart: an identical new request within 30 s of the restore whose original survived; it counts as the same. A state that survived is written once more, one write for each rollout and restore.

--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -352,7 +352,7 @@
 
 // mergeEvidence merges evidence of the VM at an address, unless it is of another rollout.
 func (f *Fleet) mergeEvidence(r *rollout, address string, e *sycgossippb.Evidence) {
-	if r.generation() != e.Counts.Generation {
+	if r.generation != e.Counts.Generation {
 		return
 	}
 	if cell, counts, ok := sycevidence.Decode(e.Counts); ok {
@@ -371,7 +371,7 @@
 		if address, known := f.peers.addresses[entry.Key.process]; known {
 			f.mergeEvidence(r, address, e)
 		}
-		return e.Counts.Generation < r.generation()
+		return e.Counts.Generation < r.generation
 	})
 	maps.DeleteFunc(f.changes.evidence, func(key serviceCell, _ sycrollout.Counts) bool { return key.service == r.Service })
 }
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -92,7 +92,8 @@
 	f.lease.Restored(now, era)
 	f.changes.dutyVersion = 0
 	f.changes.DropIf(func(e *sycreplica.Entry[changeKey, change]) bool { return e.Key.kind == dutyChange })
-	f.observed.holderSeen = now - holderSilence
+	f.forgetPublished()
+	f.observed.restoredAt, f.observed.holderSeen = now, now-holderSilence
 	f.observed.allReadDutyAt = now + 2*f.options.LeaseDuration + takeoverSpread
 }
 
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -138,7 +138,7 @@
 	// rollouts holds the rollouts that operators requested, by service.
 	rollouts map[string]*rollout
 	// statuses holds the newest states of rollouts in the log, by service.
-	statuses map[string]RolloutReport
+	statuses map[string]publishedStatus
 	// measuredAt is when the gauges were last updated, and loggedAt when their values were
 	// last logged.
 	measuredAt, loggedAt time.Duration
@@ -192,7 +192,7 @@
 		observed:      newObservations(),
 		cacheReads:    &cacheReads{reading: map[engineStart]bool{}, synced: o.FirstStart, startedAt: loop.Now()},
 		rollouts:      map[string]*rollout{},
-		statuses:      map[string]RolloutReport{},
+		statuses:      map[string]publishedStatus{},
 		suspects:      newSuspects(o.Incarnation),
 	}
 	f.view.Store(&view{})
--- a/internal/peer/sycfleet/restore_test.go
+++ b/internal/peer/sycfleet/restore_test.go
@@ -56,3 +56,62 @@
 		must.Greater(t, 500, next.lease.Term())
 	}
 }
+
+// TestRepeatedRequestIsTheSameRollout writes the request of a running rollout again. It guards against a rollout
+// that starts anew because a restored log had lost its request, against a VM that has started since and takes it for
+// another one, and against a new request that is ignored.
+func TestRepeatedRequestIsTheSameRollout(t *testing.T) {
+	again := sycfeed.Position{Era: 1, Offset: 4}
+	other := request
+	other.TimeLimit++
+	for _, tt := range []struct {
+		name    string
+		request Rollout
+		asked   sycfeed.Position
+		after   time.Duration
+		anew    bool
+	}{
+		{"soon", request, again, time.Second, false},
+		{"at the same offset", request, sycfeed.Position{Era: 1, Offset: 9}, 2 * repeatTime, false},
+		{"late", request, again, 2 * repeatTime, true},
+		{"other content", other, again, time.Second, true},
+		{"in the same era", request, sycfeed.Position{Offset: 10}, time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newNetwork(t, 12)
+			started := n.vms[11]
+			for _, f := range n.vms[:11] {
+				f.startRollout(n.now, request, sycfeed.Position{Offset: 9})
+			}
+			former := n.vms[0].rollouts["s"]
+			fail(n.vms[10].rollouts["s"], 100)
+			for _, f := range n.vms {
+				f.endDuties(n.now, 1)
+				f.startRollout(n.now+tt.after, tt.request, tt.asked)
+			}
+			must.Eq(t, tt.anew, n.vms[0].rollouts["s"] != former)
+			must.Eq(t, tt.asked, n.vms[0].rollouts["s"].asked)
+			n.run(time.Second)
+			started.rolloutTick(n.now, false)
+			must.Eq(t, tt.anew, started.rollouts["s"].failureReason == "")
+		})
+	}
+}
+
+// TestStateOfARolloutIsPublishedAgain guards against a holder that takes a state for published which a restored
+// log has lost, and against one that writes it again though the restored log has it.
+func TestStateOfARolloutIsPublishedAgain(t *testing.T) {
+	f := newNetwork(t, 2).vms[0]
+	f.startRollout(0, request, sycfeed.Position{Offset: 1})
+	status := publishedStatus{RolloutReport: RolloutReport{Service: "s", Release: request.Release, State: RolloutCompleted}}
+	f.applyStatus(status)
+	must.Eq(t, RolloutCompleted, f.rollouts["s"].published)
+	f.endDuties(0, 2)
+	must.Eq(t, "", f.rollouts["s"].published)
+	must.Eq(t, "completed", string(f.rollouts["s"].move.State()))
+	f.applyStatus(status)
+	must.Eq(t, "", f.rollouts["s"].published)
+	status.era = 2
+	f.applyStatus(status)
+	must.Eq(t, RolloutCompleted, f.rollouts["s"].published)
+}
--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -19,6 +19,11 @@
 	previousReleases = "before"
 	// publishPause is the time between two attempts to publish a rollout's state.
 	publishPause = 700 * time.Millisecond
+	// repeatTime is how long after a restore of the log the request of a rollout that has begun is
+	// taken for the same one if an operator writes it again, since the log may have lost it.
+	repeatTime = 30 * time.Second
+	// offsetBits is the number of low bits of a generation of evidence that hold an offset.
+	offsetBits = 40
 )
 
 // rollout is this VM's state of a service's move to another release.
@@ -26,6 +31,9 @@
 	Rollout
 	// asked is the position of the operator's record.
 	asked sycfeed.Position
+	// generation is the generation of the evidence, by the position of the first record that
+	// requested this rollout.
+	generation uint64
 	// move decides the release's traffic share and the outcome.
 	move *sycrelease.Move
 	// ledger holds the evidence of all VMs: counts of requests at either version.
@@ -43,38 +51,52 @@
 	lastPublish time.Duration
 }
 
-// offsetBits is the number of low bits of a generation of evidence that hold an offset.
-const offsetBits = 40
+// generationOf returns the generation of the evidence of a rollout that was requested at a position.
+// It is higher for a later request.
+func generationOf(asked sycfeed.Position) uint64 {
+	return uint64(asked.Era)<<offsetBits | uint64(asked.Offset)
+}
+
+// collect lets the rollout begin to collect evidence of a generation.
+func (r *rollout) collect(generation uint64) {
+	r.generation, r.ledger = generation, sycrollout.NewLedger()
+	candidate, previous := r.subjects()
+	// The trial's traffic share is always below 1, so that the previous release gets requests
+	// to compare with.
+	r.stage = sycrollout.NewStage(candidate, previous, r.move.TrialShare(), nil)
+}
 
-// generation returns the generation of the evidence, which is higher for a later record of the
-// operator.
-func (r *rollout) generation() uint64 {
-	return uint64(r.asked.Era)<<offsetBits | uint64(r.asked.Offset)
+// publishedStatus is a rollout's state as it was read from the log.
+type publishedStatus struct {
+	RolloutReport
+	// era is the era of the record.
+	era int64
 }
 
 // subjects returns the subjects that the evidence compares: the release and the previous ones.
 func (r *rollout) subjects() (candidate, previous sycrollout.Subject) {
-	generation := r.generation()
-	return sycrollout.Subject{Version: r.Release, Generation: generation},
-		sycrollout.Subject{Version: previousReleases, Generation: generation}
+	return sycrollout.Subject{Version: r.Release, Generation: r.generation},
+		sycrollout.Subject{Version: previousReleases, Generation: r.generation}
 }
 
 // startRollout starts the rollout of an operator's record, unless it is older than the
-// service's present one.
+// service's present one or repeats its request.
 func (f *Fleet) startRollout(now time.Duration, request Rollout, asked sycfeed.Position) {
-	if old := f.rollouts[request.Service]; old != nil && !old.asked.Before(asked) {
+	old := f.rollouts[request.Service]
+	if old != nil && !old.asked.Before(asked) {
+		return
+	}
+	if old != nil && f.repeats(now, old, request, asked) {
+		f.log.WithFields(logrus.Fields{"service": old.Service, "release": old.Release, "before": old.asked, "position": asked}).Info("fleet: rollout was requested again after a restore")
+		old.asked = asked
 		return
 	}
 	r := &rollout{
 		Rollout: request,
 		asked:   asked,
 		move:    sycrelease.New(now, request.TimeLimit, f.options.MaxTrialShare),
-		ledger:  sycrollout.NewLedger(),
 	}
-	candidate, previous := r.subjects()
-	// The trial's traffic share is always below 1, so that the previous release gets requests
-	// to compare with.
-	r.stage = sycrollout.NewStage(candidate, previous, r.move.TrialShare(), nil)
+	r.collect(generationOf(asked))
 	f.rollouts[request.Service] = r
 	f.adoptEvidence(r)
 	f.setShare(now, r, r.move.TrialShare(), "asked for")
@@ -83,6 +105,23 @@
 	}
 }
 
+// repeats reports whether an operator's record of a later era than a rollout's is the same request. It has
+// the same content and, if it isn't the same record of a restored log, comes soon after the restore.
+func (f *Fleet) repeats(now time.Duration, r *rollout, request Rollout, asked sycfeed.Position) bool {
+	if r.Rollout != request || asked.Era <= r.asked.Era {
+		return false
+	}
+	return asked.Offset == r.asked.Offset || now < f.observed.restoredAt+repeatTime
+}
+
+// forgetPublished records that the log may have lost the states of rollouts, since it was restored. The
+// holder of the duties writes them again.
+func (f *Fleet) forgetPublished() {
+	for _, r := range f.rollouts {
+		r.published, r.lastPublish = "", 0
+	}
+}
+
 // applyStatusChange applies a rollout's state in the log.
 func (f *Fleet) applyStatusChange(c sycfeed.Change) {
 	if c.Deleted {
@@ -93,17 +132,20 @@
 		f.log.WithError(err).WithField("key", c.Key).Warn("fleet: decoding a rollout's state failed")
 		return
 	}
-	f.statuses[status.Service] = status
-	f.applyStatus(status)
+	f.statuses[status.Service] = publishedStatus{RolloutReport: status, era: c.Position.Era}
+	f.applyStatus(f.statuses[status.Service])
 }
 
-// applyStatus records that a rollout's state is published, and adopts it if it is final.
-func (f *Fleet) applyStatus(s RolloutReport) {
+// applyStatus adopts a rollout's state if it is final, and records that it is published. Of a state of a
+// former era it isn't known whether the restored log still has it.
+func (f *Fleet) applyStatus(s publishedStatus) {
 	r := f.rollouts[s.Service]
 	if r == nil || r.Release != s.Release {
 		return
 	}
-	r.published = s.State
+	if s.era >= f.lease.Next().Era {
+		r.published = s.State
+	}
 	if s.State != RolloutRunning {
 		r.move.AdoptState(sycrelease.State(s.State))
 	}
@@ -156,7 +198,7 @@
 	}
 	return sycrollout.Cell{
 		Version:    version,
-		Generation: r.generation(),
+		Generation: r.generation,
 		Route:      route,
 		Load:       sycrollout.LoadClass(e.Requests),
 		Size:       sycrollout.SizeClass(e.Tokens),
@@ -224,6 +266,7 @@
 	}
 	r.lastPublish = now
 	report := RolloutReport{Service: r.Service, Release: r.Release, State: state}
+	era := f.lease.Next().Era
 	f.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
 		defer cancel()
@@ -231,7 +274,12 @@
 			f.log.WithError(err).WithField("service", report.Service).Warn("fleet: publishing the rollout's state failed")
 			return nil
 		}
-		f.loop.DoControl(func(time.Duration) { r.published = state })
+		f.loop.DoControl(func(time.Duration) {
+			// A restore since the call began may have taken the record back.
+			if f.lease.Next().Era == era {
+				r.published = state
+			}
+		})
 		f.log.WithFields(logrus.Fields{"service": report.Service, "release": report.Release, "state": state}).Info("fleet: rollout's state published")
 		return nil
 	})
@@ -242,12 +290,13 @@
 	var out []*sycgossippb.Rollout
 	for _, r := range f.rollouts {
 		out = append(out, &sycgossippb.Rollout{
-			Service:  r.Service,
-			Release:  r.Release,
-			Asked:    r.asked.Offset,
-			AskedEra: r.asked.Era,
-			Share:    r.share,
-			State:    string(r.move.State()),
+			Service:    r.Service,
+			Release:    r.Release,
+			Asked:      r.asked.Offset,
+			AskedEra:   r.asked.Era,
+			Generation: r.generation,
+			Share:      r.share,
+			State:      string(r.move.State()),
 		})
 	}
 	return out
@@ -256,12 +305,25 @@
 // addRollouts adds this VM's rollouts to the state for another VM.
 func (f *Fleet) addRollouts(out *sycgossippb.State) { out.Rollouts = f.encodeRollouts() }
 
-// findRollout returns the rollout that a message is about, nil if this VM has another or none.
+// findRollout returns the rollout that a message is about, nil if this VM has another or none. A record
+// that a restored log shares with the log before has the same offset in both eras.
 func (f *Fleet) findRollout(m *sycgossippb.Rollout) *rollout {
-	if r := f.rollouts[m.Service]; r != nil && r.asked == (sycfeed.Position{Era: m.AskedEra, Offset: m.Asked}) {
-		return r
+	r := f.rollouts[m.Service]
+	if r == nil || r.Release != m.Release || r.asked.Offset != m.Asked {
+		return nil
 	}
-	return nil
+	f.adoptGeneration(r, m.Generation)
+	return r
+}
+
+// adoptGeneration takes over the lowest generation of a rollout's evidence that a VM has, since this one
+// may have begun with the request that was written again after a restore.
+func (f *Fleet) adoptGeneration(r *rollout, generation uint64) {
+	if generation == 0 || generation >= r.generation {
+		return
+	}
+	r.collect(generation)
+	f.adoptEvidence(r)
 }
 
 // receiveRollouts adopts the final states of rollouts that another VM knows.
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -28,6 +28,8 @@
 	reported map[string]reportedWeights
 	// holderSeen is when the lease holder last told that it holds the lease.
 	holderSeen time.Duration
+	// restoredAt is when this VM learned of the present era of the log, 0 if that is the first.
+	restoredAt time.Duration
 	// allReadDutyAt is the time before which only few VMs read the duty log, since the log was
 	// restored.
 	allReadDutyAt time.Duration
