Topics over eras: what was acknowledged stays until it is written again

After the store came back from an older copy, a topic took none of the records that were written again at lower offsets, until offsets had passed the former ones: callers got 404 for routes that had been added and answers of configurations three versions old.

A record that the copy shares with the former log keeps its position, one written since has the position of the new era. The topic tells them apart by hashes of what it read at each offset; the log of the new era is an old one up to some offset, so one record that differs shows that all after it are new. What this VM can't tell it takes for the copy's: it stays behind what is held, isn't told to others, and is settled by another VM that knows, or after the delay. A VM that has started asks others for all that they hold.

Positions of deletions: a key whose deletion the log has lost and that it still holds after Revival is the log's again, since its owner may write nothing as long as the entry is as it left it.

--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -5,11 +5,19 @@
 // of the same key only if its position is later, whatever its source. A record without a
 // value deletes its key.
 //
+// The log may be restored from an older copy, which begins a new era. Records that the copy
+// shares with the log before keep the positions that they had, so that a record which the
+// copy lacks is still newer than the one that the copy holds of its key: what was
+// acknowledged stays until it is written again. A snapshot of the restored log also tells
+// what it lacks. That is inferred, applied after a delay, and told to other VMs.
+//
 // The package has no clock and does no I/O: the caller passes the time, as a duration
 // since a fixed start on its monotonic clock, and the records.
 package sycfeed
 
 import (
+	"bytes"
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,6 +30,9 @@
 	Key string
 	// Value is the content of the entry. It is empty in the deletion of a key.
 	Value []byte
+	// Inferred is set if there is no such record: a restored log holds nothing newer of the
+	// key up to the position.
+	Inferred bool
 }
 
 // Change is a record that became the newest of its key.
@@ -29,12 +40,18 @@
 	Record
 	// Deleted is set if the record deletes its key.
 	Deleted bool
+	// Repeats is set if the record has the same value as the one of an earlier era that it
+	// replaces.
+	Repeats bool
 }
 
 // maxDeletions limits the deletions that a Topic stores. Over the lifetime of a VM more keys
 // are deleted than this, and no VM sends records of keys that were deleted long ago.
 const maxDeletions = 2000
 
+// maxInferences limits the inferred records in a Page that come out of turn.
+const maxInferences = 50
+
 // Topic is the state of one replicated topic. It is not safe for concurrent use.
 type Topic struct {
 	// next is the position before which every record has been seen.
@@ -52,13 +69,41 @@
 	outageEnded time.Duration
 	// delayUntil is the time up to which deletions are delayed after that outage.
 	delayUntil time.Duration
-	// delayed holds the delayed deletions by key.
-	delayed map[string]delayedDeletion
+	// delayed holds the delayed changes by key.
+	delayed map[string]delayedChange
+	// history is what this VM read of the log in all eras.
+	history history
+	// era is the latest era that this VM has learned of.
+	era int64
+	// snapshot is the position up to which this VM's last snapshot was taken, and before where
+	// its next was then.
+	snapshot, before Position
+	// listed holds the values of the last snapshot by key.
+	listed map[string][]byte
+	// guesses holds the records of the last snapshot of which this VM couldn't tell whether they
+	// are new in its era, by key, with the positions that they have if they are.
+	guesses map[string]Record
+	// fresh is set if this VM knew nothing before its last snapshot, of a restored log, and hasn't
+	// heard from others what they knew.
+	fresh bool
+	// rivals holds the newest records of other VMs that may be newer than the guesses or not.
+	rivals map[string]Record
+	// restoredAt is when this VM learned of the present era.
+	restoredAt time.Duration
+	// lost holds the keys whose newest record the restored log lacks.
+	lost map[string]bool
+	// recent holds when inferred records became the newest of their keys in the last time.
+	recent map[string]time.Duration
+	// now is the time of the last call that has changed the state.
+	now time.Duration
+	// asking is what is asked of other VMs.
+	asking asking
 }
 
 // DeletionDelay sets how long deletions are delayed after an outage of the log. During an
 // outage the owners of keys can't write, so keys may be deleted whose owners still exist.
-// A deletion is discarded if the key's owner writes it again during the delay.
+// A deletion is discarded if the key's owner writes it again during the delay. An era begins
+// with the end of an outage.
 type DeletionDelay struct {
 	// AfterOutage is how long after the end of the outage deletions are delayed, so that
 	// the owners can write their keys again.
@@ -66,29 +111,64 @@
 	// NewDeletion limits the delay of a deletion that comes after the end of the outage,
 	// since such a deletion is probably not caused by the outage.
 	NewDeletion time.Duration
+	// AfterRestore is how long after a new era began the content that a restored log lacks
+	// is kept, so that the owners can write it again.
+	AfterRestore time.Duration
+	// Revival is how long after a new era began a key stays deleted whose deletion a restored
+	// log lacks.
+	Revival time.Duration
+	// KeepLost keeps what a restored log certainly lacks until its owner writes the key again.
+	KeepLost bool
 }
 
-// delayedDeletion is a deletion that is applied at the time due.
-type delayedDeletion struct {
+// delayedChange is a deletion, or an inferred record, that is applied at the time due.
+type delayedChange struct {
 	record Record
-	// due is when the deletion is applied.
+	// due is when the change is applied.
 	due time.Duration
+	// uncertain is set if this VM couldn't tell whether the restored log lacks a record.
+	uncertain bool
 }
 
 // New returns a topic without records.
 func New(delay DeletionDelay) *Topic {
-	return &Topic{records: map[string]Record{}, discardedTo: Position{Offset: -1}, delay: delay, delayed: map[string]delayedDeletion{}}
+	return &Topic{
+		records: map[string]Record{}, discardedTo: Position{Offset: -1}, delay: delay, delayed: map[string]delayedChange{},
+		history: newHistory(), guesses: map[string]Record{}, rivals: map[string]Record{}, lost: map[string]bool{}, recent: map[string]time.Duration{},
+	}
 }
 
 // Next returns the position from which on the log must be read.
 func (t *Topic) Next() Position { return t.next }
 
+// Told returns the position of which this VM may tell others that it has passed every record
+// before. It isn't Next while some records of the last snapshot have no certain position, or while
+// this VM, which knew nothing before, may lack deletions.
+func (t *Topic) Told() Position {
+	if t.fresh || len(t.guesses) > 0 {
+		return t.before
+	}
+	return t.next
+}
+
+// Lost returns how many records this VM holds that the restored log lacks, as far as it knows.
+func (t *Topic) Lost() int { return len(t.lost) }
+
 // OutageEnded records that the log became readable again after an outage, and starts the
 // delay of deletions.
 func (t *Topic) OutageEnded(now time.Duration) {
 	t.outageEnded, t.delayUntil = now, now+t.delay.AfterOutage
 }
 
+// learnEra records that this VM has learned of an era, which may be new.
+func (t *Topic) learnEra(now time.Duration, era int64) {
+	if era <= t.era {
+		return
+	}
+	t.OutageEnded(now)
+	t.era, t.restoredAt = era, now
+}
+
 // deletionDue returns when a deletion that comes now is applied. A deletion that comes at the
 // time at which the outage ended may have been made during the outage, and is delayed until
 // delayUntil. A later one is delayed until then or for NewDeletion, whichever is shorter.
@@ -99,32 +179,110 @@
 	return min(t.delayUntil, now+t.delay.NewDeletion)
 }
 
+// inferredDue returns when an inferred record is applied that replaces another one: after the
+// restore's delay, which is longer if it revives a key.
+func (t *Topic) inferredDue(old Record) time.Duration {
+	if len(old.Value) == 0 {
+		return t.restoredAt + t.delay.Revival
+	}
+	return t.restoredAt + t.delay.AfterRestore
+}
+
+// Read applies records that were read from the log, and returns the changes like Apply.
+func (t *Topic) Read(now time.Duration, records []Record, next Position) []Change {
+	for _, r := range records {
+		t.history.add(r, r.Position.Era)
+	}
+	return t.Apply(now, records, next)
+}
+
 // Apply applies records and returns those that became the newest of their keys. next is the
-// position before which the caller has passed every record. A deletion that must be delayed
-// is stored and not returned.
+// position before which the caller has passed every record. A deletion or an inferred record
+// that must be delayed is stored and not returned.
 func (t *Topic) Apply(now time.Duration, records []Record, next Position) []Change {
-	var out []Change
+	t.now = now
+	t.learnEra(now, next.Era)
+	out := t.resolve(now, records, next)
 	for _, r := range records {
-		old, known := t.records[r.Key]
-		if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) {
-			continue
-		}
-		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < t.delayUntil {
-			if d, isDelayed := t.delayed[r.Key]; !isDelayed || d.record.Position.Before(r.Position) {
-				t.delayed[r.Key] = delayedDeletion{record: r, due: t.deletionDue(now)}
-			}
-			continue
-		}
-		if d, isDelayed := t.delayed[r.Key]; isDelayed && d.record.Position.Before(r.Position) {
-			delete(t.delayed, r.Key)
-		}
-		out = append(out, t.set(r))
+		t.learnEra(now, r.Position.Era)
+		out = append(out, t.apply(now, r)...)
 	}
 	t.next = latest(t.next, next)
 	t.discardDeletions()
 	return out
 }
 
+// apply applies a record and returns the change, if there is one now.
+func (t *Topic) apply(now time.Duration, r Record) []Change {
+	old, known := t.records[r.Key]
+	r = t.supersede(old, r)
+	if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) {
+		return nil
+	}
+	if g, isGuess := t.guesses[r.Key]; isGuess && r.Position.Before(g.Position) && old.Position == g.guess() {
+		if t.rivals[r.Key].Position.Before(r.Position) {
+			t.rivals[r.Key] = r
+		}
+		return nil
+	}
+	d, isDelayed := t.delayed[r.Key]
+	switch {
+	case known && bytes.Equal(old.Value, r.Value) && (r.Inferred || r.Position.Era < t.next.Era):
+		if isDelayed && d.record.Position.Before(r.Position) {
+			delete(t.delayed, r.Key)
+		}
+		t.set(r)
+		return nil
+	case r.Inferred && known && now < t.inferredDue(old):
+		if !isDelayed || d.record.Position.Before(r.Position) {
+			t.postpone(delayedChange{record: r, due: t.inferredDue(old)})
+		}
+		return nil
+	case !r.Inferred && len(r.Value) == 0 && known && len(old.Value) > 0 && now < t.delayUntil:
+		if !isDelayed || d.record.Position.Before(r.Position) {
+			t.delayed[r.Key] = delayedChange{record: r, due: t.deletionDue(now)}
+		}
+		return nil
+	}
+	if isDelayed && d.record.Position.Before(r.Position) {
+		delete(t.delayed, r.Key)
+	}
+	change := t.set(r)
+	if r.Position.Era < t.next.Era && !r.Inferred {
+		t.applyLate(old, r)
+	}
+	return []Change{change}
+}
+
+// supersede returns a record of another VM, or what the last snapshot says of its key if that is
+// certainly newer: that it was deleted, or that it is as this VM holds it.
+func (t *Topic) supersede(old, r Record) Record {
+	if r.Position.Era != t.snapshot.Era || !r.Position.Before(t.snapshot.Plus(-1)) {
+		return r
+	}
+	value, isListed := t.listed[r.Key]
+	if !isListed && len(r.Value) > 0 || isListed && bytes.Equal(value, old.Value) && !bytes.Equal(value, r.Value) {
+		return Record{Position: t.snapshot.Plus(-1), Key: r.Key, Value: value, Inferred: true}
+	}
+	return r
+}
+
+// applyLate records that a record of an earlier era became the newest of its key. The log of the
+// present era lacks it, else it would have come with that.
+func (t *Topic) applyLate(old, r Record) {
+	if _, isDelayed := t.delayed[r.Key]; !isDelayed && !t.delay.KeepLost && len(r.Value)+len(old.Value) > 0 {
+		inferred := Record{Position: t.next.Plus(-1), Key: r.Key, Value: old.Value, Inferred: true}
+		t.delayed[r.Key] = delayedChange{record: inferred, due: t.inferredDue(r)}
+	}
+	t.lost[r.Key] = true
+}
+
+// postpone stores an inferred record for later. The newest record of its key is lost.
+func (t *Topic) postpone(d delayedChange) {
+	t.delayed[d.record.Key] = d
+	t.lost[d.record.Key] = true
+}
+
 // discardDeletions removes the older half of the stored deletions before next if there are
 // too many. Before next every key that exists has a stored record, so a record of an unknown
 // key at a position up to discardedTo is known to be deleted.
@@ -151,25 +309,14 @@
 	}
 }
 
-// Replace applies the newest records of all keys that exist at the position next. Keys that
-// are missing from them were deleted before next. It returns the changes like
-// Apply.
-func (t *Topic) Replace(now time.Duration, records []Record, next Position) []Change {
-	present := map[string]bool{}
-	for _, r := range records {
-		present[r.Key] = true
-	}
-	for key, r := range t.records {
-		if !present[key] && len(r.Value) > 0 && r.Position.Before(next) {
-			records = append(records, Record{Position: latest(next.Plus(-1), r.Position.Plus(1)), Key: key})
-		}
-	}
-	return t.Apply(now, records, next)
-}
-
-// ApplyDelayed applies the delayed deletions that are due, and returns them.
+// ApplyDelayed applies the delayed changes that are due, and returns them.
 func (t *Topic) ApplyDelayed(now time.Duration) []Change {
+	t.now = now
+	maps.DeleteFunc(t.recent, func(_ string, at time.Duration) bool { return now > at+askingTime })
 	var out []Change
+	if now >= t.restoredAt+t.delay.AfterRestore {
+		out = t.settleGuesses(now)
+	}
 	for key, d := range t.delayed {
 		if now < d.due {
 			continue
@@ -184,27 +331,33 @@
 
 // set stores r as the newest record of its key.
 func (t *Topic) set(r Record) Change {
-	if old, known := t.records[r.Key]; known && len(old.Value) == 0 {
+	old, known := t.records[r.Key]
+	if known && len(old.Value) == 0 {
 		t.deletions--
 	}
 	if len(r.Value) == 0 {
 		t.deletions++
 	}
 	t.records[r.Key] = r
-	return Change{Record: r, Deleted: len(r.Value) == 0}
+	delete(t.lost, r.Key)
+	if r.Inferred {
+		t.recent[r.Key] = t.now
+	}
+	repeats := known && old.Position.Era < r.Position.Era && bytes.Equal(old.Value, r.Value)
+	return Change{Record: r, Deleted: len(r.Value) == 0, Repeats: repeats}
 }
 
-// Since returns the newest records and the delayed deletions at the position from or later,
+// Since returns the newest records and the certain delayed changes at the position from or later,
 // ordered by position.
 func (t *Topic) Since(from Position) []Record {
 	var out []Record
-	for _, r := range t.records {
-		if !r.Position.Before(from) {
+	for key, r := range t.records {
+		if g, isGuess := t.guesses[key]; !r.Position.Before(from) && !(isGuess && r.Position == g.guess()) {
 			out = append(out, r)
 		}
 	}
 	for _, d := range t.delayed {
-		if !d.record.Position.Before(from) {
+		if !d.uncertain && !d.record.Position.Before(from) {
 			out = append(out, d.record)
 		}
 	}
@@ -212,6 +365,70 @@
 	return out
 }
 
+// Uncertain returns the records of the last snapshot that may be newer than what this VM holds of
+// their keys or not.
+func (t *Topic) Uncertain() []Record {
+	var out []Record
+	for _, d := range t.delayed {
+		if d.uncertain {
+			out = append(out, d.record)
+		}
+	}
+	return out
+}
+
+// Page is what a VM tells another one of a topic.
+type Page struct {
+	// Records are the records from the position on that the other VM wants.
+	Records []Record
+	// Next is the position before which the other VM then has every record.
+	Next Position
+	// Complete is set if these are all records that the VM has from there on.
+	Complete bool
+}
+
+// Page returns records from a position on for another VM, about count of them if there are more.
+// It adds some inferred records before the position, which the other VM may have passed before
+// they were inferred.
+func (t *Topic) Page(from Position, count int) Page {
+	out := Page{Next: t.Told(), Complete: true}
+	if from.Before(t.next) {
+		out.Records = t.Since(from)
+	}
+	// Several inferred records have the same position.
+	for count < len(out.Records) && out.Records[count-1].Position == out.Records[count].Position {
+		count++
+	}
+	if count < len(out.Records) {
+		out.Records, out.Complete = out.Records[:count], false
+		if end := out.Records[count-1].Position.Plus(1); end.Before(out.Next) {
+			out.Next = end
+		}
+	}
+	out.Records = append(out.Records, t.inferences(from)...)
+	return out
+}
+
+// inferences returns inferred records before a position that are delayed or have recently become the
+// newest of their keys.
+func (t *Topic) inferences(before Position) []Record {
+	var out []Record
+	add := func(r Record) {
+		if r.Inferred && r.Position.Before(before) && len(out) < maxInferences {
+			out = append(out, r)
+		}
+	}
+	for _, d := range t.delayed {
+		if !d.uncertain {
+			add(d.record)
+		}
+	}
+	for key := range t.recent {
+		add(t.records[key])
+	}
+	return out
+}
+
 // latest returns the later one of two positions.
 func latest(p, q Position) Position {
 	if p.Before(q) {
