Follow a restored log with a bounded number of calls, and tell positions among VMs

A configuration or version of weights that can't be placed counts by its own version. A VM that has started and read a restored log puts no configuration in force until one other VM has answered, at most 900 ms; not at the first start of a deployment, and not in era 0.

New: log line "fleet: log restored" with the eras, gauges sycamorecart_log_era and sycamorecart_feed_lost_records.

--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -29,6 +29,9 @@
 	tickPeriod = 100 * time.Millisecond
 	// longAgo is the assumed age of changes that were made before this VM started.
 	longAgo = time.Hour
+	// startGrace is how long a VM that has started waits at most for another one's records before
+	// it puts the configuration of a restored log in force.
+	startGrace = 900 * time.Millisecond
 	// maxVMSilence is how long a VM may send no state before the lease holder drops its
 	// record.
 	maxVMSilence = 20 * time.Second
@@ -146,6 +149,12 @@
 	suspects *suspects
 	// registeredAt is when this VM last wrote its own record.
 	registeredAt time.Duration
+	// startedAt is when this VM started.
+	startedAt time.Duration
+	// heldConfig is the newest configuration that isn't in force yet, nil if there is none.
+	heldConfig *sycsite.Config
+	// era is the highest era of the log that this VM has learned of.
+	era int64
 }
 
 // New starts a Fleet, which follows the log and exchanges states with other VMs until Close.
@@ -195,15 +204,35 @@
 		statuses:      map[string]RolloutReport{},
 		suspects:      newSuspects(o.Incarnation),
 	}
+	f.startedAt = loop.Now()
+	if !o.FirstStart {
+		for _, s := range f.subscriptions {
+			s.Ask(f.startedAt)
+		}
+	}
 	f.view.Store(&view{})
 	f.topology = syctopology.New([]syctopology.VM{f.self()})
 	f.direct.Store(true)
 	return f
 }
 
-// observeEra records that the log has been restored from an older copy.
-func (f *Fleet) observeEra(era int64) {
-	f.log.WithField("era", era).Info("fleet: log restored")
+// observeEra records the era of an answer of the log.
+func (f *Fleet) observeEra(era int64) { f.loop.PostControl(func(time.Duration) { f.noteEra(era) }) }
+
+// noteEra records an era of the log that this VM has learned of. A VM that has read the log in an
+// earlier one logs that it has been restored.
+func (f *Fleet) noteEra(era int64) {
+	if era <= f.era {
+		return
+	}
+	before := f.era
+	f.era = era
+	for _, s := range f.subscriptions {
+		if s.loaded {
+			f.log.WithFields(logrus.Fields{"era": era, "before": before}).Info("fleet: log restored")
+			return
+		}
+	}
 }
 
 // kick starts an exchange with all partners at once.
@@ -246,6 +275,7 @@
 	for _, name := range slices.Sorted(maps.Keys(f.subscriptions)) {
 		f.applyChanges(now, name, f.subscriptions[name].ApplyDelayed(now))
 	}
+	f.releaseConfig(now)
 	f.selector.Tick(now)
 	f.register(now)
 	f.expireChanges(now)
@@ -283,19 +313,62 @@
 	}
 	switch r := record.(type) {
 	case *sycsite.Config:
-		f.installConfig(now, r)
+		f.offerConfig(now, r)
 	case Weights:
-		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: new weights announced")
-		if r.Version > f.weights[r.Model] {
-			f.weights[r.Model] = r.Version
-			f.updatedAt[weightsAge(r.Model)] = now
-		}
-		f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), r.Model, r.Version)
+		f.announceWeights(now, r)
 	case Rollout:
 		f.startRollout(now, r, c.Position)
 	}
 }
 
+// applyUncertain applies operators' records that the log may hold from before what this VM knows. A
+// version tells that of itself.
+func (f *Fleet) applyUncertain(now time.Duration, records []sycfeed.Record) {
+	for _, r := range records {
+		record, err := f.options.Decoder.Operator(r.Key, r.Value)
+		if err != nil {
+			continue
+		}
+		switch r := record.(type) {
+		case *sycsite.Config:
+			f.offerConfig(now, r)
+		case Weights:
+			if r.Version > f.weights[r.Model] {
+				f.announceWeights(now, r)
+			}
+		}
+	}
+}
+
+// announceWeights applies an operator's request to load weights.
+func (f *Fleet) announceWeights(now time.Duration, w Weights) {
+	f.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version}).Info("fleet: new weights announced")
+	if w.Version > f.weights[w.Model] {
+		f.weights[w.Model] = w.Version
+		f.updatedAt[weightsAge(w.Model)] = now
+	}
+	f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), w.Model, w.Version)
+}
+
+// offerConfig puts a configuration in force, at once or once this VM has heard of the others'.
+func (f *Fleet) offerConfig(now time.Duration, c *sycsite.Config) {
+	if f.heldConfig == nil || f.heldConfig.Version() < c.Version() {
+		f.heldConfig = c
+	}
+	f.releaseConfig(now)
+}
+
+// releaseConfig puts the held configuration in force, unless this VM has just started and may
+// have read an older one than is in force elsewhere, since the log has been restored.
+func (f *Fleet) releaseConfig(now time.Duration) {
+	asks := f.era > 0 && f.subscriptions[TopicOperator].Asks(now) && now-f.startedAt < startGrace
+	if f.heldConfig == nil || asks {
+		return
+	}
+	f.installConfig(now, f.heldConfig)
+	f.heldConfig = nil
+}
+
 // installConfig puts a configuration in force unless one of its version or a newer one already
 // is.
 func (f *Fleet) installConfig(now time.Duration, c *sycsite.Config) {
--- a/internal/peer/sycfleet/metric.go
+++ b/internal/peer/sycfleet/metric.go
@@ -55,9 +55,11 @@
 	if c := f.Config(); c != nil {
 		out["config_version"] = float64(c.Version())
 	}
+	out["log_era"] = float64(f.era)
 	for name, s := range f.subscriptions {
 		out[fmt.Sprintf(`feed_age_seconds{feed=%q}`, name)] = (now - s.confirmedAt).Seconds()
 		out[fmt.Sprintf(`feed_next_offset{feed=%q}`, name)] = float64(s.Next().Offset)
+		out[fmt.Sprintf(`feed_lost_records{feed=%q}`, name)] = float64(s.Lost())
 	}
 	for model, version := range f.weights {
 		out[fmt.Sprintf(`weights_version{model=%q}`, model)] = float64(version)
--- a/internal/peer/sycfleet/peers.go
+++ b/internal/peer/sycfleet/peers.go
@@ -83,6 +83,9 @@
 	links map[string]*link
 	// selfListed is the incarnation in this VM's own record in the log.
 	selfListed string
+	// stateAt is when the last state of another VM was received, and rejoinedAt when one was
+	// after none had been for longCut, 0 if never.
+	stateAt, rejoinedAt time.Duration
 }
 
 // newPeers returns a peers that holds no VM.
@@ -96,6 +99,19 @@
 	}
 }
 
+// observeState records that a state of another VM is received.
+func (p *peers) observeState(now time.Duration) {
+	if p.stateAt > 0 && now-p.stateAt > longCut {
+		p.rejoinedAt = now
+	}
+	p.stateAt = now
+}
+
+// hasRejoined reports whether this VM could reach no other VM for longCut until lately.
+func (p *peers) hasRejoined(now time.Duration) bool {
+	return p.rejoinedAt > 0 && now-p.rejoinedAt < longCut
+}
+
 // runs reports whether a VM is heard and doesn't shut down. A VM that this one has just come
 // to know counts as heard.
 func (vm *peerVM) runs(now time.Duration) bool {
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -45,7 +45,7 @@
 	f.encodeChanges(now, peer, l, out)
 	f.addHeard(now, peer, l, out)
 	for _, name := range []string{TopicOperator, TopicEndpoints, TopicVMs, TopicStatus} {
-		out.Feeds = append(out.Feeds, f.topicState(now, name, l))
+		out.Feeds = append(out.Feeds, f.topicState(now, name, peer, l))
 	}
 	if l.wantsLevels {
 		for _, level := range f.quota.Levels(now) {
@@ -60,25 +60,44 @@
 
 // topicState returns the position and the age of this VM's copy of a topic, and the records that
 // another VM lacks by its last state.
-func (f *Fleet) topicState(now time.Duration, name string, l *link) *sycgossippb.Feed {
+func (f *Fleet) topicState(now time.Duration, name, peer string, l *link) *sycgossippb.Feed {
 	s := f.subscriptions[name]
-	out := &sycgossippb.Feed{Name: name, Era: s.Next().Era, Next: s.Next().Offset, AgeMilliseconds: (now - s.confirmedAt).Milliseconds()}
-	next, reported := l.next[name]
-	if !reported || !next.Before(s.Next()) {
-		return out
+	out := &sycgossippb.Feed{Name: name, AgeMilliseconds: (now - s.confirmedAt).Milliseconds()}
+	page := sycfeed.Page{Next: s.Told()}
+	if from, reported := l.next[name]; reported {
+		page = s.Page(from, maxStateRecords)
+		out.Since, out.Complete = encodePosition(from), page.Complete
 	}
-	records := s.Since(next)
-	if len(records) > maxStateRecords {
-		records = records[:maxStateRecords]
-		end := records[len(records)-1].Position.Plus(1)
-		out.Era, out.Next = end.Era, end.Offset
+	out.Era, out.Next = page.Next.Era, page.Next.Offset
+	if s.Asks(now) {
+		out.Wanted = encodePosition(s.Wanted(now, peer))
 	}
-	for _, r := range records {
-		out.Records = append(out.Records, &sycgossippb.Record{Era: r.Position.Era, Offset: r.Position.Offset, Key: r.Key, Value: r.Value})
+	for _, r := range page.Records {
+		out.Records = append(out.Records, &sycgossippb.Record{
+			Era: r.Position.Era, Offset: r.Position.Offset, Key: r.Key, Value: r.Value, Inferred: r.Inferred,
+		})
 	}
 	return out
 }
 
+// encodePosition returns the message of a position.
+func encodePosition(p sycfeed.Position) *sycgossippb.Position {
+	return &sycgossippb.Position{Era: p.Era, Offset: p.Offset}
+}
+
+// decodePosition returns the position of a message.
+func decodePosition(p *sycgossippb.Position) sycfeed.Position {
+	return sycfeed.Position{Era: p.GetEra(), Offset: p.GetOffset()}
+}
+
+// wantedBy returns the position from which on the sender of a feed wants records.
+func wantedBy(in *sycgossippb.Feed) sycfeed.Position {
+	if in.Wanted != nil {
+		return decodePosition(in.Wanted)
+	}
+	return sycfeed.Position{Era: in.Era, Offset: in.Next}
+}
+
 // addHeard adds to a state the processes that this VM has heard of, except those that the
 // receiver hears of from other relays.
 func (f *Fleet) addHeard(now time.Duration, peer string, l *link, out *sycgossippb.State) {
@@ -104,6 +123,7 @@
 	f.learnMember(now, &sycgossippb.Member{
 		Address: in.Address, FailureDomain: in.FailureDomain, Incarnation: in.Incarnation, Leaving: in.Leaving, Capacity: in.Capacity, Relay: in.Relay,
 	}, true)
+	f.peers.observeState(now)
 	l := f.peers.link(in.Address)
 	f.updateLink(now, l, in)
 	if len(in.Levels) > 0 {
@@ -123,8 +143,8 @@
 	f.subtractOwnLoads(in.Address, l)
 	f.receiveCaches(now, in)
 	for _, topic := range in.Feeds {
-		l.next[topic.Name] = sycfeed.Position{Era: topic.Era, Offset: topic.Next}
-		f.receiveTopic(now, topic)
+		l.next[topic.Name] = wantedBy(topic)
+		f.receiveTopic(now, in.Address, topic)
 	}
 	f.receiveRollouts(in)
 }
@@ -187,29 +207,47 @@
 }
 
 // receiveTopic applies another VM's records of a topic.
-func (f *Fleet) receiveTopic(now time.Duration, in *sycgossippb.Feed) {
+func (f *Fleet) receiveTopic(now time.Duration, from string, in *sycgossippb.Feed) {
 	s := f.subscriptions[in.Name]
 	if s == nil {
 		return
 	}
-	next := sycfeed.Position{Era: in.Era, Offset: in.Next}
+	page := decodePage(in)
+	isAnswer := in.Since != nil
 	// The copy is as recent as the sender's only if it lacks none of the sender's records.
-	if next == s.Next() || s.Next().Before(next) && len(in.Records) > 0 {
+	isNewer := s.Next().Before(page.Next) &&
+		(len(page.Records) > 0 || isAnswer && page.Complete && !s.Next().Before(decodePosition(in.Since)))
+	if page.Next == s.Next() || isNewer {
 		s.confirm(now, now-time.Duration(in.AgeMilliseconds)*time.Millisecond)
 	}
-	if len(in.Records) == 0 {
-		return
+	f.noteEra(page.Next.Era)
+	if s.Next().Era < page.Next.Era && f.peers.hasRejoined(now) {
+		s.late = true
 	}
-	records := make([]sycfeed.Record, 0, len(in.Records))
-	for _, r := range in.Records {
-		records = append(records, sycfeed.Record{Position: sycfeed.Position{Era: r.Era, Offset: r.Offset}, Key: r.Key, Value: r.Value})
+	var changes []sycfeed.Change
+	if len(page.Records) > 0 || isNewer {
+		changes = s.Apply(now, page.Records, page.Next)
+		s.loaded = true
+	}
+	if isAnswer && in.Wanted == nil {
+		changes = append(changes, s.Answered(now, from, decodePosition(in.Since), page)...)
 	}
-	changes := s.Apply(now, records, next)
 	f.applyChanges(now, in.Name, changes)
-	s.loaded = true
+	f.releaseConfig(now)
 	f.announce(in.Name, len(changes))
 }
 
+// decodePage returns the page of a message.
+func decodePage(in *sycgossippb.Feed) sycfeed.Page {
+	out := sycfeed.Page{Next: sycfeed.Position{Era: in.Era, Offset: in.Next}, Complete: in.Complete}
+	for _, r := range in.Records {
+		out.Records = append(out.Records, sycfeed.Record{
+			Position: sycfeed.Position{Era: r.Era, Offset: r.Offset}, Key: r.Key, Value: r.Value, Inferred: r.Inferred,
+		})
+	}
+	return out
+}
+
 // announce starts an exchange at once if a topic that must be in force everywhere soon has
 // changed.
 func (f *Fleet) announce(topic string, changes int) {
--- a/internal/peer/sycfleet/subscription.go
+++ b/internal/peer/sycfleet/subscription.go
@@ -39,6 +39,15 @@
 	// dropDelay is how long after an outage of the log this VM keeps endpoints that were
 	// dropped during it, since their owners may write them again.
 	dropDelay = 2300 * time.Millisecond
+	// revivalDelay is how long an endpoint or a VM stays dropped whose drop a restored log
+	// lacks. Until then the platform drops it again if it is gone.
+	revivalDelay = 10 * time.Second
+	// vmRestoreDelay is how long a VM stays known whose record a restored log lacks. It is
+	// longer than VMs take to write their records again.
+	vmRestoreDelay = registerPause + 2*time.Second
+	// longCut is how long a VM must be cut off from the other VMs so as not to rely on them for
+	// what a restored log lacks.
+	longCut = 10 * time.Second
 	// lateDropPart limits the delay for an endpoint that is dropped only after the outage,
 	// as a part of the time within which a leaving endpoint must get no more requests.
 	lateDropPart = 0.4
@@ -69,16 +78,29 @@
 	earliestUntil time.Duration
 	// confirmedAt is the latest time at which the copy is known to have matched the log.
 	confirmedAt time.Duration
+	// toldEra is the newest era that the log has told this VM of, and newsUntil is until when it
+	// waits for other VMs' news of it.
+	toldEra   int64
+	newsUntil time.Duration
+	// late is set if this VM learned of a new era when it could reach the others again, and
+	// hasn't taken a snapshot since. It may hold what the log has lost and nobody else knows.
+	late bool
 }
 
 // newSubscriptions returns the subscriptions to all topics. Operators' records must have
 // reached all VMs within the time config, and endpoints' records within the time drain.
 func newSubscriptions(config, drain time.Duration) map[string]*subscription {
+	kept := sycfeed.DeletionDelay{AfterRestore: dropDelay, Revival: revivalDelay, KeepLost: true}
 	return map[string]*subscription{
-		TopicOperator:  newSubscription(sycfeed.DeletionDelay{}, config, operatorPause),
-		TopicEndpoints: newSubscription(sycfeed.DeletionDelay{AfterOutage: dropDelay, NewDeletion: scaled(drain, lateDropPart)}, drain, min(scaled(drain, endpointsPausePart), maxEndpointsPause)),
-		TopicStatus:    {Topic: sycfeed.New(sycfeed.DeletionDelay{}), wait: relaxedWait, pause: relaxedPause, maxAge: relaxedMaxAge},
-		TopicVMs:       {Topic: sycfeed.New(sycfeed.DeletionDelay{}), wait: relaxedWait, pause: relaxedPause, maxAge: relaxedMaxAge},
+		TopicOperator: newSubscription(kept, config, operatorPause),
+		TopicEndpoints: newSubscription(sycfeed.DeletionDelay{
+			AfterOutage: dropDelay, NewDeletion: scaled(drain, lateDropPart), AfterRestore: dropDelay, Revival: revivalDelay,
+		}, drain, min(scaled(drain, endpointsPausePart), maxEndpointsPause)),
+		TopicStatus: {Topic: sycfeed.New(kept), wait: relaxedWait, pause: relaxedPause, maxAge: relaxedMaxAge},
+		TopicVMs: {
+			Topic: sycfeed.New(sycfeed.DeletionDelay{AfterRestore: vmRestoreDelay, Revival: revivalDelay}),
+			wait:  relaxedWait, pause: relaxedPause, maxAge: relaxedMaxAge,
+		},
 	}
 }
 
