--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -217,11 +217,14 @@
 }
 
 // observeEra records the era of an answer of the log.
-func (f *Fleet) observeEra(era int64) { f.loop.PostControl(func(time.Duration) { f.noteEra(era) }) }
+func (f *Fleet) observeEra(era int64) {
+	f.loop.PostControl(func(now time.Duration) { f.noteEra(now, era) })
+}
 
 // noteEra records an era of the log that this VM has learned of. A VM that has read the log in an
 // earlier one logs that it has been restored.
-func (f *Fleet) noteEra(era int64) {
+func (f *Fleet) noteEra(now time.Duration, era int64) {
+	f.endDuties(now, era)
 	if era <= f.era {
 		return
 	}
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -182,7 +182,7 @@
 	} else {
 		changes = s.Read(now, records, next)
 	}
-	f.noteEra(next.Era)
+	f.noteEra(now, next.Era)
 	f.applyChanges(now, topic, changes)
 	if topic == TopicOperator && snapshot {
 		f.applyUncertain(now, s.Uncertain())
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -41,6 +41,7 @@
 		Received:      l.received,
 		ReceivedFrom:  l.incarnation,
 		WantsLevels:   !f.quota.Synced(),
+		Era:           f.lease.Next().Era,
 	}
 	f.encodeChanges(now, peer, l, out)
 	f.addHeard(now, peer, l, out)
@@ -124,6 +125,7 @@
 		Address: in.Address, FailureDomain: in.FailureDomain, Incarnation: in.Incarnation, Leaving: in.Leaving, Capacity: in.Capacity, Relay: in.Relay,
 	}, true)
 	f.peers.observeState(now)
+	f.noteEra(now, in.Era)
 	l := f.peers.link(in.Address)
 	f.updateLink(now, l, in)
 	if len(in.Levels) > 0 {
@@ -220,7 +222,7 @@
 	if page.Next == s.Next() || isNewer {
 		s.confirm(now, now-time.Duration(in.AgeMilliseconds)*time.Millisecond)
 	}
-	f.noteEra(page.Next.Era)
+	f.noteEra(now, page.Next.Era)
 	if s.Next().Era < page.Next.Era && f.peers.hasRejoined(now) {
 		s.late = true
 	}
