Let no older record of an endpoint count after a restore, whatever its position

A worker's record says by itself which start it is of (born) and how far it is within that (seq, which never goes down within a start, whether it counts orders or heartbeats). Once a restore lies between two records of an endpoint, one of an older start, of a lower seq, or one that takes back the leaving of the same start changes nothing, with a log line. Records with the same seq have no order by content; ready and draining often have the same, so that leaving is remembered of each start. Within an era positions order all records, so that a worker whose clock went back isn't ignored.

--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -37,6 +37,9 @@
 	Leaving bool
 	// Incarnation identifies one run of the endpoint: it changes with each restart.
 	Incarnation int64
+	// Sequence doesn't decrease from one record of an incarnation to the next. Records with
+	// the same one have no order.
+	Sequence int64
 	// Weights holds the version of each loaded model's weights, by model.
 	Weights map[string]int64
 }
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -145,6 +145,8 @@
 	// measuredAt is when the gauges were last updated, and loggedAt when their values were
 	// last logged.
 	measuredAt, loggedAt time.Duration
+	// endpointOrders remembers the newest records of endpoints.
+	endpointOrders *endpointOrders
 	// suspects tracks the blocks of prompts that may end endpoints.
 	suspects *suspects
 	// registeredAt is when this VM last wrote its own record.
@@ -191,18 +193,19 @@
 		lease: syclease.New(syclease.Options{
 			Self: o.Incarnation, Duration: o.LeaseDuration, Delay: takeoverDelay(o.Incarnation), LimitedRetention: true,
 		}),
-		subscriptions: newSubscriptions(o.ConfigWithin, o.DrainWithin),
-		peers:         newPeers(o.Address, o.Seeds),
-		changes:       newChanges(processOf(o.Incarnation)),
-		loads:         newGroupLoads(),
-		plan:          sycreload.New(),
-		weights:       map[string]int64{},
-		updatedAt:     map[string]time.Duration{},
-		observed:      newObservations(),
-		cacheReads:    &cacheReads{reading: map[engineStart]bool{}, synced: o.FirstStart, startedAt: loop.Now()},
-		rollouts:      map[string]*rollout{},
-		statuses:      map[string]RolloutReport{},
-		suspects:      newSuspects(o.Incarnation),
+		subscriptions:  newSubscriptions(o.ConfigWithin, o.DrainWithin),
+		peers:          newPeers(o.Address, o.Seeds),
+		changes:        newChanges(processOf(o.Incarnation)),
+		loads:          newGroupLoads(),
+		plan:           sycreload.New(),
+		weights:        map[string]int64{},
+		updatedAt:      map[string]time.Duration{},
+		observed:       newObservations(),
+		cacheReads:     &cacheReads{reading: map[engineStart]bool{}, synced: o.FirstStart, startedAt: loop.Now()},
+		rollouts:       map[string]*rollout{},
+		statuses:       map[string]RolloutReport{},
+		suspects:       newSuspects(o.Incarnation),
+		endpointOrders: &endpointOrders{byID: map[string]endpointOrder{}},
 	}
 	f.startedAt = loop.Now()
 	if !o.FirstStart {
@@ -420,6 +423,9 @@
 		f.selector.Drop(c.Key)
 		return
 	}
+	if !f.admitEndpoint(c, e) {
+		return
+	}
 	old, known := f.selector.Endpoint(c.Key)
 	e = f.selector.Put(e)
 	if !known || old.Incarnation != e.Incarnation || old.Address != e.Address {
