--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -21,10 +21,12 @@
 func (silentLog) Put(context.Context, string, string, []byte) error { return nil }
 
 // grant gives a VM the lease.
-func (n *network) grant(vm int) {
-	f := n.vms[vm]
+func (n *network) grant(vm int) { n.grantAt(n.vms[vm], sycfeed.Position{Offset: 1}) }
+
+// grantAt gives a VM the lease by a record at a position.
+func (n *network) grantAt(f *Fleet, at sycfeed.Position) {
 	proposal := f.lease.Propose(n.now)
-	f.lease.Apply(n.now, dutyRecord{Holder: f.options.Incarnation, Proposal: proposal}.leaseRecord(1))
+	f.lease.Apply(n.now, dutyRecord{Holder: f.options.Incarnation, Proposal: proposal}.leaseRecord(at))
 	f.lease.Settled(n.now, true)
 }
 
@@ -349,14 +351,15 @@
 // dropped, since a VM that has started from a snapshot, which doesn't show what was deleted, brought the
 // others up to date before they had read the deletion.
 func TestDeletionIsNotLostBehindASnapshot(t *testing.T) {
-	endpoints := []sycfeed.Record{{Offset: 3, Key: "a", Value: []byte("x")}, {Offset: 4, Key: "b", Value: []byte("x")}}
+	at := func(offset int64) sycfeed.Position { return sycfeed.Position{Offset: offset} }
+	endpoints := []sycfeed.Record{{Position: at(3), Key: "a", Value: []byte("x")}, {Position: at(4), Key: "b", Value: []byte("x")}}
 	tests := []struct {
 		name string
 		// start gives the started VM its copy, in which b is deleted.
 		start func(n *network, started *sycfeed.Topic)
 	}{
-		{"from the log", func(n *network, started *sycfeed.Topic) { started.Replace(n.now, endpoints[:1], 7) }},
-		{"from another VM", func(n *network, started *sycfeed.Topic) { started.Apply(n.now, endpoints[:1], 7) }},
+		{"from the log", func(n *network, started *sycfeed.Topic) { started.Replace(n.now, endpoints[:1], at(7)) }},
+		{"from another VM", func(n *network, started *sycfeed.Topic) { started.Apply(n.now, endpoints[:1], at(7)) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -365,17 +368,17 @@
 				topic := f.subscriptions[TopicVMs]
 				if i == 19 {
 					tt.start(n, topic.Topic)
-					topic.Apply(n.now, []sycfeed.Record{{Offset: 7, Key: "c", Value: []byte("x")}}, 8)
+					topic.Apply(n.now, []sycfeed.Record{{Position: at(7), Key: "c", Value: []byte("x")}}, at(8))
 				} else {
-					topic.Apply(n.now, endpoints, 5)
+					topic.Apply(n.now, endpoints, at(5))
 				}
 				topic.confirm(n.now, n.now)
 			}
 			n.run(time.Second)
 			for i, f := range n.vms {
 				topic := f.subscriptions[TopicVMs]
-				must.Eq(t, 8, topic.Next(), must.Sprintf("VM %d", i))
-				for _, r := range topic.Since(0) {
+				must.Eq(t, at(8), topic.Next(), must.Sprintf("VM %d", i))
+				for _, r := range topic.Since(at(0)) {
 					must.True(t, r.Key != "b" || len(r.Value) == 0, must.Sprintf("VM %d", i))
 				}
 			}
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -29,6 +29,9 @@
 	tickPeriod = 100 * time.Millisecond
 	// longAgo is the assumed age of changes that were made before this VM started.
 	longAgo = time.Hour
+	// startGrace is how long a VM that has started waits at most for another one's records before
+	// it puts the configuration of a restored log in force.
+	startGrace = 900 * time.Millisecond
 	// maxVMSilence is how long a VM may send no state before the lease holder drops its
 	// record.
 	maxVMSilence = 20 * time.Second
@@ -138,20 +141,29 @@
 	// rollouts holds the rollouts that operators requested, by service.
 	rollouts map[string]*rollout
 	// statuses holds the newest states of rollouts in the log, by service.
-	statuses map[string]RolloutReport
+	statuses map[string]publishedStatus
 	// measuredAt is when the gauges were last updated, and loggedAt when their values were
 	// last logged.
 	measuredAt, loggedAt time.Duration
+	// endpointOrders remembers the newest records of endpoints.
+	endpointOrders *endpointOrders
 	// suspects tracks the blocks of prompts that may end endpoints.
 	suspects *suspects
 	// registeredAt is when this VM last wrote its own record.
 	registeredAt time.Duration
+	// startedAt is when this VM started.
+	startedAt time.Duration
+	// heldConfig is the newest configuration that isn't in force yet, nil if there is none.
+	heldConfig *sycsite.Config
+	// era is the highest era of the log that this VM has learned of.
+	era int64
 }
 
 // New starts a Fleet, which follows the log and exchanges states with other VMs until Close.
 func New(o Options) (*Fleet, error) {
 	f := newFleet(o, sycloop.NewBootTime())
 	o.Engines.OnNotice(f.ApplyNotice)
+	o.Log.OnEra(f.observeEra)
 	mesh, err := sycgossip.New(sycgossip.Options{
 		Listener: o.Listener,
 		Self:     o.Address,
@@ -181,18 +193,25 @@
 		lease: syclease.New(syclease.Options{
 			Self: o.Incarnation, Duration: o.LeaseDuration, Delay: takeoverDelay(o.Incarnation), LimitedRetention: true,
 		}),
-		subscriptions: newSubscriptions(o.ConfigWithin, o.DrainWithin),
-		peers:         newPeers(o.Address, o.Seeds),
-		changes:       newChanges(processOf(o.Incarnation)),
-		loads:         newGroupLoads(),
-		plan:          sycreload.New(),
-		weights:       map[string]int64{},
-		updatedAt:     map[string]time.Duration{},
-		observed:      newObservations(),
-		cacheReads:    &cacheReads{reading: map[engineStart]bool{}, synced: o.FirstStart, startedAt: loop.Now()},
-		rollouts:      map[string]*rollout{},
-		statuses:      map[string]RolloutReport{},
-		suspects:      newSuspects(o.Incarnation),
+		subscriptions:  newSubscriptions(o.ConfigWithin, o.DrainWithin),
+		peers:          newPeers(o.Address, o.Seeds),
+		changes:        newChanges(processOf(o.Incarnation)),
+		loads:          newGroupLoads(),
+		plan:           sycreload.New(),
+		weights:        map[string]int64{},
+		updatedAt:      map[string]time.Duration{},
+		observed:       newObservations(),
+		cacheReads:     &cacheReads{reading: map[engineStart]bool{}, synced: o.FirstStart, startedAt: loop.Now()},
+		rollouts:       map[string]*rollout{},
+		statuses:       map[string]publishedStatus{},
+		suspects:       newSuspects(o.Incarnation),
+		endpointOrders: &endpointOrders{byID: map[string]endpointOrder{}},
+	}
+	f.startedAt = loop.Now()
+	if !o.FirstStart {
+		for _, s := range f.subscriptions {
+			s.Ask(f.startedAt)
+		}
 	}
 	f.view.Store(&view{})
 	f.topology = syctopology.New([]syctopology.VM{f.self()})
@@ -200,6 +219,28 @@
 	return f
 }
 
+// observeEra records the era of an answer of the log.
+func (f *Fleet) observeEra(era int64) {
+	f.loop.PostControl(func(now time.Duration) { f.noteEra(now, era) })
+}
+
+// noteEra records an era of the log that this VM has learned of. A VM that has read the log in an
+// earlier one logs that it has been restored.
+func (f *Fleet) noteEra(now time.Duration, era int64) {
+	f.endDuties(now, era)
+	if era <= f.era {
+		return
+	}
+	before := f.era
+	f.era = era
+	for _, s := range f.subscriptions {
+		if s.loaded {
+			f.log.WithFields(logrus.Fields{"era": era, "before": before}).Info("fleet: log restored")
+			return
+		}
+	}
+}
+
 // kick starts an exchange with all partners at once.
 func (f *Fleet) kick() {
 	if mesh := f.mesh.Load(); mesh != nil {
@@ -240,6 +281,7 @@
 	for _, name := range slices.Sorted(maps.Keys(f.subscriptions)) {
 		f.applyChanges(now, name, f.subscriptions[name].ApplyDelayed(now))
 	}
+	f.releaseConfig(now)
 	f.selector.Tick(now)
 	f.register(now)
 	f.expireChanges(now)
@@ -272,22 +314,65 @@
 	}
 	record, err := f.options.Decoder.Operator(c.Key, c.Value)
 	if err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"key": c.Key, "offset": c.Offset}).Error("fleet: decoding an operator's record failed")
+		f.log.WithError(err).WithFields(logrus.Fields{"key": c.Key, "position": c.Position}).Error("fleet: decoding an operator's record failed")
 		return
 	}
 	switch r := record.(type) {
 	case *sycsite.Config:
-		f.installConfig(now, r)
+		f.offerConfig(now, r)
 	case Weights:
-		f.log.WithFields(logrus.Fields{"model": r.Model, "version": r.Version}).Info("fleet: new weights announced")
-		if r.Version > f.weights[r.Model] {
-			f.weights[r.Model] = r.Version
-			f.updatedAt[weightsAge(r.Model)] = now
-		}
-		f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), r.Model, r.Version)
+		f.announceWeights(now, r)
 	case Rollout:
-		f.startRollout(now, r, c.Offset)
+		f.startRollout(now, r, c.Position)
+	}
+}
+
+// applyUncertain applies operators' records that the log may hold from before what this VM knows. A
+// version tells that of itself.
+func (f *Fleet) applyUncertain(now time.Duration, records []sycfeed.Record) {
+	for _, r := range records {
+		record, err := f.options.Decoder.Operator(r.Key, r.Value)
+		if err != nil {
+			continue
+		}
+		switch r := record.(type) {
+		case *sycsite.Config:
+			f.offerConfig(now, r)
+		case Weights:
+			if r.Version > f.weights[r.Model] {
+				f.announceWeights(now, r)
+			}
+		}
+	}
+}
+
+// announceWeights applies an operator's request to load weights.
+func (f *Fleet) announceWeights(now time.Duration, w Weights) {
+	f.log.WithFields(logrus.Fields{"model": w.Model, "version": w.Version}).Info("fleet: new weights announced")
+	if w.Version > f.weights[w.Model] {
+		f.weights[w.Model] = w.Version
+		f.updatedAt[weightsAge(w.Model)] = now
+	}
+	f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), w.Model, w.Version)
+}
+
+// offerConfig puts a configuration in force, at once or once this VM has heard of the others'.
+func (f *Fleet) offerConfig(now time.Duration, c *sycsite.Config) {
+	if f.heldConfig == nil || f.heldConfig.Version() < c.Version() {
+		f.heldConfig = c
 	}
+	f.releaseConfig(now)
+}
+
+// releaseConfig puts the held configuration in force, unless this VM has just started and may
+// have read an older one than is in force elsewhere, since the log has been restored.
+func (f *Fleet) releaseConfig(now time.Duration) {
+	asks := f.era > 0 && f.subscriptions[TopicOperator].Asks(now) && now-f.startedAt < startGrace
+	if f.heldConfig == nil || asks {
+		return
+	}
+	f.installConfig(now, f.heldConfig)
+	f.heldConfig = nil
 }
 
 // installConfig puts a configuration in force unless one of its version or a newer one already
@@ -334,10 +419,13 @@
 	}
 	e, err := f.options.Decoder.Endpoint(c.Key, c.Value)
 	if err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "offset": c.Offset}).Warn("fleet: decoding an endpoint's record failed")
+		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "position": c.Position}).Warn("fleet: decoding an endpoint's record failed")
 		f.selector.Drop(c.Key)
 		return
 	}
+	if !f.admitEndpoint(c, e) {
+		return
+	}
 	old, known := f.selector.Endpoint(c.Key)
 	e = f.selector.Put(e)
 	if !known || old.Incarnation != e.Incarnation || old.Address != e.Address {
@@ -346,7 +434,7 @@
 	if !known || old.Leaving != e.Leaving || old.Incarnation != e.Incarnation || !maps.Equal(old.Weights, e.Weights) {
 		f.log.WithFields(logrus.Fields{
 			"endpoint": e.ID, "service": e.Service, "address": e.Address, "leaving": e.Leaving,
-			"release": e.Release, "weights": e.Weights, "offset": c.Offset,
+			"release": e.Release, "weights": e.Weights, "position": c.Position,
 		}).Info("fleet: endpoint changed")
 	}
 }
