Suspect a version by its newest durations too

Cause: the trace of a VM's judgements. The first late tokens were counted 0.4 s after the fault, and from then on nearly all were late (6 of 7 new ones after 0.9 s). But the shortest span of evidence reached back 2 to 3 s, and so 33 good first tokens from before the fault outweighed them (15 of 34 after 1.9 s) until they left it (18 of 19 after 2.2 s). 33 of the 41 requests were sent until then.

A version is now suspected also by the durations of the last 0.5 to 1 s. As these are few, it takes 3 standard deviations, which 2 or 3 slow ones don't reach, in place of 2. Readings are taken every 0.5 s for that. A suspicion takes nothing back: only the side-by-side comparison that follows it does, and its criterion is unchanged.

The tests of sycrollout for good versions on slow machines and under more load pass.

--- a/internal/decide/sycrollout/ledger.go
+++ b/internal/decide/sycrollout/ledger.go
@@ -181,8 +181,11 @@
 	// ShortWindow is a shorter span of recent evidence, in which a fault shows sooner
 	// if requests are many.
 	ShortWindow = 2 * time.Second
+	// newestWindow is the span of the newest evidence, in which a version that has just
+	// become slow shows it before good answers have left ShortWindow.
+	newestWindow = 500 * time.Millisecond
 	// readingPeriod is the shortest time between two readings.
-	readingPeriod = time.Second
+	readingPeriod = 500 * time.Millisecond
 )
 
 // NewLedger returns an empty ledger.
--- a/internal/decide/sycrollout/reevaluation.go
+++ b/internal/decide/sycrollout/reevaluation.go
@@ -79,26 +79,43 @@
 // Reevaluating reports whether a re-evaluation has begun and is unfinished.
 func (s *Stage) Reevaluating() bool { return s.reevaluation.reason != "" }
 
+// suspicion is a span of recent evidence by which a version may be suspected to be slow, and
+// the deviations for it.
+type suspicion struct {
+	window     time.Duration
+	deviations float64
+}
+
+// suspicions are the spans of recent evidence by which a version may be suspected.
+var suspicions = [...]suspicion{
+	{Window, suspectedDeviations},
+	{ShortWindow, suspectedDeviations},
+	{newestWindow, newestDeviations},
+}
+
 // suspectedSlow says why the version seems slow compared with the predecessor's earlier
 // durations. It returns an empty text if the version doesn't.
 func (s *Stage) suspectedSlow(now time.Duration, ledger *Ledger, sum Totals) string {
-	by := criteria{slack: earlierReferenceSlack, deviations: suspectedDeviations}
 	since := s.baseline
 	if s.reevaluation.passedTotals != nil {
 		since = s.reevaluation.passedTotals
 	}
-	spans := []Totals{sum.Since(since)}
-	for _, window := range []time.Duration{Window, ShortWindow} {
-		if s.reevaluation.passedTotals == nil || now-s.reevaluation.passedAt > window+readingPeriod {
-			spans = append(spans, ledger.Recent(sum, now, window))
-		}
-	}
 	earlier := sum.Since(s.reevaluation.reference)
-	for _, t := range spans {
-		s.addPredecessor(t, earlier)
-		if v := compare(t, s.candidate, s.predecessor, by); v.Failed {
-			return v.Reason
+	reason := s.slowReason(sum.Since(since), earlier, suspectedDeviations)
+	for _, by := range suspicions {
+		if reason != "" {
+			break
+		}
+		if s.reevaluation.passedTotals == nil || now-s.reevaluation.passedAt > by.window+readingPeriod {
+			reason = s.slowReason(ledger.Recent(sum, now, by.window), earlier, by.deviations)
 		}
 	}
-	return ""
+	return reason
+}
+
+// slowReason says why the version seems slow by its durations in t, compared with the
+// predecessor's in earlier. It returns an empty text if the version doesn't.
+func (s *Stage) slowReason(t, earlier Totals, deviations float64) string {
+	s.addPredecessor(t, earlier)
+	return compare(t, s.candidate, s.predecessor, criteria{slack: earlierReferenceSlack, deviations: deviations}).Reason
 }
--- a/internal/decide/sycrollout/verdict.go
+++ b/internal/decide/sycrollout/verdict.go
@@ -19,6 +19,9 @@
 	// at the traffic share 1. It may be reached by chance, since a re-evaluation
 	// doesn't roll the version back.
 	suspectedDeviations = 2
+	// newestDeviations takes the place of suspectedDeviations for newestWindow, which has so
+	// few durations that two slow ones would reach that.
+	newestDeviations = 3
 	// reevaluationDeviations takes the place of failedDeviations in a re-evaluation. It
 	// is lower, since the suspicion before the re-evaluation is evidence too.
 	reevaluationDeviations = 3
--- a/internal/traffic/sycversion/knownred_test.go
+++ b/internal/traffic/sycversion/knownred_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycrollout"
@@ -18,13 +17,6 @@
 	must.Eq(t, sycrollout.StateDone, last.State, must.Sprint(last.Reason, last.Evidence))
 }
 
-// TestKnownRedSimulatedSlowAfterDone guards against a version that turns slow and keeps its
-// requests for too long.
-func TestKnownRedSimulatedSlowAfterDone(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) { testSimulatedFault(t, slowVersion, 27) })
-}
-
 // TestKnownRedFailsAfterDone guards against a version that fails and keeps its requests for too long.
 func TestKnownRedFailsAfterDone(t *testing.T) {
 	t.Parallel()
--- a/internal/traffic/sycversion/simulated_test.go
+++ b/internal/traffic/sycversion/simulated_test.go
@@ -29,10 +29,10 @@
 // TestSimulatedFaultAfterDone makes a version fail or slow after its rollout was recorded as
 // done. The version must be rolled back, and may get few requests until then. Like other
 // simulated cases it computes without a pause, and isn't parallel, so that the sites in real
-// time don't run beside it.
+// time don't run beside it. In seed 27 the good answers before the fault are many.
 func TestSimulatedFaultAfterDone(t *testing.T) {
 	for _, failure := range []sycengine.Failure{failingVersion, slowVersion} {
-		for _, seed := range []uint64{7, 8} {
+		for _, seed := range []uint64{7, 8, 27} {
 			synctest.Test(t, func(t *testing.T) { testSimulatedFault(t, failure, seed) })
 		}
 	}
