--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -42,13 +42,11 @@
 	// records holds the newest record of each key, including deletions.
 	records map[string]Record
 	// deletionsFrom is the offset from which on records has every deletion. Deletions before it may
-	// be missing, since a snapshot doesn't show them or they were discarded.
+	// be missing, since a snapshot doesn't show them or they were discarded. It is at most next. An
+	// unknown key with a record before it has been deleted.
 	deletionsFrom int64
 	// deletions is the number of deletions in records.
 	deletions int
-	// discardedTo is the highest offset of a deletion that was discarded from records. It
-	// is below next. An unknown key with a record up to this offset has been deleted.
-	discardedTo int64
 	// delay is the configured delay of deletions.
 	delay DeletionDelay
 	// outageEnded is when the log last became readable again after an outage.
@@ -80,7 +78,7 @@
 
 // New returns a topic without records.
 func New(delay DeletionDelay) *Topic {
-	return &Topic{records: map[string]Record{}, discardedTo: -1, delay: delay, delayed: map[string]delayedDeletion{}}
+	return &Topic{records: map[string]Record{}, delay: delay, delayed: map[string]delayedDeletion{}}
 }
 
 // Next returns the offset from which on the log must be read.
@@ -110,13 +108,10 @@
 // offset before which the caller has passed every record. A deletion that must be delayed
 // is stored and not returned.
 func (t *Topic) Apply(now time.Duration, records []Record, next int64) []Change {
-	if t.next == 0 {
-		t.deletionsFrom = max(t.deletionsFrom, next)
-	}
 	var out []Change
 	for _, r := range records {
 		old, known := t.records[r.Key]
-		if known && old.Offset >= r.Offset || !known && r.Offset <= t.discardedTo {
+		if known && old.Offset >= r.Offset || !known && r.Offset < t.deletionsFrom {
 			continue
 		}
 		if len(r.Value) == 0 && known && len(old.Value) > 0 && now < t.delayUntil {
@@ -130,6 +125,9 @@
 		}
 		out = append(out, t.set(r))
 	}
+	if t.next == 0 {
+		t.deletionsFrom = max(t.deletionsFrom, next)
+	}
 	t.next = max(t.next, next)
 	t.discardDeletions()
 	return out
@@ -137,7 +135,7 @@
 
 // discardDeletions removes the older half of the stored deletions before next if there are
 // too many. Before next every key that exists has a stored record, so a record of an unknown
-// key at an offset up to discardedTo is known to be deleted.
+// key at an offset before deletionsFrom is known to be deleted.
 func (t *Topic) discardDeletions() {
 	if t.deletions <= maxDeletions {
 		return
@@ -152,10 +150,9 @@
 	if len(offsets) < 2 {
 		return
 	}
-	t.discardedTo = max(t.discardedTo, offsets[len(offsets)/2-1])
-	t.deletionsFrom = max(t.deletionsFrom, t.discardedTo+1)
+	t.deletionsFrom = max(t.deletionsFrom, offsets[len(offsets)/2-1]+1)
 	for key, r := range t.records {
-		if len(r.Value) == 0 && r.Offset <= t.discardedTo {
+		if len(r.Value) == 0 && r.Offset < t.deletionsFrom {
 			delete(t.records, key)
 			t.deletions--
 		}
@@ -175,8 +172,13 @@
 			records = append(records, Record{Offset: max(next-1, r.Offset+1), Key: key})
 		}
 	}
+	if next > t.next {
+		// The records of this snapshot count, whatever the copy lacked.
+		t.deletionsFrom = 0
+	}
+	out := t.Apply(now, records, next)
 	t.deletionsFrom = max(t.deletionsFrom, next)
-	return t.Apply(now, records, next)
+	return out
 }
 
 // ApplyDelayed applies the delayed deletions that are due, and returns them.
--- a/internal/decide/sycfeed/topic_test.go
+++ b/internal/decide/sycfeed/topic_test.go
@@ -115,3 +115,22 @@
 	must.Eq(t, []sycfeed.Record{rec(0, "stays", "x")}, topic.Since(0)[:1])
 	must.Eq(t, []string{"new", "stays"}, keys(topic.Apply(0, []sycfeed.Record{rec(offset, "new", "x"), rec(offset+1, "stays", "y")}, offset+2)))
 }
+
+// TestLateRecordOfADeletedKeyBringsNothingBack guards against a key that comes back for good: an answer that was
+// under way while a snapshot was applied tells its record, and the deletion after it is never read.
+func TestLateRecordOfADeletedKeyBringsNothingBack(t *testing.T) {
+	late := []sycfeed.Record{{Offset: 102, Key: "gone", Value: []byte("x")}}
+	kept := []sycfeed.Record{{Offset: 50, Key: "kept", Value: []byte("x")}}
+	for _, first := range []bool{false, true} {
+		topic := sycfeed.New(sycfeed.DeletionDelay{})
+		if !first {
+			topic.Apply(0, nil, 100)
+		}
+		must.SliceLen(t, 1, topic.Replace(0, kept, 120))
+		must.SliceEmpty(t, topic.Apply(0, late, 103))
+		must.SliceLen(t, 1, topic.Apply(0, []sycfeed.Record{{Offset: 120, Key: "gone", Value: []byte("y")}}, 121))
+	}
+	fresh := sycfeed.New(sycfeed.DeletionDelay{})
+	must.SliceLen(t, 1, fresh.Apply(0, kept, 120))
+	must.SliceEmpty(t, fresh.Apply(0, late, 103))
+}
