Tell ended loads again with the news that a VM leaves

What callers would see: an engine looks busier than it is to the other VMs until a VM that shuts down is gone, so requests go elsewhere or wait.

Cause: loads older than a process's last news of itself as a member are ignored since. A VM tells its loads anew with such news, but only those that it still has. Whoever gets the end of a load in the same state as the news that the VM leaves takes the end for older, and keeps the load.

Evidence: TestLoadThatEndsBeforeAVMLeavesIsForgotten failed before (VM 0 counted 1 request, want 0).

Now all loads that a VM has told are told again, those too that have ended.

--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -136,12 +136,23 @@
 	c.SetOwn(changeKey{process: c.process, kind: kind, number: c.version()}, value, until)
 }
 
+// toldLoads returns the endpoints whose loads this VM has told.
+func (c *changes) toldLoads() []string {
+	var out []string
+	for _, e := range c.Since(0) {
+		if e.Key.process == c.process && e.Key.kind == loadChange {
+			out = append(out, e.Key.name)
+		}
+	}
+	return out
+}
+
 // publish records the changes of this VM's own state since the last call.
 func (f *Fleet) publish(now time.Duration) {
 	c := f.changes
 	if c.member == nil || c.member.Leaving != f.leaving.Load() || c.member.Relay != f.isRelay() {
-		// The others forget a VM's loads when it begins or ceases to be a relay.
-		f.loads.touch()
+		// The others ignore loads that are older than this news. So those that have ended are told again, too.
+		f.loads.touch(c.toldLoads())
 		c.member = f.ownMember()
 		c.member.Version = c.version()
 		c.set(memberChange, "", c.member)
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -292,6 +292,24 @@
 	must.Eq(t, 0, f.selector.Load("e").Requests)
 }
 
+// TestLoadThatEndsBeforeAVMLeavesIsForgotten guards against a load that counts until the VM is gone, since
+// the others get the news of its end together with the news that the VM leaves, and take it for older.
+func TestLoadThatEndsBeforeAVMLeavesIsForgotten(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[19]
+	must.False(t, f.isRelay())
+	f.selector.Select(n.now, &sycplace.Request{ID: 1, Service: "s", Model: "m", Tokens: 50, Remaining: time.Minute})
+	n.run(time.Second)
+	must.Eq(t, 1, n.vms[0].selector.Load("e").Requests)
+	f.selector.Finish(n.now, 1, sycplace.Served)
+	f.publish(n.now)
+	f.leaving.Store(true)
+	n.run(time.Second)
+	for i, other := range n.vms {
+		must.Eq(t, 0, other.selector.Load("e").Requests, must.Sprintf("VM %d", i))
+	}
+}
+
 // TestFleetRecoversFromCrowdedLinks guards against a fleet that breaks down for good, because its VMs can't
 // carry what they are told at once, take each other for gone, become relays and are told everything anew. Relays
 // restart, and all engines drop their caches as they load new weights.
--- a/internal/peer/sycfleet/loads.go
+++ b/internal/peer/sycfleet/loads.go
@@ -132,11 +132,14 @@
 	return slices.Collect(maps.Values(g.groups[address]))
 }
 
-// touch makes take return all sums.
-func (g *groupLoads) touch() {
+// touch makes take return all sums, and none for those of the given endpoints that have no load.
+func (g *groupLoads) touch(told []string) {
 	for endpoint := range g.sums {
 		g.changed[endpoint] = true
 	}
+	for _, endpoint := range told {
+		g.changed[endpoint] = true
+	}
 }
 
 // take returns the sums that have changed since the last call, ordered by endpoint.
@@ -144,6 +147,7 @@
 	out := make([]sycplace.Load, 0, len(g.changed))
 	for _, endpoint := range slices.Sorted(maps.Keys(g.changed)) {
 		sum := g.sums[endpoint]
+		sum.Endpoint = endpoint
 		out = append(out, sum)
 		if sum.Requests == 0 && sum.Tokens == 0 {
 			delete(g.sums, endpoint)
