Bound news by the sender's link, too

Cause: the bound for news was a fifth of the receiver's link. A small VM that has much to tell (it has begun to read engines' caches, or has become a relay) sent its relays what a large VM's link carries, a seventh of a second of its own for each.

Evidence: TestNewsFitTheSendersLink failed before (a state of 143836 bytes on a link that carries 125000 in a period, want 37500 at most).

Now the smaller of the two links counts.

--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -262,11 +262,12 @@
 	}
 }
 
-// newsLimit returns how many bytes of news a state for the VM at an address may have.
+// newsLimit returns how many bytes of news a state for the VM at an address may have. It passes over the
+// links of both VMs.
 func (f *Fleet) newsLimit(address string) int {
 	capacity := 0.0
 	if vm := f.peers.vms[address]; vm != nil {
-		capacity = vm.capacity
+		capacity = min(vm.capacity, f.options.Capacity)
 	}
 	return max(minStateNews, int(newsLinkPart*syctopology.BytesPerSecond(capacity)*f.Period().Seconds()))
 }
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -363,6 +365,22 @@
 	must.Eq(t, 2*domainCount, relays)
 }
 
+// TestNewsFitTheSendersLink guards against a small VM that fills its own link with news for large ones, so that
+// its calls are given up and it counts as gone.
+func TestNewsFitTheSendersLink(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[19]
+	for i := range uint64(300) {
+		hashes := make([]uint64, 100)
+		for j := range hashes {
+			hashes[j] = i<<32 + uint64(j)
+		}
+		f.applyCacheReports(n.now, []sycplace.CacheReport{{Endpoint: "e", Evicted: hashes}})
+	}
+	size := proto.Size(f.buildState(n.now, f.partners[0]))
+	must.Between(t, 10<<10, size, int(0.3*syctopology.BytesPerSecond(f.options.Capacity)*relayPeriod.Seconds()))
+}
+
 // TestDeletionIsNotLostBehindASnapshot guards against an endpoint that gets requests for good after it was
 // dropped, since a VM that has started from a snapshot, which doesn't show what was deleted, brought the
 // others up to date before they had read the deletion.
