Tell a large report of an engine's cache in parts

What callers would see: no small VM learns what an engine has cached or evicted when it reports much at once (a VM begins to read its cache, or the engine drops it), so requests go where their prompts aren't.

Cause: news that don't fit into a state are left out for good, with all older ones. A report that alone is larger than the bound (some 740 blocks on the smallest links) therefore never reached any VM with such a link and took the news before it along.

Evidence: TestLargeReportIsToldInPart failed before (VM 1 was told 0 blocks of 20000, want 500).

Now a change of a cache has 500 blocks at most, so that the latest parts get through.

--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,9 @@
 	// cachePageBlocks is how many blocks the reports of engines' caches have at most, but
 	// for those of the last engine, in one state for a VM that has started.
 	cachePageBlocks = 3000
+	// maxReportBlocks is how many blocks a change of an engine's cache has at most, so that a state has room
+	// for some of a large report.
+	maxReportBlocks = 500
 )
 
 // cacheReads records which engines' caches this VM reads on behalf of all VMs. An engine's
@@ -154,10 +158,31 @@
 func (f *Fleet) applyCacheReports(now time.Duration, reports []sycplace.CacheReport) {
 	for _, r := range reports {
 		f.selector.ApplyCacheReport(now, r)
-		message := encodeCache(r)
-		message.Version = f.changes.version()
-		f.changes.add(cacheChange, message, now+cacheLifetime)
+		for _, part := range splitReport(r) {
+			message := encodeCache(part)
+			message.Version = f.changes.version()
+			f.changes.add(cacheChange, message, now+cacheLifetime)
+		}
+	}
+}
+
+// splitReport returns a report in parts of at most maxReportBlocks blocks, the evicted ones last, since the
+// latest changes are told first.
+func splitReport(r sycplace.CacheReport) []sycplace.CacheReport {
+	if len(r.Cached)+len(r.Evicted) <= maxReportBlocks {
+		return []sycplace.CacheReport{r}
+	}
+	var out []sycplace.CacheReport
+	part := r
+	part.Evicted = nil
+	for part.Cached = range slices.Chunk(r.Cached, maxReportBlocks) {
+		out = append(out, part)
+	}
+	part.Cached = nil
+	for part.Evicted = range slices.Chunk(r.Evicted, maxReportBlocks) {
+		out = append(out, part)
 	}
+	return out
 }
 
 // addCaches adds to a state what the peer has asked for of the reports of all engines' caches,
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -381,6 +381,30 @@
 	must.Between(t, 10<<10, size, int(0.3*syctopology.BytesPerSecond(f.options.Capacity)*relayPeriod.Seconds()))
 }
 
+// TestLargeReportIsToldInPart guards against a report of an engine's cache that is larger than the news of a
+// state may be, and that therefore never reaches any VM, nor do the news before it.
+func TestLargeReportIsToldInPart(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[0]
+	report := sycplace.CacheReport{Endpoint: "e"}
+	for i := range uint64(20 * maxReportBlocks) {
+		report.Cached, report.Evicted = append(report.Cached, sycplace.Block{Hash: i, Tokens: 16}), append(report.Evicted, 1<<32+i)
+	}
+	f.applyCacheReports(n.now, []sycplace.CacheReport{report})
+	n.run(time.Second)
+	for i, other := range n.vms[1:] {
+		told := map[uint64]bool{}
+		for _, e := range other.changes.Since(0) {
+			if c, ok := e.Value.(*sycgossippb.Cache); ok {
+				for _, hash := range slices.Concat(c.Kept, c.Gone) {
+					told[hash] = true
+				}
+			}
+		}
+		must.GreaterEq(t, maxReportBlocks, len(told), must.Sprintf("VM %d", i+1))
+	}
+}
+
 // TestDeletionIsNotLostBehindASnapshot guards against an endpoint that gets requests for good after it was
 // dropped, since a VM that has started from a snapshot, which doesn't show what was deleted, brought the
 // others up to date before they had read the deletion.
