--- a/internal/decide/sycfeed/restore.go
+++ b/internal/decide/sycfeed/restore.go
@@ -33,12 +33,12 @@
 			records = append(records, Record{Position: latest(next.Plus(-1), r.Position.Plus(1)), Key: key})
 		}
 	}
-	t.snapshot, t.deletionsFrom = next, latest(t.deletionsFrom, next)
+	t.snapshot = next
 	if next.Era == 0 {
 		// Nothing is lost.
 		t.asking.until = now
 	}
-	return t.Read(now, records, next)
+	return t.applySnapshot(next, func() []Change { return t.Read(now, records, next) })
 }
 
 // SnapshotEra returns the era of this VM's last snapshot.
--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -59,7 +59,8 @@
 	// records holds the newest record of each key, including deletions.
 	records map[string]Record
 	// deletionsFrom is the position from which on records has every deletion. Deletions before it may
-	// be missing, since a snapshot doesn't show them or they were discarded.
+	// be missing, since a snapshot doesn't show them or they were discarded. It is at most next. An
+	// unknown key with a record of the same era before it has been deleted.
 	deletionsFrom Position
 	// deletions is the number of deletions in records.
 	deletions int
@@ -203,9 +204,6 @@
 // position before which the caller has passed every record. A deletion or an inferred record
 // that must be delayed is stored and not returned.
 func (t *Topic) Apply(now time.Duration, records []Record, next Position) []Change {
-	if t.next == (Position{}) {
-		t.deletionsFrom = latest(t.deletionsFrom, next)
-	}
 	t.now = now
 	t.learnEra(now, next.Era)
 	out := t.resolve(now, records, next)
@@ -213,6 +211,9 @@
 		t.learnEra(now, r.Position.Era)
 		out = append(out, t.apply(now, r)...)
 	}
+	if t.next == (Position{}) {
+		t.deletionsFrom = latest(t.deletionsFrom, next)
+	}
 	t.next = latest(t.next, next)
 	t.discardDeletions()
 	return out
@@ -222,7 +223,7 @@
 func (t *Topic) apply(now time.Duration, r Record) []Change {
 	old, known := t.records[r.Key]
 	r = t.supersede(old, r)
-	if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) {
+	if known && !old.Position.Before(r.Position) || !known && t.wasDeleted(r.Position) {
 		return nil
 	}
 	if g, isGuess := t.guesses[r.Key]; isGuess && r.Position.Before(g.Position) && old.Position == g.guess() {
@@ -260,6 +261,12 @@
 	return []Change{change}
 }
 
+// wasDeleted reports whether an unknown key that has a record at a position has been deleted since. A record
+// of an earlier era may be one that only its log held.
+func (t *Topic) wasDeleted(at Position) bool {
+	return !t.discardedTo.Before(at) || at.Era == t.deletionsFrom.Era && at.Before(t.deletionsFrom)
+}
+
 // supersede returns a record of another VM, or what the last snapshot says of its key if that is
 // certainly newer: that it was deleted, or that it is as this VM holds it.
 func (t *Topic) supersede(old, r Record) Record {
@@ -424,7 +431,7 @@
 }
 
 // ApplyPage applies what another VM tells, and returns the changes like Apply. Keys that are missing from
-// a snapshot were deleted before its end, but for those that only a log of an earlier era held.
+// a snapshot were deleted before its end, but for those of an earlier era, which the log may lack.
 func (t *Topic) ApplyPage(now time.Duration, p Page) []Change {
 	records := p.Records
 	if p.Snapshot && p.Next.Era == t.era && t.next.Before(p.Next) {
@@ -433,15 +440,25 @@
 			present[r.Key] = true
 		}
 		for key, r := range t.records {
-			if !present[key] && !t.lost[key] && len(r.Value) > 0 && r.Position.Before(p.Next) {
-				records = append(records, Record{Position: latest(p.Next.Plus(-1), r.Position.Plus(1)), Key: key})
+			if !present[key] && len(r.Value) > 0 && r.Position.Era == p.Next.Era && r.Position.Before(p.Next) {
+				records = append(records, Record{Position: p.Next.Plus(-1), Key: key})
 			}
 		}
-		t.deletionsFrom = latest(t.deletionsFrom, p.Next)
+		return t.applySnapshot(p.Next, func() []Change { return t.Apply(now, records, p.Next) })
 	}
 	return t.Apply(now, records, p.Next)
 }
 
+// applySnapshot applies the records of a snapshot that ends at a position. They count whatever the copy lacked.
+func (t *Topic) applySnapshot(end Position, apply func() []Change) []Change {
+	if t.next.Before(end) {
+		t.deletionsFrom = Position{}
+	}
+	out := apply()
+	t.deletionsFrom = latest(t.deletionsFrom, end)
+	return out
+}
+
 // inferences returns inferred records before a position that are delayed or have recently become the
 // newest of their keys.
 func (t *Topic) inferences(before Position) []Record {
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 	"sycamorecart.example/sycamorecart/internal/decide/sycfeed"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -294,6 +296,24 @@
 	must.Eq(t, 0, f.selector.Load("e").Requests)
 }
 
+// TestLoadThatEndsBeforeAVMLeavesIsForgotten guards against a load that counts until the VM is gone, since
+// the others get the news of its end together with the news that the VM leaves, and take it for older.
+func TestLoadThatEndsBeforeAVMLeavesIsForgotten(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[19]
+	must.False(t, f.isRelay())
+	f.selector.Select(n.now, &sycplace.Request{ID: 1, Service: "s", Model: "m", Tokens: 50, Remaining: time.Minute})
+	n.run(time.Second)
+	must.Eq(t, 1, n.vms[0].selector.Load("e").Requests)
+	f.selector.Finish(n.now, 1, sycplace.Served)
+	f.publish(n.now)
+	f.leaving.Store(true)
+	n.run(time.Second)
+	for i, other := range n.vms {
+		must.Eq(t, 0, other.selector.Load("e").Requests, must.Sprintf("VM %d", i))
+	}
+}
+
 // TestFleetRecoversFromCrowdedLinks guards against a fleet that breaks down for good, because its VMs can't
 // carry what they are told at once, take each other for gone, become relays and are told everything anew. Relays
 // restart, and all engines drop their caches as they load new weights.
@@ -347,6 +367,46 @@
 	must.Eq(t, 2*domainCount, relays)
 }
 
+// TestNewsFitTheSendersLink guards against a small VM that fills its own link with news for large ones, so that
+// its calls are given up and it counts as gone.
+func TestNewsFitTheSendersLink(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[19]
+	for i := range uint64(300) {
+		hashes := make([]uint64, 100)
+		for j := range hashes {
+			hashes[j] = i<<32 + uint64(j)
+		}
+		f.applyCacheReports(n.now, []sycplace.CacheReport{{Endpoint: "e", Evicted: hashes}})
+	}
+	size := proto.Size(f.buildState(n.now, f.partners[0]))
+	must.Between(t, 10<<10, size, int(0.3*syctopology.BytesPerSecond(f.options.Capacity)*relayPeriod.Seconds()))
+}
+
+// TestLargeReportIsToldInPart guards against a report of an engine's cache that is larger than the news of a
+// state may be, and that therefore never reaches any VM, nor do the news before it.
+func TestLargeReportIsToldInPart(t *testing.T) {
+	n := newNetwork(t, 20)
+	f := n.vms[0]
+	report := sycplace.CacheReport{Endpoint: "e"}
+	for i := range uint64(20 * maxReportBlocks) {
+		report.Cached, report.Evicted = append(report.Cached, sycplace.Block{Hash: i, Tokens: 16}), append(report.Evicted, 1<<32+i)
+	}
+	f.applyCacheReports(n.now, []sycplace.CacheReport{report})
+	n.run(time.Second)
+	for i, other := range n.vms[1:] {
+		told := map[uint64]bool{}
+		for _, e := range other.changes.Since(0) {
+			if c, ok := e.Value.(*sycgossippb.Cache); ok {
+				for _, hash := range slices.Concat(c.Kept, c.Gone) {
+					told[hash] = true
+				}
+			}
+		}
+		must.GreaterEq(t, maxReportBlocks, len(told), must.Sprintf("VM %d", i+1))
+	}
+}
+
 // TestDeletionIsNotLostBehindASnapshot guards against an endpoint that gets requests for good after it was
 // dropped, since a VM that has started from a snapshot, which doesn't show what was deleted, brought the
 // others up to date before they had read the deletion.
