Let topics keep what a restored log's older content can't replace, and start with both topics known

A VM that has started waits for the answer for endpoints too, not only for operators' records, before it puts a configuration in force, and counts what others have told once it asks no longer.

--- a/internal/decide/sycfeed/asking.go
+++ b/internal/decide/sycfeed/asking.go
@@ -4,7 +4,7 @@
 
 // askingTime is how long a VM asks others at most for records that it would have had before its
 // own snapshot. VMs that have begun at the same time can't answer each other.
-const askingTime = 1500 * time.Millisecond
+const askingTime = 900 * time.Millisecond
 
 // asking is what a VM asks of the others. A snapshot of a restored log doesn't tell what the log
 // has lost, but other VMs may still hold it.
--- a/internal/decide/sycfeed/restore.go
+++ b/internal/decide/sycfeed/restore.go
@@ -77,7 +77,7 @@
 		t.listed[r.Key] = r.Value
 		inferred := Record{Position: next.Plus(-1), Key: r.Key, Value: r.Value, Inferred: true}
 		old, known := t.records[r.Key]
-		if t.revoke(old, inferred) {
+		if t.revoke(old, inferred) || t.keeps(old, inferred) {
 			continue
 		}
 		position, certain := t.place(r, fresh)
--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -71,6 +71,9 @@
 	delayUntil time.Duration
 	// delayed holds the delayed changes by key.
 	delayed map[string]delayedChange
+	// outdated reports whether a record's content says that it is older than what is held, nil if
+	// contents have no order.
+	outdated func(held, r Record) bool
 	// history is what this VM read of the log in all eras.
 	history history
 	// era is the latest era that this VM has learned of.
@@ -138,6 +141,21 @@
 	}
 }
 
+// OrderBy sets the function that reports whether a record's content says that it is older than what
+// is held of its key. Such a record of a later era changes nothing. OrderBy is called before all
+// other methods.
+func (t *Topic) OrderBy(outdated func(held, r Record) bool) { t.outdated = outdated }
+
+// keeps reports whether what is held stays, since a record of a later era has older content. Then
+// the log lacks what is held.
+func (t *Topic) keeps(held, r Record) bool {
+	if t.outdated == nil || len(held.Value) == 0 || len(r.Value) == 0 || held.Position.Era >= r.Position.Era || !t.outdated(held, r) {
+		return false
+	}
+	t.lost[r.Key] = true
+	return true
+}
+
 // Next returns the position from which on the log must be read.
 func (t *Topic) Next() Position { return t.next }
 
@@ -216,7 +234,7 @@
 func (t *Topic) apply(now time.Duration, r Record) []Change {
 	old, known := t.records[r.Key]
 	r = t.supersede(old, r)
-	if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) {
+	if known && !old.Position.Before(r.Position) || !known && !t.discardedTo.Before(r.Position) || t.keeps(old, r) {
 		return nil
 	}
 	if g, isGuess := t.guesses[r.Key]; isGuess && r.Position.Before(g.Position) && old.Position == g.guess() {
@@ -314,8 +332,11 @@
 	t.now = now
 	maps.DeleteFunc(t.recent, func(_ string, at time.Duration) bool { return now > at+askingTime })
 	var out []Change
+	if !t.Asks(now) {
+		out = t.admitRivals(now)
+	}
 	if now >= t.restoredAt+t.delay.AfterRestore {
-		out = t.settleGuesses(now)
+		out = append(out, t.settleGuesses(now)...)
 	}
 	for key, d := range t.delayed {
 		if now < d.due {
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -207,6 +207,7 @@
 		suspects:       newSuspects(o.Incarnation),
 		endpointOrders: &endpointOrders{byID: map[string]endpointOrder{}},
 	}
+	f.orderContents()
 	f.startedAt = loop.Now()
 	if !o.FirstStart {
 		for _, s := range f.subscriptions {
@@ -367,7 +368,8 @@
 // releaseConfig puts the held configuration in force, unless this VM has just started and may
 // have read an older one than is in force elsewhere, since the log has been restored.
 func (f *Fleet) releaseConfig(now time.Duration) {
-	asks := f.era > 0 && f.subscriptions[TopicOperator].Asks(now) && now-f.startedAt < startGrace
+	asks := f.subscriptions[TopicOperator].Asks(now) || f.subscriptions[TopicEndpoints].Asks(now)
+	asks = asks && f.era > 0 && now-f.startedAt < startGrace
 	if f.heldConfig == nil || asks {
 		return
 	}
