VMs whose records a restored log lacks register again, spread out

What is seen: the store comes back from a copy that lacks VMs' records, and no VM writes its own again, since what it knows is that it has registered. A VM that starts then doesn't find the others.

A VM now registers again if its copy of the topic tells that the restored log lacks its record; each at its own part of registerPause since it learned of the era, by the hash of its incarnation. Others keep a VM whose record is lost for longer than that. A VM whose record survived writes nothing.

--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -151,6 +151,9 @@
 	return t.next
 }
 
+// Lacks reports whether the restored log lacks the newest record of a key, as far as this VM knows.
+func (t *Topic) Lacks(key string) bool { return t.lost[key] }
+
 // Lost returns how many records this VM holds that the restored log lacks, as far as it knows.
 func (t *Topic) Lost() int { return len(t.lost) }
 
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -87,12 +87,14 @@
 	if era <= f.lease.Next().Era {
 		return
 	}
-	_, held := f.lease.Holds(now)
-	f.log.WithFields(logrus.Fields{"era": era, "held": held}).Warn("fleet: log was restored from a copy, the duties are free")
+	if _, held := f.lease.Holds(now); held {
+		f.log.WithField("era", era).Warn("fleet: duties given up, since the log was restored")
+	}
 	f.lease.Restored(now, era)
 	f.changes.dutyVersion = 0
 	f.changes.DropIf(func(e *sycreplica.Entry[changeKey, change]) bool { return e.Key.kind == dutyChange })
 	f.forgetPublished()
+	f.spreadRegistration(now)
 	f.observed.restoredAt, f.observed.holderSeen = now, now-holderSilence
 	f.observed.allReadDutyAt = now + 2*f.options.LeaseDuration + takeoverSpread
 }
--- a/internal/peer/sycfleet/peers.go
+++ b/internal/peer/sycfleet/peers.go
@@ -245,12 +245,28 @@
 	f.retries.SetAllowance(allowance)
 }
 
+// spreadRegistration lets this VM, if it has registered, write its own record again at the earliest after
+// a part of registerPause, which is fixed by the hash of its incarnation. So VMs don't all write at the
+// same time when a restored log lacks their records.
+func (f *Fleet) spreadRegistration(now time.Duration) {
+	if f.peers.selfListed != f.options.Incarnation {
+		return
+	}
+	part := time.Duration(xxhash.Sum64String(f.options.Incarnation) % uint64(registerPause))
+	f.registeredAt = now + part - registerPause
+}
+
+// isRegistered reports whether the log holds this VM's own record.
+func (f *Fleet) isRegistered() bool {
+	return f.peers.selfListed == f.options.Incarnation && !f.subscriptions[TopicVMs].Lacks(f.options.Address)
+}
+
 // register writes this VM's own record if the record in the log isn't of this incarnation, at
 // most once per registerPause and not while the VM leaves. It forgets VMs that have been silent
 // for maxVMSilence and aren't in the log. If this VM holds the lease, it drops the records of
 // the others that are silent for so long.
 func (f *Fleet) register(now time.Duration) {
-	if f.peers.selfListed != f.options.Incarnation && now-f.registeredAt > registerPause && !f.leaving.Load() {
+	if !f.isRegistered() && now-f.registeredAt > registerPause && !f.leaving.Load() {
 		f.registeredAt = now
 		value, err := json.Marshal(vmRecord{
 			Name:          f.options.Name,
--- a/internal/peer/sycfleet/restore_test.go
+++ b/internal/peer/sycfleet/restore_test.go
@@ -115,3 +115,36 @@
 	f.applyStatus(status)
 	must.Eq(t, RolloutCompleted, f.rollouts["s"].published)
 }
+
+// TestVMsRegisterAgain guards against VMs whose records a restored log lacks and that don't write them again, do so
+// all at once, or do so though the log has them.
+func TestVMsRegisterAgain(t *testing.T) {
+	const step, maxTogether = 100 * time.Millisecond, 10
+	n := newNetwork(t, 60)
+	for i, f := range n.vms {
+		self := sycfeed.Record{Position: sycfeed.Position{Offset: int64(i)}, Key: f.options.Address, Value: []byte(`{}`)}
+		s := f.subscriptions[TopicVMs]
+		s.Read(n.now, []sycfeed.Record{self}, sycfeed.Position{Offset: 60})
+		f.peers.selfListed, f.options.Log = f.options.Incarnation, silentLog{}
+		f.endDuties(n.now, 1)
+		var kept []sycfeed.Record
+		if i == 0 {
+			kept = append(kept, self)
+			kept[0].Position.Era = 1
+		}
+		s.Replace(n.now, kept, sycfeed.Position{Era: 1, Offset: 1})
+	}
+	written := map[int]int{}
+	for end := n.now + registerPause; n.now <= end+step; n.now += step {
+		together := 0
+		for i, f := range n.vms {
+			if f.register(n.now); f.registeredAt == n.now {
+				written[i]++
+				together++
+			}
+		}
+		must.LessEq(t, maxTogether, together)
+	}
+	must.MapLen(t, 59, written)
+	must.MapNotContainsKey(t, written, 0)
+}
