Tell a VM that lacks much over several states

The answer to a VM that starts or comes back still had everything else at once: the evidence of rollouts of each VM by route and class of load, suspects, loads. What takes longer than a call may is given up, isn't acknowledged and is sent anew, by several relays at once, with each call.

Evidence: TestStartedVMLearnsMuchOverASmallLink (90 VMs, links of 0.6 MB/s) failed before: 4 s after it had started, a VM had 2720 of 7120 cells of evidence.

Now a state has room for three tenths of what the smaller link carries in a period, the oldest changes first, and says up to which change it tells; the next goes on from there. Members, usage, duties and own loads are always told, since who is heard and the relays' sums hold only with them.

--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreplica"
@@ -29,6 +30,12 @@
 	newsLinkPart = 0.2
 	// minStateNews is the least number of bytes of news that a state may have.
 	minStateNews = 8 << 10
+	// bulkLinkPart and minStateBulk are the same for loads, evidence and suspects. What has no room
+	// follows in the next states.
+	bulkLinkPart = 0.3
+	minStateBulk = 32 << 10
+	// originSize estimates the encoded bytes of a change beyond its message.
+	originSize = 16
 	// hashSize and newsOverhead estimate the encoded bytes of a block in news, with its tokens,
 	// and of the rest of the message.
 	hashSize, newsOverhead = 11, 24
@@ -208,17 +215,28 @@
 	return !l.relay || !f.peers.isRelayLink(e.Source)
 }
 
-// encodeChanges adds to a state the changes that the VM at an address doesn't have. Of the news it gets
-// the latest that its link carries in time. The others are left out for good, since they soon mean
-// nothing.
+// encodeChanges adds to a state the changes that the VM at an address doesn't have. Of the news it gets the
+// latest that its link carries in time. The others are left out for good, since they soon mean nothing. What
+// else is too much follows in the next states.
 func (f *Fleet) encodeChanges(now time.Duration, address string, l *link, out *sycgossippb.State) {
 	var entries []*sycreplica.Entry[changeKey, change]
+	newest, full := f.changes.Newest(), false
+	left := f.linkShare(address, bulkLinkPart, minStateBulk)
 	for _, e := range f.changes.Since(l.acknowledged) {
-		if f.forwards(e, address, l) && (e.ExpiresAt == 0 || now < e.ExpiresAt) {
+		if !f.forwards(e, address, l) || e.ExpiresAt > 0 && now >= e.ExpiresAt {
+			continue
+		}
+		if size := bulkSize(e); !full && size > 0 {
+			if left <= 0 {
+				newest, full = e.Change-1, true
+			}
+			left -= size
+		}
+		if !full || isUrgent(e) {
 			entries = append(entries, e)
 		}
 	}
-	left := f.newsLimit(address)
+	left = f.linkShare(address, newsLinkPart, minStateNews)
 	for i, e := range slices.Backward(entries) {
 		if size := newsSize(e.Value); size > 0 {
 			if left -= size; left < 0 {
@@ -227,7 +245,27 @@
 		}
 	}
 	encodeEntries(now, entries, out)
-	out.Since, out.Newest = l.acknowledged, f.changes.Newest()
+	out.Since, out.Newest = l.acknowledged, newest
+}
+
+// isUrgent reports whether a change is told even in a state that has no room for all. A VM counts as heard
+// only with what it has admitted, a relay's sums only with the loads that it was told last, and there are
+// few of these changes.
+func isUrgent(e *sycreplica.Entry[changeKey, change]) bool {
+	switch e.Key.kind {
+	case memberChange, usageChange, dutyChange:
+		return true
+	}
+	return e.Key.kind == loadChange && e.Source == ""
+}
+
+// bulkSize returns about how many bytes a change takes in a state, 0 for news and urgent changes.
+func bulkSize(e *sycreplica.Entry[changeKey, change]) int {
+	message, ok := e.Value.(proto.Message)
+	if !ok || isUrgent(e) || newsSize(e.Value) > 0 {
+		return 0
+	}
+	return originSize + proto.Size(message)
 }
 
 // encodeOwnChanges adds to a state what this VM tells of itself but for the news.
@@ -262,14 +300,14 @@
 	}
 }
 
-// newsLimit returns how many bytes of news a state for the VM at an address may have. It passes over the
-// links of both VMs.
-func (f *Fleet) newsLimit(address string) int {
+// linkShare returns how many bytes a part of the links of this VM and the one at an address carries in a
+// period, and the least if that is less.
+func (f *Fleet) linkShare(address string, part float64, least int) int {
 	capacity := 0.0
 	if vm := f.peers.vms[address]; vm != nil {
 		capacity = min(vm.capacity, f.options.Capacity)
 	}
-	return max(minStateNews, int(newsLinkPart*syctopology.BytesPerSecond(capacity)*f.Period().Seconds()))
+	return max(least, int(part*syctopology.BytesPerSecond(capacity)*f.Period().Seconds()))
 }
 
 // newsSize returns about how many bytes news of engines' caches take in a state, 0 for other changes.
--- a/internal/peer/sycfleet/failure_test.go
+++ b/internal/peer/sycfleet/failure_test.go
@@ -14,6 +14,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
+	"sycamorecart.example/sycamorecart/internal/peer/sycpeerpb"
 )
 
 // silentLog is a log that accepts records of VMs and does nothing with them.
@@ -365,6 +366,42 @@
 	must.Eq(t, 2*domainCount, relays)
 }
 
+// TestStartedVMLearnsMuchOverASmallLink guards against a VM that never learns what the others hold, because it
+// takes longer to arrive at once than a call may take. Evidence stands for all that may be much.
+func TestStartedVMLearnsMuchOverASmallLink(t *testing.T) {
+	const started, cells = 89, 80
+	n := newNetwork(t, started+1)
+	for _, f := range n.vms {
+		for cell := range cells {
+			name := fmt.Sprint("cell", cell)
+			counts := &sycpeerpb.VersionEvidence{Version: "release-2", Generation: 7, Route: name, FirstToken: make([]uint64, 40)}
+			f.changes.set(evidenceChange, name, &sycgossippb.Evidence{Service: "service", Counts: counts, Version: f.changes.version()})
+		}
+	}
+	n.run(4 * time.Second)
+	n.busy = make([]time.Duration, len(n.vms))
+	n.bandwidth = func(vm int) float64 {
+		if vm < 2*domainCount {
+			return 12e6
+		}
+		return 600e3
+	}
+	o := n.vms[started].options
+	o.Incarnation, o.FirstStart, o.Seeds = o.Incarnation+"again", false, []string{"vm3"}
+	f := newFleet(o, n.vms[started].loop)
+	n.vms[started] = f
+	n.run(4 * time.Second)
+	must.Eq(t, started, f.countHeard(n.now))
+	must.False(t, f.isRelay())
+	known := 0
+	for _, e := range f.changes.Since(0) {
+		if e.Key.kind == evidenceChange {
+			known++
+		}
+	}
+	must.Eq(t, started*cells, known)
+}
+
 // TestNewsFitTheSendersLink guards against a small VM that fills its own link with news for large ones, so that
 // its calls are given up and it counts as gone.
 func TestNewsFitTheSendersLink(t *testing.T) {
