Settle by the log what no VM could tell of a restored one, also where what is lost is kept

The model now also plays topics that keep what the log has lost (no deletions, half of its histories). It found a record that was written again while all VMs that read the log had just started: the others' older record displaced it, and nothing brought it back; and an inference about one era that was applied after a VM had read otherwise in the next.

--- a/internal/decide/sycfeed/restore.go
+++ b/internal/decide/sycfeed/restore.go
@@ -169,17 +169,20 @@
 // records are the log's as of its end.
 func (t *Topic) settleGuesses(now time.Duration) []Change {
 	out := t.admitRivals(now)
-	for key, r := range t.guesses {
-		if held := t.records[key]; held.Position == r.guess() {
-			t.set(Record{Position: t.snapshot.Plus(-1), Key: key, Value: held.Value, Inferred: true})
-		}
+	guesses := t.guesses
+	t.guesses, t.fresh = map[string]Record{}, false
+	for key, r := range guesses {
 		if d, isDelayed := t.delayed[key]; isDelayed {
 			d.uncertain = false
 			t.delayed[key] = d
 		}
+		inferred := Record{Position: t.snapshot.Plus(-1), Key: key, Value: r.Value, Inferred: true}
+		if t.records[key].Position == r.guess() {
+			t.set(inferred)
+			continue
+		}
+		out = append(out, t.apply(now, inferred)...)
 	}
-	clear(t.guesses)
-	t.fresh = false
 	return out
 }
 
--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -278,11 +278,12 @@
 // supersede returns a record of another VM, or what the last snapshot says of its key if that is
 // certainly newer: that it was deleted, or that it is as this VM holds it.
 func (t *Topic) supersede(old, r Record) Record {
-	if r.Position.Era != t.snapshot.Era || !r.Position.Before(t.snapshot.Plus(-1)) {
+	isSame := r.Position.Era == t.snapshot.Era
+	if !r.Position.Before(t.snapshot.Plus(-1)) || !isSame && !r.Inferred {
 		return r
 	}
 	value, isListed := t.listed[r.Key]
-	if !isListed && len(r.Value) > 0 || isListed && bytes.Equal(value, old.Value) && !bytes.Equal(value, r.Value) {
+	if !isListed && isSame && len(r.Value) > 0 || isListed && bytes.Equal(value, old.Value) && !bytes.Equal(value, r.Value) {
 		return Record{Position: t.snapshot.Plus(-1), Key: r.Key, Value: value, Inferred: true}
 	}
 	return r
