Count a stream as not resumable once a rejected standby was its last attempt

What callers would see: a silent stream whose standby was rejected is cut for good, since the holder of the duties interrupts its engine.

Cause: the attempt under way had been registered while a further one was left; a rejection used that up, and nobody told the selection. TestStandby (other full, no attempt left) failed before: nothing was told of e0.

--- a/internal/decide/sycplace/attempt.go
+++ b/internal/decide/sycplace/attempt.go
@@ -39,6 +39,8 @@
 	firstByte time.Duration
 	// overdue is true once Tick has found the first byte overdue.
 	overdue bool
+	// last is true once no other endpoint may get the request any more.
+	last bool
 }
 
 // Evidence is what one attempt shows about the release of its endpoint. Rollouts
@@ -69,6 +71,14 @@
 	a.endpoint.observeFirstByte(now-a.started, a.expected)
 }
 
+// MarkLast records that no other endpoint may get an attempt's request any more, so that its endpoint
+// isn't made to break it off.
+func (s *Selector) MarkLast(id uint64) {
+	if a := s.attempts[id]; a != nil {
+		a.endpoint.markLast(a)
+	}
+}
+
 // AttemptEvidence returns the evidence so far of an attempt that has not ended. It
 // returns false if there is no such attempt.
 func (s *Selector) AttemptEvidence(id uint64) (Evidence, bool) {
--- a/internal/decide/sycplace/load.go
+++ b/internal/decide/sycplace/load.go
@@ -54,6 +54,13 @@
 	e.ownLoad.add(a.ownLoad(), 1)
 }
 
+// markLast records that no other endpoint may get an attempt's request any more.
+func (e *endpoint) markLast(a *attempt) {
+	e.ownLoad.add(a.ownLoad(), -1)
+	a.last = true
+	e.ownLoad.add(a.ownLoad(), 1)
+}
+
 // end removes an attempt.
 func (e *endpoint) end(a *attempt) {
 	e.ownLoad.add(a.ownLoad(), -1)
@@ -63,7 +70,7 @@
 // ownLoad returns what the attempt adds to its endpoint's load.
 func (a *attempt) ownLoad() Load {
 	l := Load{Requests: 1}
-	if !a.request.Resumable {
+	if a.last || !a.request.Resumable {
 		l.NonResumable = 1
 	}
 	if !a.answered {
--- a/internal/peer/sycfleet/serve.go
+++ b/internal/peer/sycfleet/serve.go
@@ -190,6 +190,11 @@
 	})
 }
 
+// MarkLast records that no other endpoint may get an attempt's request any more.
+func (f *Fleet) MarkLast(id uint64) {
+	f.loop.Post(func(time.Duration) { f.selector.MarkLast(id) })
+}
+
 // FinishAttempt records how an attempt ended and how long it took. The time counts towards the
 // route's service time only if the attempt was served.
 func (f *Fleet) FinishAttempt(id uint64, o sycplace.Outcome, route string, took time.Duration) {
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -160,6 +160,8 @@
 	// RecordBreak records that an attempt's answer broke off because its endpoint seems to
 	// have ended. Begun is set if the answer had begun. FinishAttempt follows.
 	RecordBreak(id uint64, begun bool)
+	// MarkLast records that no other endpoint may get an attempt's request any more.
+	MarkLast(id uint64)
 	// FinishAttempt records how an attempt ended and how long it took.
 	FinishAttempt(id uint64, o sycplace.Outcome, route string, took time.Duration)
 }
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -139,6 +139,8 @@
 
 func (f *rigFleet) RecordBreak(id uint64, _ bool) { f.tell(id, "ended") }
 
+func (f *rigFleet) MarkLast(id uint64) { f.tell(id, "last") }
+
 func (f *rigFleet) FinishAttempt(id uint64, o sycplace.Outcome, _ string, _ time.Duration) {
 	f.tell(id, map[sycplace.Outcome]string{
 		sycplace.Served: "served", sycplace.Failed: "failed", sycplace.Unreachable: "unreachable", sycplace.AtCapacity: "full",
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -22,6 +22,8 @@
 	// newStandby returns a standby at none of the endpoints that have rejected the stream, nil if there
 	// is no other. Arrivals is how many of these the request reached.
 	newStandby func(rejectedBy []string, arrivals int) *standby
+	// markLast records that the request may go to no further endpoint after this attempt.
+	markLast func()
 	// lastEvent returns the ID of the last event that the caller has received. It is called only
 	// while the timer runs.
 	lastEvent func() string
@@ -77,6 +79,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.newStandby, t.lastEvent = own.newStandby, func() string { return x.lastEvent }
+	t.markLast = func() { own.relay.fleet.MarkLast(own.request.ID) }
 	t.begun, t.attempts = x.answering, x.route.Attempts-x.attempts
 	return t
 }
@@ -124,10 +127,21 @@
 	s := t.newStandby(rejectedBy, arrivals)
 	if t.beginStandby(s) && t.settle(s, s.accepted()) {
 		s.reject()
+		t.checkAttempts()
 	}
 	return true
 }
 
+// checkAttempts calls markLast once the request may go to no further endpoint.
+func (t *answerTimeout) checkAttempts() {
+	t.mu.Lock()
+	isLast := !t.hasAttemptsLocked()
+	t.mu.Unlock()
+	if isLast {
+		t.markLast()
+	}
+}
+
 // beginStandby begins a standby, unless it is nil or the answer has gone on or ended meanwhile. It reports
 // whether it has.
 func (t *answerTimeout) beginStandby(s *standby) bool {
