Take the era in which a deployment starts for the log's first

What callers would see: after the first restore, new records (an endpoint that leaves, a key) count up to 2.3 s late. Found by a trial of the topic alone: the users' store counts its eras from 1.

Cause: what is new after a restore is told by comparing with what was at an offset in all eras before. Era 0 counted as one, though a log that begins with era 1 never had it, so that no VM was ever certain. The model counted from 0.

A VM that starts with its deployment now takes the era that it finds for the first. One that starts later can't know; the others tell it.

--- a/internal/decide/sycfeed/history.go
+++ b/internal/decide/sycfeed/history.go
@@ -33,6 +33,9 @@
 	prints map[int64][]fingerprint
 	// highest is the highest offset in prints.
 	highest int64
+	// first is the first era that the log may be restored to. The eras before it were over when the
+	// deployment started, or never were.
+	first int64
 }
 
 func newHistory() history { return history{prints: map[int64][]fingerprint{}} }
@@ -60,14 +63,14 @@
 	}
 }
 
-// knowsAll reports whether it is known what was at an offset in all eras before one. A log that is
-// restored may be like any of them.
+// knowsAll reports whether it is known what was at an offset in all eras from the first on and before one.
+// A log that is restored may be like any of them.
 func (h *history) knowsAll(before, offset int64) bool {
 	seen := uint64(0)
 	for _, p := range h.prints[offset] {
 		seen |= p.seen
 	}
-	all := uint64(1)<<min(before, maxEras) - 1
+	all := uint64(1)<<min(before, maxEras) - uint64(1)<<min(h.first, maxEras)
 	return before <= maxEras && seen&all == all
 }
 
--- a/internal/decide/sycfeed/restore.go
+++ b/internal/decide/sycfeed/restore.go
@@ -68,6 +68,7 @@
 	if len(t.records) == 0 && !t.fresh {
 		fresh = 0
 	}
+	t.beginHistory(next.Era)
 	t.learnEra(now, next.Era)
 	clear(t.guesses)
 	clear(t.rivals)
@@ -115,6 +116,14 @@
 	return out
 }
 
+// beginHistory records the era of the first snapshot of a VM that starts with its deployment. Logs count their
+// eras from 0 or from 1. A VM that starts later can't tell whether there were eras before.
+func (t *Topic) beginHistory(era int64) {
+	if t.snapshot.Era == 0 && len(t.history.prints) == 0 && !t.fresh {
+		t.history.first = era
+	}
+}
+
 // guess returns the position that a record has at least, whichever era it is of.
 func (r Record) guess() Position { return Position{Offset: r.Position.Offset} }
 
--- a/internal/decide/sycfeed/restore_test.go
+++ b/internal/decide/sycfeed/restore_test.go
@@ -74,6 +74,10 @@
 		t:        t, rand: rand.New(rand.NewSource(seed)), now: time.Hour, at: map[sycfeed.Position]int{}, newest: map[string]sycfeed.Record{},
 		number: map[string]int{}, lostAt: map[int]time.Duration{}, again: map[string]time.Duration{},
 	}
+	// Some logs count their eras from 1.
+	if m.era = seed / 2 % 2; m.era > 0 {
+		m.logs = append(m.logs, nil)
+	}
 	for range vms {
 		m.vms = append(m.vms, m.start())
 	}
@@ -309,3 +313,20 @@
 		m.check()
 	}
 }
+
+// TestRecordsOfANewEraCountAtOnce guards against records that are written after a restore and count late, since a
+// VM that has read all of the log can't tell them from those of the copy.
+func TestRecordsOfANewEraCountAtOnce(t *testing.T) {
+	for _, first := range []int64{0, 1, 5} {
+		r := func(era, offset int64, key, value string) sycfeed.Record {
+			return sycfeed.Record{Position: sycfeed.Position{Era: era, Offset: offset}, Key: key, Value: []byte(value)}
+		}
+		topic := sycfeed.New(restoreDelay)
+		topic.Replace(0, []sycfeed.Record{r(first, 0, "a", "1"), r(first, 1, "b", "1")}, sycfeed.Position{Era: first, Offset: 2})
+		topic.Read(0, []sycfeed.Record{r(first, 2, "a", "2"), r(first, 3, "b", "2"), r(first, 4, "c", "1")}, sycfeed.Position{Era: first, Offset: 5})
+		changes := topic.Replace(time.Second, []sycfeed.Record{
+			r(first+1, 1, "b", "1"), r(first+1, 2, "a", "3"), r(first+1, 3, "c", "2"),
+		}, sycfeed.Position{Era: first + 1, Offset: 4})
+		must.Eq(t, []string{"a", "c"}, keys(changes), must.Sprintf("first era %d", first))
+	}
+}
