--- a/internal/decide/sycfeed/asking.go
+++ b/internal/decide/sycfeed/asking.go
@@ -6,7 +6,7 @@
 // own snapshot. VMs that have begun at the same time can't answer each other.
 const askingTime = 900 * time.Millisecond
 
-// asking is what a VM asks of the others. A snapshot of a restored log doesn't tell what the log
+// asking is what a VM asks of the others. A snapshot of a restored log doesn't show what the log
 // has lost, but other VMs may still hold it.
 type asking struct {
 	// until is when this VM no longer asks.
--- a/internal/decide/sycfeed/history.go
+++ b/internal/decide/sycfeed/history.go
@@ -27,7 +27,7 @@
 }
 
 // history is what a VM read of a log in all of its eras. The log of an era begins like that of
-// some earlier one. From where on it differs is told by comparing records.
+// some earlier one. Comparing records shows from where on it differs.
 type history struct {
 	// prints holds the records that were at each offset.
 	prints map[int64][]fingerprint
--- a/internal/decide/sycfeed/page.go
+++ b/internal/decide/sycfeed/page.go
@@ -5,7 +5,7 @@
 // maxInferences limits the inferred records in a Page that come out of turn.
 const maxInferences = 50
 
-// Page is what a VM tells another one of a topic.
+// Page is what a VM sends another one of a topic.
 type Page struct {
 	// Records are the records from the position on that the other VM wants.
 	Records []Record
@@ -44,7 +44,7 @@
 	return out
 }
 
-// ApplyPage applies what another VM tells, and returns the changes like Apply. Keys that are missing from
+// ApplyPage applies a page that another VM has sent, and returns the changes like Apply. Keys that are missing from
 // a snapshot were deleted before its end, but for those of an earlier era, which the log may lack.
 func (t *Topic) ApplyPage(now time.Duration, p Page) []Change {
 	records := p.Records
--- a/internal/decide/sycfeed/restore.go
+++ b/internal/decide/sycfeed/restore.go
@@ -44,7 +44,7 @@
 // SnapshotEra returns the era of this VM's last snapshot.
 func (t *Topic) SnapshotEra() int64 { return t.snapshot.Era }
 
-// Probe reports whether the records of a snapshot of a new era don't tell where the log differs
+// Probe reports whether the records of a snapshot of a new era don't show where the log differs
 // from that of the era before, and from which position on the log must be read to know.
 func (t *Topic) Probe(records []Record, next Position) (from Position, needed bool) {
 	last, known := t.history.lastKnown(next.Era)
@@ -143,7 +143,7 @@
 	return r.guess(), false
 }
 
-// resolve applies what another VM's records tell of the last snapshot: their positions in its era
+// resolve applies what another VM's records show of the last snapshot: their positions in its era
 // aren't before the first of that.
 func (t *Topic) resolve(now time.Duration, records []Record, next Position) []Change {
 	if len(t.guesses) == 0 {
@@ -208,7 +208,7 @@
 }
 
 // revoke takes back a delayed change of a key of an earlier era, if the log now holds again what
-// this VM holds, and reports whether it did. Others may hold the same opinion, and are told.
+// this VM holds, and reports whether it did. The record is sent to other VMs, which may have inferred the same.
 func (t *Topic) revoke(old, inferred Record) bool {
 	d, isDelayed := t.delayed[inferred.Key]
 	if !isDelayed || !d.record.Position.Before(inferred.Position) || !bytes.Equal(old.Value, inferred.Value) {
@@ -219,7 +219,7 @@
 	return true
 }
 
-// infer postpones what a snapshot of a new era tells of a key whose newest record it doesn't
+// infer postpones what a snapshot of a new era says of a key whose newest record it doesn't
 // hold. It is uncertain if the snapshot's record may be newer.
 func (t *Topic) infer(old, inferred Record, uncertain bool) {
 	key := inferred.Key
--- a/internal/decide/sycfeed/topic.go
+++ b/internal/decide/sycfeed/topic.go
@@ -8,8 +8,8 @@
 // The log may be restored from an older copy, which begins a new era. Records that the copy
 // shares with the log before keep the positions that they had, so that a record which the
 // copy lacks is still newer than the one that the copy holds of its key: what was
-// acknowledged stays until it is written again. A snapshot of the restored log also tells
-// what it lacks. That is inferred, applied after a delay, and told to other VMs.
+// acknowledged stays until it is written again. A snapshot of the restored log also shows
+// what it lacks. That is inferred, applied after a delay, and sent to other VMs.
 //
 // The package has no clock and does no I/O: the caller passes the time, as a duration
 // since a fixed start on its monotonic clock, and the records.
@@ -160,7 +160,7 @@
 // Next returns the position from which on the log must be read.
 func (t *Topic) Next() Position { return t.next }
 
-// Told returns the position of which this VM may tell others that it has passed every record
+// Told returns the position of which this VM may report to others that it has passed every record
 // before. It isn't Next while some records of the last snapshot have no certain position, or while
 // this VM, which knew nothing before, may lack deletions.
 func (t *Topic) Told() Position {
--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -167,7 +167,7 @@
 }
 
 // splitReport returns a report in parts of at most maxReportBlocks blocks, the evicted ones last, since the
-// latest changes are told first.
+// latest changes are sent first.
 func splitReport(r sycplace.CacheReport) []sycplace.CacheReport {
 	if len(r.Cached)+len(r.Evicted) <= maxReportBlocks {
 		return []sycplace.CacheReport{r}
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -126,7 +126,7 @@
 	c.SetOwn(changeKey{process: c.process, kind: kind, number: c.version()}, value, until)
 }
 
-// toldLoads returns the endpoints whose loads this VM has told.
+// toldLoads returns the endpoints whose loads this VM has sent.
 func (c *changes) toldLoads() []string {
 	var out []string
 	for _, e := range c.Since(0) {
@@ -141,7 +141,7 @@
 func (f *Fleet) publish(now time.Duration) {
 	c := f.changes
 	if c.member == nil || c.member.Leaving != f.leaving.Load() || c.member.Relay != f.isRelay() {
-		// The others ignore loads that are older than this news. So those that have ended are told again, too.
+		// The others ignore loads that are older than this news. So those that have ended are sent again, too.
 		f.loads.touch(c.toldLoads())
 		c.member = f.ownMember()
 		c.member.Version = c.version()
@@ -227,7 +227,7 @@
 }
 
 // roleVersion returns the version of a process's last news of itself as a member. Loads that are older may
-// be sums that it told in another role, which another VM passes on late.
+// be sums that it sent in another role, which another VM passes on late.
 func (f *Fleet) roleVersion(p process) int64 {
 	e := f.changes.Get(changeKey{process: p, kind: memberChange})
 	if e == nil {
--- a/internal/peer/sycfleet/duty.go
+++ b/internal/peer/sycfleet/duty.go
@@ -72,7 +72,7 @@
 }
 
 // shouldReadDuty reports whether this VM should read the duty log: it neither holds the lease nor
-// hears from its holder. After a restore of the log nobody holds it for a time, in which only the
+// receives its holder's state. After a restore of the log nobody holds it for a time, in which only the
 // readers of the topics read the duty log.
 func (f *Fleet) shouldReadDuty(now time.Duration) bool {
 	if _, holds := f.lease.Holds(now); holds || now-f.observed.holderSeen < holderSilence {
@@ -82,7 +82,7 @@
 }
 
 // endDuties ends the duties of former eras, since the log is in an era, as an answer of the log or another
-// VM says. In a new era nobody holds the lease, and what was told of the duties before is void.
+// VM says. In a new era nobody holds the lease, and what was sent of the duties before is void.
 func (f *Fleet) endDuties(now time.Duration, era int64) {
 	if era <= f.lease.Next().Era {
 		return
@@ -242,7 +242,7 @@
 	}, true)
 }
 
-// dutyKey returns the key of what the holder of the duties tells in an era of the log. Versions of
+// dutyKey returns the key of what the holder of the duties sends in an era of the log. Versions of
 // different eras can't be compared.
 func dutyKey(era int64) changeKey { return changeKey{kind: dutyChange, number: era} }
 
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -357,7 +357,7 @@
 	f.selector.AnnounceWeights(now, f.subscriptions[TopicOperator].changeTime(now), w.Model, w.Version)
 }
 
-// offerConfig puts a configuration in force, at once or once this VM has heard of the others'.
+// offerConfig puts a configuration in force, at once or once this VM has received the others'.
 func (f *Fleet) offerConfig(now time.Duration, c *sycsite.Config) {
 	if f.heldConfig == nil || f.heldConfig.Version() < c.Version() {
 		f.heldConfig = c
--- a/internal/peer/sycfleet/follow.go
+++ b/internal/peer/sycfleet/follow.go
@@ -66,7 +66,7 @@
 }
 
 // plan returns what to do next. A VM that has to read takes a snapshot first in each new era,
-// which tells what the restored log lacks.
+// which shows what the restored log lacks.
 func (r *follower) plan(now time.Duration) plan {
 	s := r.fleet.subscriptions[r.topic]
 	out := plan{from: s.Next(), wait: s.readWait(r.fleet.topology.IsDirect())}
@@ -161,7 +161,7 @@
 	needed := false
 	r.fleet.loop.DoControl(func(time.Duration) { from, needed = r.fleet.subscriptions[r.topic].Probe(records, next) })
 	if needed {
-		// Without the tail the snapshot still tells enough to go on.
+		// Without the tail the snapshot still suffices.
 		tail, _, _ = log.Read(ctx, r.topic, from, 0)
 	}
 	return records, next, tail, nil
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -26,8 +26,8 @@
 func (f *Fleet) Answer(in *sycgossippb.State) *sycgossippb.State { return f.State(in.Address) }
 
 // buildState returns this VM's state for a peer: the changes and the records of topics that it
-// doesn't have, whom this VM hears, and what the peer has asked for. A peer that hasn't sent a state
-// lately only gets what this VM tells of itself.
+// doesn't have, the VMs that were heard from, and what the peer has asked for. A peer that hasn't sent a state
+// lately only gets this VM's own changes.
 func (f *Fleet) buildState(now time.Duration, peer string) *sycgossippb.State {
 	f.publish(now)
 	l := f.peers.link(peer)
--- a/internal/peer/sycfleet/tell.go
+++ b/internal/peer/sycfleet/tell.go
@@ -77,8 +77,8 @@
 	out.Since, out.Newest = l.acknowledged, newest
 }
 
-// isUrgent reports whether a change is told even in a state that has no room for all. A VM counts as heard
-// only with what it has admitted, a relay's sums only with the loads that it was told last, and there are
+// isUrgent reports whether a change is sent even in a state that has no room for all. A VM counts as heard
+// only with what it has admitted, a relay's sums only with the loads that it was sent last, and there are
 // few of these changes.
 func isUrgent(e *sycreplica.Entry[changeKey, change]) bool {
 	switch e.Key.kind {
@@ -97,7 +97,7 @@
 	return originSize + proto.Size(message)
 }
 
-// encodeOwnChanges adds to a state what this VM tells of itself but for the news.
+// encodeOwnChanges adds to a state this VM's own changes but for the news.
 func (f *Fleet) encodeOwnChanges(now time.Duration, out *sycgossippb.State) {
 	var entries []*sycreplica.Entry[changeKey, change]
 	for _, e := range f.changes.Since(0) {
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -58,7 +58,7 @@
 	return x.receive(ctx, answer, err, started)
 }
 
-// outgoing returns the request as it is sent to the target. A stream is to go on after its last event.
+// outgoing returns the request as it is sent to the target. A stream is to continue after its last event.
 func (x *exchange) outgoing() *sycwire.Request {
 	target, selected := x.target, x.request
 	return &sycwire.Request{
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// begin begins to send the request. The stream is to go on after an event.
+// begin begins to send the request. The stream is to continue after an event.
 func (s *standby) begin(lastEvent string) {
 	x := s.exchange
 	x.lastEvent = lastEvent
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -25,7 +25,7 @@
 	// errNoEvent means that the connection was closed before the first event of a stream that
 	// ends with its connection. Nothing else tells such a stream from one that broke off.
 	errNoEvent = errors.New("connection closed before the first event")
-	// errResumedElsewhere means that the endpoint has gone on only after another one had resumed
+	// errResumedElsewhere means that the endpoint has continued only after another one had resumed
 	// the stream.
 	errResumedElsewhere = errors.New("stream resumed elsewhere")
 )
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -114,7 +114,7 @@
 }
 
 // expireBegun lets a standby resume an answer that has begun, and cancels the attempt if the standby is
-// accepted before the endpoint has gone on. It returns false if the answer hasn't begun.
+// accepted before the endpoint has continued. It returns false if the answer hasn't begun.
 func (t *answerTimeout) expireBegun() bool {
 	t.mu.Lock()
 	begun, rejectedBy, arrivals := t.begun, t.rejectedBy, t.arrivals
@@ -142,7 +142,7 @@
 	}
 }
 
-// beginStandby begins a standby, unless it is nil or the answer has gone on or ended meanwhile. It reports
+// beginStandby begins a standby, unless it is nil or the answer has continued or ended meanwhile. It reports
 // whether it has.
 func (t *answerTimeout) beginStandby(s *standby) bool {
 	t.mu.Lock()
@@ -169,7 +169,7 @@
 	defer close(s.settled)
 	switch {
 	case t.standby != s:
-		// The endpoint has gone on before the standby was sent, or the attempt has ended.
+		// The endpoint has continued before the standby was sent, or the attempt has ended.
 		return false
 	case accepted:
 		t.switched = true
