--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -107,9 +107,9 @@
 		w.mu.Unlock()
 	}
 	var wait sync.WaitGroup
-	until := time.Now().Add(66 * time.Second)
-	d.load(&wait, "rota-draft", 12, until, draftSize)
-	d.load(&wait, "lot-check", 12, until, checkSize)
+	until := time.Now().Add(80 * time.Second)
+	d.load(&wait, "rota-draft", 15, until, draftSize)
+	d.load(&wait, "lot-check", 9, until, checkSize)
 	wait.Wait()
 }
 
