--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -170,7 +170,7 @@
 // heldOrder stops the machine that holds the duties, as a planned restart does, just after the link between it and a
 // worker has lost an order. The order is sent again by the kernel, and arrives after the next holder's.
 func heldOrder(d *deployment, trouble bool) {
-	d.begin(3, 3, 1)
+	d.begin(4, 3, 2)
 	var once sync.Mutex
 	armed := false
 	stopped := make(chan *vm, 1)
