--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -58,7 +58,7 @@
 		}
 	}
 	for _, w := range d.workers {
-		verdict = append(verdict, fmt.Sprintf("worker %s: %d answers, %d extra copies; %d orders, %d left unanswered", w.id, w.answers, w.copies, w.orders, w.unsaid))
+		verdict = append(verdict, fmt.Sprintf("worker %s: %d answers, %d of them while garbling, %d extra copies; %d orders, %d left unanswered", w.id, w.answers, w.counted, w.copies, w.orders, w.unsaid))
 	}
 	for _, line := range verdict {
 		fmt.Println(line)
@@ -107,8 +107,8 @@
 	}
 	var wait sync.WaitGroup
 	until := time.Now().Add(80 * time.Second)
-	d.load(&wait, "rota-draft", 15, until, draftSize)
-	d.load(&wait, "lot-check", 9, until, checkSize)
+	d.load(&wait, "rota-draft", 18, until, draftSize)
+	d.load(&wait, "lot-check", 12, until, checkSize)
 	wait.Wait()
 }
 
--- a/review/rig/worker_test.go
+++ b/review/rig/worker_test.go
@@ -63,6 +63,7 @@
 	running  map[*run]net.Conn
 	events   [][]any
 	answers  int
+	counted  int
 	copies   int
 	orders   int
 	unsaid   int
@@ -177,6 +178,9 @@
 			return
 		case r = <-requests:
 		}
+		if late != nil && !w.garbles() {
+			late = nil
+		}
 		if late != nil {
 			// The extra answer arrives at the point where the next answer is expected.
 			w.record.note("%s sends an extra copy of its last answer ahead of its answer to %s %s", w.id, r.URL.Path, r.Header.Get("X-Request-Id"))
@@ -191,7 +195,10 @@
 		}
 		w.mu.Lock()
 		w.answers++
-		if w.faulty && w.pick != nil && w.pick(kind) && float64(w.copies+1) <= maxGarbled*float64(w.answers) {
+		if w.garbles() {
+			w.counted++
+		}
+		if w.faulty && w.garbles() && w.pick(kind) && float64(w.copies+1) <= maxGarbled*float64(w.counted) {
 			w.copies++
 			late = answer
 		}
@@ -199,7 +206,10 @@
 	}
 }
 
-// maxGarbled is the largest part of a worker's answers that it may spoil.
+// garbles reports whether faulty workers spoil answers now: for five seconds, then not for one, and again.
+func (w *worker) garbles() bool { return time.Since(w.record.start)%(6*time.Second) < 5*time.Second }
+
+// maxGarbled is the largest part that a worker may spoil of the answers that it gives in those times.
 const maxGarbled = 0.03
 
 // respond writes a whole answer and returns its bytes, nil if the connection broke.
