--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -35,6 +35,7 @@
 	"1": {"TWICE", lateVersions},
 	"2": {"TWICE", lateEvents},
 	"3": {"ONE", heldOrder},
+	"4": {"REFUSED", lateSheds},
 }
 
 func main() {
@@ -135,6 +136,33 @@
 	wait.Wait()
 }
 
+// lateSheds lets bookings come in clumps, of which full workers shed some. One of the two workers sends an extra copy of
+// such an answer, late, at the point where the next answer is expected.
+func lateSheds(d *deployment, trouble bool) {
+	d.begin(4, 1, 2)
+	w := d.workers[1]
+	w.mu.Lock()
+	w.faulty = trouble
+	w.pick = func(kind string) bool { return kind == "shed" }
+	w.mu.Unlock()
+	var wait sync.WaitGroup
+	none := func() (int, int) { return 0, 0 }
+	until := time.Now().Add(45 * time.Second)
+	d.load(&wait, "slot-book", 40, until, none)
+	d.load(&wait, "slot-read", 20, until, none)
+	for time.Now().Before(until) {
+		time.Sleep(2 * time.Second)
+		for i := range 100 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				d.send(d.vms[i%len(d.vms)], "slot-book", 0, 0)
+			}()
+		}
+	}
+	wait.Wait()
+}
+
 // heldOrder stops the machine that holds the duties, as a planned restart does, just after the link between it and a
 // worker has lost an order. The order is sent again by the kernel, and arrives after the next holder's.
 func heldOrder(d *deployment, trouble bool) {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -24,6 +24,8 @@
 	tokensPerEvent = 5
 	loadTime       = 430 * time.Millisecond
 	appTime        = 30 * time.Millisecond
+	appSlots       = 6
+	appQueue       = 24
 )
 
 // run is one request that a worker has worked on.
@@ -49,7 +51,11 @@
 	// link is the way to the worker, nil if VMs reach it directly.
 	link *link
 
+	// slots limits the requests that a plain worker runs.
+	slots chan struct{}
+
 	mu       sync.Mutex
+	inside   int
 	version  int64
 	seq      int64
 	beats    int64
@@ -74,7 +80,7 @@
 	}
 	w := &worker{
 		id: id, service: service, model: model, zone: zone, listener: l, record: r, version: 1,
-		running: map[*run]net.Conn{}, conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(),
+		running: map[*run]net.Conn{}, slots: make(chan struct{}, appSlots), conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(),
 	}
 	go w.accept()
 	return w
@@ -231,7 +237,7 @@
 		return "noid", respond(c, r, 400, http.Header{"X-Not-Executed": {"1"}}, nil)
 	}
 	if w.model == "" {
-		return "run", w.app(r, c, gone)
+		return w.app(r, c, gone)
 	}
 	return w.generate(r, c, gone)
 }
@@ -355,17 +361,47 @@
 	w.record.end(x, whole)
 }
 
-func (w *worker) app(r received, c net.Conn, gone chan struct{}) []byte {
+// app runs a request to a plain service, or sheds it if all slots and places in the queue are taken.
+func (w *worker) app(r received, c net.Conn, gone chan struct{}) (string, []byte) {
+	w.mu.Lock()
+	full := w.inside >= appSlots+appQueue
+	if !full {
+		w.inside++
+	}
+	w.mu.Unlock()
+	if full {
+		return "shed", shed(c)
+	}
+	defer func() {
+		w.mu.Lock()
+		w.inside--
+		w.mu.Unlock()
+	}()
+	select {
+	case <-gone:
+		return "run", nil
+	case w.slots <- struct{}{}:
+	}
+	defer func() { <-w.slots }()
 	x := w.begin(r, c)
 	select {
 	case <-gone:
 		w.end(x, false)
-		return nil
+		return "run", nil
 	case <-time.After(appTime):
 	}
 	out := respond(c, r, 200, http.Header{"X-Server-Stamp": {stampOf(w.id, x.ID)}}, []byte(strings.Repeat("a", 800)+x.ID))
 	w.end(x, out != nil)
-	return out
+	return "run", out
+}
+
+// shed answers that a request isn't run, with the headers that "fleetbench wire" shows for it.
+func shed(c net.Conn) []byte {
+	answer := []byte("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	if _, err := c.Write(answer); err != nil {
+		return nil
+	}
+	return answer
 }
 
 func stampOf(worker, id string) string { return worker + "." + id }
