--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -8,25 +8,16 @@
 package sycwire
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 )
 
-const (
-	// maxInlineBody is the largest request body, in bytes, that is written before
-	// the response is read. A larger body is written in the background, since the
-	// endpoint may respond before it has read the whole body.
-	maxInlineBody = 16 << 10
-	// maxStrayResponses limits how many responses to other requests are discarded
-	// while waiting for the matching one.
-	maxStrayResponses = 2
-)
+// maxStrayResponses limits how many responses to other requests are discarded
+// while waiting for the matching one.
+const maxStrayResponses = 2
 
 // Settings limits a client's connections.
 type Settings struct {
@@ -52,31 +43,6 @@
 	}
 }
 
-// Request is an HTTP request to send to an endpoint.
-type Request struct {
-	// Address is the endpoint's host and port.
-	Address string
-	// Method is the HTTP method.
-	Method string
-	// Target is the escaped path and query for the request line.
-	Target string
-	// Host is the value of the Host header.
-	Host string
-	// Header holds all headers but Host and Content-Length.
-	Header http.Header
-	// Body is the whole request body; empty for none.
-	Body []byte
-	// Proceed is called right before the request's first byte is sent, once a connection is
-	// open. If it returns false, nothing is sent and Do fails with ErrWithheld. Nil always
-	// proceeds.
-	Proceed func() bool
-	// Matches reports whether a response with the given headers belongs to this
-	// request. A response that doesn't is discarded. First is set if the endpoint has sent no
-	// response on the connection before, so that this can't be a copy of one. Nil accepts every
-	// response.
-	Matches func(h http.Header, first bool) bool
-}
-
 // ErrWithheld means that Request.Proceed has stopped a request. Nothing was sent.
 var ErrWithheld = errors.New("withheld")
 
@@ -146,65 +112,6 @@
 	delete(c.idle, address)
 }
 
-// Response is the response to a request. The caller reads the body with Read and
-// must call Close.
-type Response struct {
-	// Status is the HTTP status code.
-	Status int
-	// Header holds the response's headers.
-	Header http.Header
-	// Length is the length of the body in bytes, or -1 if it isn't known.
-	Length int64
-	// EndsWithConnection is set if the answer has neither a length nor chunks: its body ends
-	// where the endpoint closes the connection. A reset is no end.
-	EndsWithConnection bool
-	// body is the response's body, which Read reads from.
-	body io.ReadCloser
-	// client is where Close returns conn to if it can be reused.
-	client *Client
-	// conn is the connection that the response arrives on.
-	conn *conn
-	// keepAlive is false if the endpoint will close the connection after the response.
-	keepAlive bool
-	// written is closed once the body of the request has been written in the
-	// background. It is nil if the body was written before the response was read.
-	written <-chan struct{}
-	// stopCancel detaches the connection from the request's context. It returns
-	// false if the context has already ended.
-	stopCancel func() bool
-	// complete is true once the whole body has been read.
-	complete bool
-	// address is the endpoint's host and port.
-	address string
-}
-
-// Read reads the body. It returns io.EOF only once the complete body has been read.
-func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.complete = true
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if the whole body was read. Otherwise
-// it closes the connection, which makes the endpoint stop working on the request.
-func (r *Response) Close() error {
-	reusable := r.stopCancel() && r.complete && r.keepAlive
-	if reusable && r.written != nil {
-		select {
-		case <-r.written:
-		default:
-			reusable = false
-		}
-	}
-	if !reusable {
-		return r.conn.Close()
-	}
-	r.client.release(r.address, r.conn, r.Header)
-	return nil
-}
-
 // Do sends a request and returns its response once the headers have arrived. Its
 // errors are of type *SendError. If ctx ends before the response is closed, reads
 // and writes on the connection fail.
@@ -274,38 +181,3 @@
 	}
 	return nil, errors.New("too many responses to other requests")
 }
-
-// endsWithConnection reports whether a response has neither a length nor chunks.
-func endsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
-}
-
-// write sends the request. A body larger than maxInlineBody is written in the
-// background, and the returned channel is closed once it has been written.
-func (k *conn) write(r *Request) (<-chan struct{}, error) {
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	if err := r.Header.Write(&head); err != nil {
-		return nil, err
-	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
-	}
-	head.WriteString("\r\n")
-	if len(r.Body) <= maxInlineBody {
-		head.Write(r.Body)
-		_, err := k.Write(head.Bytes())
-		return nil, err
-	}
-	if _, err := k.Write(head.Bytes()); err != nil {
-		return nil, err
-	}
-	written := make(chan struct{})
-	go func() {
-		// If the write fails, the channel stays open and the connection isn't reused.
-		if _, err := k.Write(r.Body); err == nil {
-			close(written)
-		}
-	}()
-	return written, nil
-}
--- a/internal/traffic/sycwire/pool.go
+++ b/internal/traffic/sycwire/pool.go
@@ -1,27 +1,18 @@
 package sycwire
 
 import (
-	"bufio"
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sys/unix"
 )
 
-const (
-	// readBufferSize is the size of a connection's read buffer in bytes.
-	readBufferSize = 4 << 10
-	// keepAliveMargin is how long before the endpoint's own keep-alive timeout an
-	// idle connection stops being reused.
-	keepAliveMargin = 500 * time.Millisecond
-)
+// keepAliveMargin is how long before the endpoint's own keep-alive timeout an idle connection stops
+// being reused.
+const keepAliveMargin = 500 * time.Millisecond
 
 var (
 	// connsOpened counts the connections that were opened.
@@ -33,19 +24,6 @@
 	connsStale = metrics.GetOrCreateCounter(`sycamorecart_endpoint_connections_total{event="stale"}`)
 )
 
-// conn is a connection to an endpoint.
-type conn struct {
-	net.Conn
-	// reader buffers what the endpoint sends.
-	reader *bufio.Reader
-	// limit limits what reader reads from the endpoint.
-	limit *limitedReader
-	// answered is set once the endpoint has sent a final response on the connection.
-	answered bool
-	// expires is when the idle connection must no longer be reused.
-	expires time.Time
-}
-
 // acquire returns an idle connection that can be reused, or opens a new one.
 func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
 	for {
@@ -105,42 +83,3 @@
 	}
 	return 0, false
 }
-
-// dial opens a connection to the address.
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: c.settings.Connect, Control: c.setUserTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	connsOpened.Inc()
-	limit := &limitedReader{in: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}, nil
-}
-
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func (c *Client) setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// An error is ignored, because each request's own deadline still applies.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.settings.Unacknowledged.Milliseconds()))
-	})
-}
-
-// reusable reports whether the connection is still open and has no unread bytes.
-func (k *conn) reusable() bool {
-	if k.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := k.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	reusable := false
-	var peeked [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, errno := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		reusable = errors.Is(errno, unix.EAGAIN)
-		return true
-	})
-	return err == nil && reusable
-}
