Send no ID twice on a connection, since a late copy of its first answer can't be told apart

An engine that has just loaded weights answers 421 to a request that names those of before; the relay sends the request again, with its ID, on the same connection; a copy of the 421 that a faulty worker sends late has that ID too, and was taken for a second refusal while the engine ran the request.

Cause: an ID says which request an answer belongs to, not which send of it. A connection was given back after the 421 and taken out first for the second send.

Change: a connection remembers the IDs of all requests that it has carried (at most 1,024, then it is retired) and isn't used for one of them again; others go on using it. So every path that sends an ID twice to one address is covered: other weights, a return after a rejection, a resumed stream, a standby. A request that is withheld before its first byte gives its connection back, as nothing was sent on it.

The codec now says which ID an answer bears, and sycwire decides whether it fits.

The tests of sycwire use what is new here.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -51,15 +51,15 @@
 	}
 	x.attempts++
 	x.tried = append(x.tried, x.target.Endpoint.ID)
-	x.logSent()
 	ctx, x.timeout = x.startTimeout(ctx)
 	defer x.timeout.stop()
-	answer, err := x.relay.client.Do(ctx, x.outgoing())
+	answer, err := x.relay.client.Do(ctx, x.outgoing(nil))
 	return x.receive(ctx, answer, err, started)
 }
 
 // outgoing returns the request as it is sent to the target. A stream is to continue after its last event.
-func (x *exchange) outgoing() *sycwire.Request {
+// Proceed is asked last whether the request may be sent; nil always allows it.
+func (x *exchange) outgoing(proceed func() bool) *sycwire.Request {
 	target, selected := x.target, x.request
 	return &sycwire.Request{
 		Address: target.Endpoint.Address,
@@ -76,9 +76,16 @@
 			Remaining: time.Until(x.deadline),
 			LastEvent: x.lastEvent,
 		}),
-		Body:    x.body,
-		Proceed: func() bool { return x.relay.fleet.Permits(selected, target) },
-		Matches: func(h http.Header, first bool) bool { return x.relay.codec.IsAnswerTo(x.call, h, first) },
+		Body: x.body,
+		ID:   x.call.ID,
+		Proceed: func(c sycwire.Connection) bool {
+			if !x.relay.fleet.Permits(selected, target) || proceed != nil && !proceed() {
+				return false
+			}
+			x.logSent(c)
+			return true
+		},
+		Identify: x.relay.codec.Identify,
 	}
 }
 
@@ -131,14 +138,15 @@
 	return result{}, false
 }
 
-// logSent logs that the request is sent to the target, with the data by which the target was selected.
-func (x *exchange) logSent() {
+// logSent logs that the request is sent to the target on a connection, with the data by which the target
+// was selected.
+func (x *exchange) logSent(c sycwire.Connection) {
 	t := x.target
 	fields := logrus.Fields{
 		"id": x.call.ID, "attempt": x.attempts, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
 		"endpoint": t.Endpoint.ID, "address": t.Endpoint.Address, "load": t.Load.Requests,
 		"expected": t.Expected.Round(time.Millisecond).String(), "left": time.Until(x.deadline).Round(time.Millisecond).String(),
-		"waited": time.Since(x.arrived).Round(time.Millisecond).String(),
+		"waited": time.Since(x.arrived).Round(time.Millisecond).String(), "conn": c.Number, "answers": c.Answers,
 	}
 	if x.call.Model != "" {
 		fields["weights"], fields["waiting"], fields["tokens"] = t.Weights, t.Load.Tokens, x.call.Tokens
--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -49,7 +49,7 @@
 type fakeCodec struct{ Codec }
 
 func (fakeCodec) Outgoing(*Call, Forward) http.Header              { return http.Header{} }
-func (fakeCodec) IsAnswerTo(*Call, http.Header, bool) bool         { return true }
+func (fakeCodec) Identify(http.Header) sycwire.Identity            { return sycwire.Identity{} }
 func (fakeCodec) Notice(string, int, http.Header) sycplace.Notice  { return sycplace.Notice{} }
 func (fakeCodec) Disposition(string, int, http.Header) Disposition { return NotRun }
 func (fakeCodec) SetRetryAfter(http.Header, time.Duration)         {}
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -15,6 +15,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
 // Block is a part of a prompt that engines cache as a unit.
@@ -105,9 +106,8 @@
 	Parse(r *http.Request) (*Call, error)
 	// Outgoing returns the header of a call's request to an endpoint.
 	Outgoing(c *Call, f Forward) http.Header
-	// IsAnswerTo reports whether an answer with a header belongs to a call. First is set if the
-	// answer is the first on its connection.
-	IsAnswerTo(c *Call, answer http.Header, first bool) bool
+	// Identify returns which call an answer with a header belongs to, by the call's ID.
+	Identify(answer http.Header) sycwire.Identity
 	// Disposition returns what an endpoint has done with a request.
 	Disposition(endpoint string, status int, answer http.Header) Disposition
 	// Notice returns what an answer to a request to an endpoint says about the endpoint itself.
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -74,11 +74,7 @@
 func (s *standby) begin(lastEvent string) {
 	x := s.exchange
 	x.lastEvent = lastEvent
-	x.logSent()
-	outgoing := x.outgoing()
-	permitted := outgoing.Proceed
-	outgoing.Proceed = func() bool { return permitted() && s.proceed() }
-	go s.send(outgoing)
+	go s.send(x.outgoing(s.proceed))
 }
 
 // proceed records that the request is sent from now on. It returns false if the standby was abandoned.
--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -15,10 +15,6 @@
 	"time"
 )
 
-// maxStrayResponses limits how many responses to other requests are discarded
-// while waiting for the matching one.
-const maxStrayResponses = 2
-
 // Settings limits a client's connections.
 type Settings struct {
 	// Connect limits the time to open a connection.
@@ -116,16 +112,17 @@
 // errors are of type *SendError. If ctx ends before the response is closed, reads
 // and writes on the connection fail.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	k, err := c.acquire(ctx, r.Address)
+	k, err := c.acquire(ctx, r)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
 	if ctx.Err() != nil {
-		_ = k.Close()
+		// Nothing was sent, so the connection is as it was, here and below.
+		c.keep(r.Address, k)
 		return nil, &SendError{Err: ctx.Err()}
 	}
-	if r.Proceed != nil && !r.Proceed() {
-		_ = k.Close()
+	if r.Proceed != nil && !r.Proceed(k.describe()) {
+		c.keep(r.Address, k)
 		return nil, &SendError{Err: ErrWithheld}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
@@ -145,6 +142,7 @@
 // roundTrip sends a request on the connection and reads the headers of the
 // matching response.
 func (c *Client) roundTrip(k *conn, r *Request) (*Response, error) {
+	k.recordSent(r)
 	written, err := k.write(r)
 	if err != nil {
 		return nil, err
@@ -156,9 +154,10 @@
 		if err != nil {
 			return nil, err
 		}
-		first := !k.answered
-		k.answered = true
-		if r.Matches != nil && !r.Matches(response.Header, first) {
+		reason := k.checkStray(r, response.Header)
+		k.answers++
+		if reason != notStray {
+			k.recordStray(r, response, reason)
 			if err := discardStray(response.Body); err != nil {
 				return nil, err
 			}
--- a/internal/traffic/sycwire/client_test.go
+++ b/internal/traffic/sycwire/client_test.go
@@ -24,6 +24,12 @@
 // startEndpoint starts an endpoint. Answer is called for each request with its connection, which
 // is closed if it returns false.
 func startEndpoint(t *testing.T, answer func(conn *net.TCPConn) bool) *endpoint {
+	t.Helper()
+	return startEndpointWith(t, func(conn *net.TCPConn, _ *http.Request) bool { return answer(conn) })
+}
+
+// startEndpointWith starts an endpoint like startEndpoint, whose answers depend on their request.
+func startEndpointWith(t *testing.T, answer func(conn *net.TCPConn, r *http.Request) bool) *endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -43,7 +49,7 @@
 }
 
 // serve answers the requests on a connection.
-func (*endpoint) serve(conn *net.TCPConn, answer func(conn *net.TCPConn) bool) {
+func (*endpoint) serve(conn *net.TCPConn, answer func(conn *net.TCPConn, r *http.Request) bool) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
 	for {
@@ -52,7 +58,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		if !answer(conn) {
+		if !answer(conn, request) {
 			return
 		}
 	}
@@ -157,13 +163,13 @@
 	client := newClient(t)
 	for range 2 {
 		r := request(e)
-		r.Proceed = func() bool { return false }
+		r.Proceed = func(sycwire.Connection) bool { return false }
 		_, err := client.Do(t.Context(), r)
 		must.ErrorIs(t, err, sycwire.ErrWithheld)
 		var send *sycwire.SendError
 		must.True(t, errors.As(err, &send))
 		must.False(t, send.Sent)
-		r.Proceed = func() bool { return true }
+		r.Proceed = func(sycwire.Connection) bool { return true }
 		answer, err := client.Do(t.Context(), r)
 		must.NoError(t, err)
 		answer.Discard()
--- a/internal/traffic/sycwire/conn.go
+++ b/internal/traffic/sycwire/conn.go
@@ -4,15 +4,30 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// readBufferSize is the size of a connection's read buffer in bytes.
-const readBufferSize = 4 << 10
+const (
+	// readBufferSize is the size of a connection's read buffer in bytes.
+	readBufferSize = 4 << 10
+	// maxRequests limits how many requests with an ID are sent on a connection, so that the IDs
+	// take a bounded amount of memory.
+	maxRequests = 1024
+)
+
+var (
+	// connNumber is the number of the newest connection.
+	connNumber atomic.Uint64
+	// idSeed is the seed of the hashes of IDs.
+	idSeed = maphash.MakeSeed()
+)
 
 // conn is a connection to an endpoint.
 type conn struct {
@@ -21,8 +36,15 @@
 	reader *bufio.Reader
 	// limit limits what reader reads from the endpoint.
 	limit *limitedReader
-	// answered is set once the endpoint has sent a final response on the connection.
-	answered bool
+	// number identifies the connection in this process.
+	number uint64
+	// answers is how many final responses have arrived on the connection, with those that were
+	// discarded.
+	answers int
+	// ids holds the hashes of the IDs of all requests that were sent on the connection, at most
+	// maxRequests. A copy of the response to each of them may still arrive, and only its ID tells
+	// it apart, so no ID is sent twice on a connection.
+	ids []uint64
 	// expires is when the idle connection must no longer be reused.
 	expires time.Time
 }
@@ -36,7 +58,10 @@
 	}
 	connsOpened.Inc()
 	limit := &limitedReader{in: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit}, nil
+	return &conn{
+		Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit,
+		number: connNumber.Add(1), expires: time.Now().Add(c.settings.IdleTime),
+	}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
@@ -47,6 +72,25 @@
 	})
 }
 
+// describe returns the connection's description.
+func (k *conn) describe() Connection { return Connection{Number: k.number, Answers: k.answers} }
+
+// admits reports whether a late copy of any response on the connection would be told apart from the
+// response to a request.
+func (k *conn) admits(r *Request) bool {
+	return r.ID == "" || !slices.Contains(k.ids, maphash.String(idSeed, r.ID))
+}
+
+// recordSent records that a request is sent on the connection.
+func (k *conn) recordSent(r *Request) {
+	if r.ID != "" {
+		k.ids = append(k.ids, maphash.String(idSeed, r.ID))
+	}
+}
+
+// isExhausted reports whether the connection takes no further request.
+func (k *conn) isExhausted() bool { return len(k.ids) >= maxRequests }
+
 // reusable reports whether the connection is still open and has no unread bytes.
 func (k *conn) reusable() bool {
 	if k.reader.Buffered() > 0 {
--- a/internal/traffic/sycwire/endless_test.go
+++ b/internal/traffic/sycwire/endless_test.go
@@ -46,7 +46,7 @@
 				return false
 			})
 			r := request(e)
-			r.Matches = func(h http.Header, _ bool) bool { return h.Get("Id") == "" }
+			r.Identify = func(h http.Header) sycwire.Identity { return sycwire.Identity{ID: h.Get("Id")} }
 			_, err := newClient(t).Do(t.Context(), r)
 			var send *sycwire.SendError
 			must.True(t, errors.As(err, &send))
--- /dev/null
+++ b/internal/traffic/sycwire/latecopy_test.go
@@ -0,0 +1,104 @@
+package sycwire_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
+)
+
+// identify reads the ID of a response from its header Id. Responses of runs always bear one.
+func identify(h http.Header) sycwire.Identity {
+	return sycwire.Identity{ID: h.Get("Id"), Required: h.Get("Run") != ""}
+}
+
+// exchange sends a request with an ID and returns the number of its connection and the response.
+func exchange(t *testing.T, client *sycwire.Client, e *endpoint, id string) (number uint64, answer *sycwire.Response) {
+	t.Helper()
+	r := request(e)
+	r.ID, r.Header, r.Identify = id, http.Header{"Id": {id}}, identify
+	r.Proceed = func(c sycwire.Connection) bool { number = c.Number; return true }
+	answer, err := client.Do(t.Context(), r)
+	must.NoError(t, err)
+	answer.Discard()
+	must.NoError(t, answer.Close())
+	return number, answer
+}
+
+// TestNoIDIsSentTwiceOnAConnection guards against a request whose response can't be told apart from a late
+// copy of the response to an earlier send of the same request.
+func TestNoIDIsSentTwiceOnAConnection(t *testing.T) {
+	e := startEchoingEndpoint(t, "")
+	client := newClient(t)
+	first, _ := exchange(t, client, e, "a")
+	other, _ := exchange(t, client, e, "b")
+	again, _ := exchange(t, client, e, "a")
+	must.Eq(t, first, other)
+	must.NotEq(t, first, again)
+	// Both connections are kept for others.
+	last, _ := exchange(t, client, e, "c")
+	must.Eq(t, again, last)
+	must.Eq(t, 2, e.conns.Load())
+}
+
+// TestConnectionTakesABoundedNumberOfIDs guards against a connection whose IDs take memory without bound, or
+// that forgets one of them.
+func TestConnectionTakesABoundedNumberOfIDs(t *testing.T) {
+	const limit = 1024
+	e := startEchoingEndpoint(t, "")
+	client := newClient(t)
+	first, _ := exchange(t, client, e, "0")
+	for i := 1; i < limit; i++ {
+		number, _ := exchange(t, client, e, fmt.Sprint(i))
+		must.Eq(t, first, number)
+	}
+	number, _ := exchange(t, client, e, "0")
+	must.NotEq(t, first, number)
+	must.Eq(t, 2, e.conns.Load())
+}
+
+// startEchoingEndpoint starts an endpoint whose responses bear the ID of their request and a further
+// header.
+func startEchoingEndpoint(t *testing.T, header string) *endpoint {
+	t.Helper()
+	return startEndpointWith(t, func(conn *net.TCPConn, r *http.Request) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n"+header+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	})
+}
+
+// TestStrayResponseIsDiscarded guards against a response that is taken for that to another request, by its
+// ID or because it lacks one.
+func TestStrayResponseIsDiscarded(t *testing.T) {
+	const run = "Run: 1\r\n"
+	tests := []struct {
+		name, stray string
+	}{
+		{"another ID", "Id: other\r\n"},
+		{"another ID of a run", "Id: other\r\n" + run},
+		{"a run without an ID", run},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := startEndpointWith(t, func(conn *net.TCPConn, r *http.Request) bool {
+				text := "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
+				if r.Header.Get("Id") == "b" {
+					text = "HTTP/1.1 503 Full\r\n" + tt.stray + "Content-Length: 5\r\n\r\nstray" + text
+				}
+				_, err := io.WriteString(conn, text)
+				return err == nil
+			})
+			client := newClient(t)
+			first, _ := exchange(t, client, e, "a")
+			second, answer := exchange(t, client, e, "b")
+			must.Eq(t, first, second)
+			must.Eq(t, http.StatusOK, answer.Status)
+			must.Eq(t, "b", strings.Join(answer.Header.Values("Id"), ","))
+		})
+	}
+}
--- a/internal/traffic/sycwire/limit.go
+++ b/internal/traffic/sycwire/limit.go
@@ -11,8 +11,6 @@
 	// maxHeadBytes limits the head of a response in bytes, with the informational responses
 	// before it.
 	maxHeadBytes = 64 << 10
-	// maxStrayBody limits the body of a response to another request that is discarded, in bytes.
-	maxStrayBody = 256 << 10
 	// maxDiscarded limits the body that Discard reads, in bytes.
 	maxDiscarded = 16 << 10
 	// discardTime limits the time that Discard reads.
@@ -69,15 +67,6 @@
 	}
 }
 
-// discardStray discards the body of a response to another request.
-func discardStray(body io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBody+1))
-	if n > maxStrayBody {
-		return &TooLongError{Part: "body of another response", Limit: maxStrayBody}
-	}
-	return err
-}
-
 // Discard discards the rest of a short body, so that Close can keep the connection. If the body
 // is longer than maxDiscarded or takes longer than discardTime, Close closes the connection.
 func (r *Response) Discard() {
--- a/internal/traffic/sycwire/pool.go
+++ b/internal/traffic/sycwire/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,14 +23,17 @@
 	// connsStale counts the idle connections that were closed instead of reused, as
 	// they had expired, were closed by the endpoint or had unread bytes.
 	connsStale = metrics.GetOrCreateCounter(`sycamorecart_endpoint_connections_total{event="stale"}`)
+	// connsRetired counts the connections that were closed after a response, since a late copy of
+	// it or of an earlier one might not be told apart from a later response.
+	connsRetired = metrics.GetOrCreateCounter(`sycamorecart_endpoint_connections_total{event="retired"}`)
 )
 
-// acquire returns an idle connection that can be reused, or opens a new one.
-func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that can be reused for a request, or opens a new one.
+func (c *Client) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		k := c.pop(address)
+		k := c.pop(r)
 		if k == nil {
-			return c.dial(ctx, address)
+			return c.dial(ctx, r.Address)
 		}
 		if time.Now().Before(k.expires) && k.reusable() {
 			connsReused.Inc()
@@ -40,21 +44,22 @@
 	}
 }
 
-// pop removes the most recently used idle connection to the address from the pool
+// pop removes the most recently used idle connection that admits a request from the pool
 // and returns it, or nil if there is none.
-func (c *Client) pop(address string) *conn {
+func (c *Client) pop(r *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := c.idle[r.Address]
+	for i, k := range slices.Backward(list) {
+		if k.admits(r) {
+			c.idle[r.Address] = slices.Delete(list, i, i+1)
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return k
+	return nil
 }
 
-// release returns a connection to the pool, or closes it if it can't be kept.
+// release returns a connection to the pool after a response, or closes it if it can't be kept.
 // header is the response's, which may name the endpoint's keep-alive timeout.
 func (c *Client) release(address string, k *conn, header http.Header) {
 	idleTime := c.settings.IdleTime
@@ -62,9 +67,19 @@
 		idleTime = timeout - keepAliveMargin
 	}
 	k.expires = time.Now().Add(idleTime)
+	if k.isExhausted() {
+		connsRetired.Inc()
+		_ = k.Close()
+		return
+	}
+	c.keep(address, k)
+}
+
+// keep returns a connection to the pool, or closes it if the pool is full or closed.
+func (c *Client) keep(address string, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if idleTime <= 0 || c.closed || len(c.idle[address]) >= c.settings.IdlePerAddress {
+	if c.closed || len(c.idle[address]) >= c.settings.IdlePerAddress {
 		_ = k.Close()
 		return
 	}
--- a/internal/traffic/sycwire/request.go
+++ b/internal/traffic/sycwire/request.go
@@ -25,15 +25,35 @@
 	Header http.Header
 	// Body is the whole request body; empty for none.
 	Body []byte
+	// ID identifies the request in its response, empty if responses to it bear no ID. The request
+	// isn't sent on a connection on which one with this ID was sent before, since a late copy of
+	// that one's response couldn't be told apart.
+	ID string
 	// Proceed is called right before the request's first byte is sent, once a connection is
 	// open. If it returns false, nothing is sent and Do fails with ErrWithheld. Nil always
 	// proceeds.
-	Proceed func() bool
-	// Matches reports whether a response with the given headers belongs to this
-	// request. A response that doesn't is discarded. First is set if the endpoint has sent no
-	// response on the connection before, so that this can't be a copy of one. Nil accepts every
-	// response.
-	Matches func(h http.Header, first bool) bool
+	Proceed func(c Connection) bool
+	// Identify returns which request a response with the given headers belongs to. A response to
+	// another request is discarded. Nil accepts every response: the endpoint answers each request
+	// once, in order.
+	Identify func(h http.Header) Identity
+}
+
+// Identity is what the headers of a response say about the request that it belongs to.
+type Identity struct {
+	// ID is the ID of the request, empty if the response bears none.
+	ID string
+	// Required is set if a response of this kind always bears an ID. Without one it may be a copy
+	// of an earlier response on the connection.
+	Required bool
+}
+
+// Connection describes the connection that a request is sent on.
+type Connection struct {
+	// Number identifies the connection in this process.
+	Number uint64
+	// Answers is how many responses have arrived on it before.
+	Answers int
 }
 
 // write sends the request. A body larger than maxInlineBody is written in the
