Use a connection after an answer without an ID only where a copy of it does no harm

A late copy of an answer without an ID was taken for the answer to the caller's request that came next on its connection: of an answer to a call of the router's own, which has no ID, or of a shed.

Cause: the reuse of a connection asked whether it was idle, not whether what came on it before could be told apart.

Change: an invariant of a connection. After an answer without an ID it takes only requests of the same class, whose answers say by their content what they are about; without a class it is closed. A request takes a connection of its class first, so that calls don't use up those of callers.

--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
@@ -118,26 +119,63 @@
 	return true
 }
 
+// cachePosition is how far an engine's cache events have been read.
+type cachePosition struct {
+	// next is the number of the event to ask for next.
+	next int64
+	// epoch is the engine's, 0 before its first answer.
+	epoch int64
+}
+
+// cacheProgress is what an answer with cache events means for the position.
+type cacheProgress int
+
+// Kinds of progress.
+const (
+	// cacheAdvanced means that the events follow those before.
+	cacheAdvanced cacheProgress = iota
+	// cacheRestarted means that the engine has restarted: its events are to be read from the first on.
+	cacheRestarted
+	// cacheOutdated means that the events are older ones, of a late copy of an earlier answer.
+	cacheOutdated
+)
+
+// advance moves the position behind an answer's events. A copy of the last answer before doesn't differ from
+// one without news: its events say once more what they said.
+func (p *cachePosition) advance(events CacheEvents) cacheProgress {
+	switch {
+	case p.epoch != 0 && events.Epoch != p.epoch:
+		*p = cachePosition{}
+		return cacheRestarted
+	case events.Next < p.next:
+		return cacheOutdated
+	}
+	*p = cachePosition{next: events.Next, epoch: events.Epoch}
+	return cacheAdvanced
+}
+
 // readCache polls an engine's cache events until the engine restarts or leaves, a call
 // fails, or another VM has to read its cache.
 func (f *Fleet) readCache(e sycplace.Endpoint) {
-	var from, epoch int64
+	var at cachePosition
 	for f.tomb.Alive() && f.keepsReading(e) {
 		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), cachePollWait+engineTimeout)
-		events, err := f.options.Engines.CacheEvents(ctx, e, from, cachePollWait)
+		events, err := f.options.Engines.CacheEvents(ctx, e, at.next, cachePollWait)
 		cancel()
 		if err != nil {
 			f.log.WithError(err).WithField("endpoint", e.ID).Debug("fleet: reading cache events failed")
 			f.pause(cachePollWait)
 			return
 		}
-		if epoch != 0 && events.Epoch != epoch {
-			from, epoch = 0, 0
+		switch at.advance(events) {
+		case cacheRestarted:
 			continue
-		}
-		from, epoch = events.Next, events.Epoch
-		if reports := sycplace.SummarizeEvents(e, events.Events); len(reports) > 0 {
-			f.loop.DoControl(func(now time.Duration) { f.applyCacheReports(now, reports) })
+		case cacheAdvanced:
+			if reports := sycplace.SummarizeEvents(e, events.Events); len(reports) > 0 {
+				f.loop.DoControl(func(now time.Duration) { f.applyCacheReports(now, reports) })
+			}
+		case cacheOutdated:
+			f.log.WithFields(logrus.Fields{"endpoint": e.ID, "next": events.Next, "from": at.next}).Info("fleet: late copy of cache events ignored")
 		}
 		f.pause(cachePollPause)
 	}
--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -163,6 +163,7 @@
 			}
 			continue
 		}
+		k.recordAnswer(r, response.Header)
 		return &Response{
 			Status: response.StatusCode,
 			Header: response.Header,
--- a/internal/traffic/sycwire/conn.go
+++ b/internal/traffic/sycwire/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash/maphash"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,11 @@
 	// maxRequests. A copy of the response to each of them may still arrive, and only its ID tells
 	// it apart, so no ID is sent twice on a connection.
 	ids []uint64
+	// anonymous is set once a response without an ID has arrived on the connection that was taken
+	// for the one to a request of class. Nothing tells a copy of it apart, so from then on the
+	// connection takes only requests of that class, none if it is empty.
+	anonymous bool
+	class     Class
 	// expires is when the idle connection must no longer be reused.
 	expires time.Time
 }
@@ -78,6 +84,9 @@
 // admits reports whether a late copy of any response on the connection would be told apart from the
 // response to a request.
 func (k *conn) admits(r *Request) bool {
+	if k.anonymous && (k.class == "" || k.class != r.class()) {
+		return false
+	}
 	return r.ID == "" || !slices.Contains(k.ids, maphash.String(idSeed, r.ID))
 }
 
@@ -88,8 +97,15 @@
 	}
 }
 
-// isExhausted reports whether the connection takes no further request.
-func (k *conn) isExhausted() bool { return len(k.ids) >= maxRequests }
+// recordAnswer records that a response was taken for the one to a request.
+func (k *conn) recordAnswer(r *Request, h http.Header) {
+	if r.Identify == nil || r.Identify(h).ID == "" {
+		k.anonymous, k.class = true, r.class()
+	}
+}
+
+// isSpent reports whether the connection takes no further request.
+func (k *conn) isSpent() bool { return len(k.ids) >= maxRequests || k.anonymous && k.class == "" }
 
 // reusable reports whether the connection is still open and has no unread bytes.
 func (k *conn) reusable() bool {
--- a/internal/traffic/sycwire/latecopy_test.go
+++ b/internal/traffic/sycwire/latecopy_test.go
@@ -33,7 +33,7 @@
 // TestNoIDIsSentTwiceOnAConnection guards against a request whose response can't be told apart from a late
 // copy of the response to an earlier send of the same request.
 func TestNoIDIsSentTwiceOnAConnection(t *testing.T) {
-	e := startEchoingEndpoint(t, "")
+	e := startEchoingEndpoint(t)
 	client := newClient(t)
 	first, _ := exchange(t, client, e, "a")
 	other, _ := exchange(t, client, e, "b")
@@ -50,7 +50,7 @@
 // that forgets one of them.
 func TestConnectionTakesABoundedNumberOfIDs(t *testing.T) {
 	const limit = 1024
-	e := startEchoingEndpoint(t, "")
+	e := startEchoingEndpoint(t)
 	client := newClient(t)
 	first, _ := exchange(t, client, e, "0")
 	for i := 1; i < limit; i++ {
@@ -62,12 +62,11 @@
 	must.Eq(t, 2, e.conns.Load())
 }
 
-// startEchoingEndpoint starts an endpoint whose responses bear the ID of their request and a further
-// header.
-func startEchoingEndpoint(t *testing.T, header string) *endpoint {
+// startEchoingEndpoint starts an endpoint whose responses bear the ID of their request, empty if it has none.
+func startEchoingEndpoint(t *testing.T) *endpoint {
 	t.Helper()
 	return startEndpointWith(t, func(conn *net.TCPConn, r *http.Request) bool {
-		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n"+header+"Content-Length: 0\r\n\r\n")
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	})
 }
@@ -102,3 +101,69 @@
 		})
 	}
 }
+
+// TestConnectionAfterAResponseWithoutID guards against a request on a connection on which a late copy of a response
+// without an ID would be taken for the one to it, and against connections that are given up needlessly.
+func TestConnectionAfterAResponseWithoutID(t *testing.T) {
+	// send is a request, whose response bears an ID if the request does.
+	type send struct {
+		id    string
+		class sycwire.Class
+		// shed is set if the response bears no ID although the request does.
+		shed bool
+	}
+	caller, other, report, order := send{id: "a"}, send{id: "b"}, send{class: "reports"}, send{}
+	tests := []struct {
+		name          string
+		first, second send
+		reused        bool
+	}{
+		{"two with IDs", caller, other, true},
+		{"a shed", send{id: "a", shed: true}, other, false},
+		{"a shed before a call", send{id: "a", shed: true}, report, false},
+		{"a call after one with an ID", caller, report, true},
+		{"an order after one with an ID", caller, order, true},
+		{"a call's answer", report, other, false},
+		{"an order's answer", order, other, false},
+		{"an order's answer before a call", order, report, false},
+		{"two orders", order, order, false},
+		{"two of a class", report, report, true},
+		{"two of different classes", report, send{class: "events"}, false},
+		{"an order after a call", report, order, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := startEchoingEndpoint(t)
+			client := newClient(t)
+			for _, s := range []send{tt.first, tt.second} {
+				r := request(e)
+				r.ID, r.Class, r.Identify = s.id, s.class, identify
+				if r.Header = (http.Header{}); !s.shed && s.id != "" {
+					r.Header.Set("Id", s.id)
+				}
+				answer, err := client.Do(t.Context(), r)
+				must.NoError(t, err)
+				answer.Discard()
+				must.NoError(t, answer.Close())
+			}
+			must.Eq(t, tt.reused, e.conns.Load() == 1)
+		})
+	}
+}
+
+// TestCallsOfAClassStayOnTheirConnection guards against calls that take the connections of requests with an ID one
+// after the other, although their own is idle.
+func TestCallsOfAClassStayOnTheirConnection(t *testing.T) {
+	e := startEchoingEndpoint(t)
+	client := newClient(t)
+	for i := range 6 {
+		exchange(t, client, e, fmt.Sprint(i))
+		r := request(e)
+		r.Class, r.Identify, r.Header = "reports", identify, http.Header{}
+		answer, err := client.Do(t.Context(), r)
+		must.NoError(t, err)
+		answer.Discard()
+		must.NoError(t, answer.Close())
+	}
+	must.Eq(t, 2, e.conns.Load())
+}
--- a/internal/traffic/sycwire/pool.go
+++ b/internal/traffic/sycwire/pool.go
@@ -44,19 +44,30 @@
 	}
 }
 
-// pop removes the most recently used idle connection that admits a request from the pool
-// and returns it, or nil if there is none.
+// pop removes an idle connection that admits a request from the pool and returns it, or nil if there
+// is none: the most recently used one that admits only requests of its class, or else of all.
 func (c *Client) pop(r *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := c.idle[r.Address]
+	list, best := c.idle[r.Address], -1
 	for i, k := range slices.Backward(list) {
-		if k.admits(r) {
-			c.idle[r.Address] = slices.Delete(list, i, i+1)
-			return k
+		if !k.admits(r) {
+			continue
 		}
+		if k.anonymous {
+			best = i
+			break
+		}
+		if best < 0 {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
 	}
-	return nil
+	k := list[best]
+	c.idle[r.Address] = slices.Delete(list, best, best+1)
+	return k
 }
 
 // release returns a connection to the pool after a response, or closes it if it can't be kept.
@@ -67,7 +78,7 @@
 		idleTime = timeout - keepAliveMargin
 	}
 	k.expires = time.Now().Add(idleTime)
-	if k.isExhausted() {
+	if k.isSpent() {
 		connsRetired.Inc()
 		_ = k.Close()
 		return
--- a/internal/traffic/sycwire/request.go
+++ b/internal/traffic/sycwire/request.go
@@ -29,6 +29,10 @@
 	// isn't sent on a connection on which one with this ID was sent before, since a late copy of
 	// that one's response couldn't be told apart.
 	ID string
+	// Class names requests without an ID whose responses may be taken for each other, since each
+	// says by its content what it is about. Such requests share connections among themselves only.
+	// Empty: a response without an ID is the last on its connection.
+	Class Class
 	// Proceed is called right before the request's first byte is sent, once a connection is
 	// open. If it returns false, nothing is sent and Do fails with ErrWithheld. Nil always
 	// proceeds.
@@ -39,6 +43,20 @@
 	Identify func(h http.Header) Identity
 }
 
+// Class names a kind of requests; see Request.Class.
+type Class string
+
+// inOrder is the class of requests without Request.Identify. Their endpoint sends no copies.
+const inOrder Class = "in order"
+
+// class returns the request's class.
+func (r *Request) class() Class {
+	if r.Identify == nil {
+		return inOrder
+	}
+	return r.Class
+}
+
 // Identity is what the headers of a response say about the request that it belongs to.
 type Identity struct {
 	// ID is the ID of the request, empty if the response bears none.
