Close the connection of an answer that is rejected

An answer that was read to its end but makes no sense, such as a stream without an event, ends the attempt; its connection was kept, and since most workers stop only when it closes, the first engine went on while the second one began.

Cause: Response.Close asked whether the body was complete, not whether the relay had accepted it.

Change: Response.Abandon, called where an attempt is aborted.

--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -35,7 +35,7 @@
 func (x *exchange) relayBuffered(answer *sycwire.Response, started time.Time) result {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswer))
 	if err != nil {
-		return x.abortAttempt(err, started)
+		return x.abortAttempt(answer, err, started)
 	}
 	whole := len(body) < maxBufferedAnswer
 	if answer.Status < http.StatusInternalServerError {
@@ -106,9 +106,10 @@
 	x.finish("endpoint_failed", f.status)
 }
 
-// abortAttempt finishes an attempt whose answer broke off, because the caller has gone or the
-// endpoint has failed.
-func (x *exchange) abortAttempt(err error, started time.Time) result {
+// abortAttempt finishes an attempt whose answer broke off or makes no sense, because the caller has gone
+// or the endpoint has failed. The endpoint must not go on with the request.
+func (x *exchange) abortAttempt(answer *sycwire.Response, err error, started time.Time) result {
+	answer.Abandon()
 	if x.ctx.Err() != nil {
 		x.finishAttempt(sycplace.Cancelled, started)
 		return result{arrived: true, reason: "caller_gone"}
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -124,7 +124,7 @@
 		}
 		if err != nil {
 			timeout.suspend()
-			return x.abortAttempt(err, started)
+			return x.abortAttempt(answer, err, started)
 		}
 		x.heard = time.Now()
 		if advances && first {
--- a/internal/traffic/sycwire/response.go
+++ b/internal/traffic/sycwire/response.go
@@ -47,6 +47,10 @@
 	return n, err
 }
 
+// Abandon makes Close close the connection although the whole body was read: the endpoint may still work on
+// the request.
+func (r *Response) Abandon() { r.keepAlive = false }
+
 // Close returns the connection to the pool if the whole body was read. Otherwise
 // it closes the connection, which makes the endpoint stop working on the request.
 func (r *Response) Close() error {
