Don't believe a 421 that names the very weights that the request asked for

Such an answer contradicts itself (a copy of another send's does, for one), so nothing follows from it for this send.

Change: it counts as an answer that proves nothing: the request may have run, its connection is closed so that the endpoint stops, and a request that may be repeated goes elsewhere. The same for a 408, 429 or 503 without the statement that it hasn't run.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -161,11 +161,15 @@
 
 // handleOtherWeights records the weights that an endpoint has loaded instead of those asked
 // for. The endpoint has not run the request, which may be sent to it again with its weights.
+// An answer that names just the weights asked for contradicts itself, and proves nothing.
 func (x *exchange) handleOtherWeights(answer *sycwire.Response, started time.Time) result {
+	version := x.relay.codec.Weights(answer.Header)
+	if version > 0 && version == x.target.Weights {
+		return x.handleUnproven(answer, started)
+	}
 	answer.Discard()
 	x.finishAttempt(sycplace.Cancelled, started)
 	e := x.target.Endpoint
-	version := x.relay.codec.Weights(answer.Header)
 	x.relay.log.WithFields(logrus.Fields{
 		"id": x.call.ID, "endpoint": e.ID, "expected": x.target.Weights, "has": version,
 	}).Info("relay: endpoint has other weights")
@@ -176,10 +180,10 @@
 }
 
 // handleUnproven finishes an attempt whose answer has a status that callers take as a promise that
-// the request was not run, without the endpoint's statement. The request may have run.
+// the request was not run, without the endpoint's statement. The request may have run or still run.
 func (x *exchange) handleUnproven(answer *sycwire.Response, started time.Time) result {
 	x.ran = true
-	answer.Discard()
+	answer.Abandon()
 	outcome := sycplace.Served
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = sycplace.Failed
