--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -179,19 +179,19 @@
 	return result{arrived: true, sameEndpoint: version > 0, reason: "other_weights"}
 }
 
-// handleUnproven finishes an attempt whose answer has a status that callers take as a promise that
-// the request was not run, without the endpoint's statement. The request may have run or still run.
+// handleUnproven finishes an attempt whose answer doesn't prove what its status says to callers. The request
+// may have run or still run.
 func (x *exchange) handleUnproven(answer *sycwire.Response, started time.Time) result {
 	x.ran = true
 	answer.Abandon()
 	outcome := sycplace.Served
-	if answer.Status >= http.StatusInternalServerError {
+	if answer.Status >= http.StatusInternalServerError || answer.Status < http.StatusMultipleChoices {
 		outcome = sycplace.Failed
 	}
 	x.finishAttempt(outcome, started)
 	x.relay.log.WithFields(logrus.Fields{
 		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "status": answer.Status,
-	}).Info("relay: endpoint refuses without saying that it hasn't run the request")
+	}).Info("relay: answer proves nothing about the request")
 	return result{arrived: true, reason: "endpoint_unclear"}
 }
 
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -95,8 +95,9 @@
 	// OtherWeights means that the endpoint has loaded other weights than were asked for and
 	// has not run the request.
 	OtherWeights
-	// Unproven means that the status says that the request was not run, although the endpoint
-	// hasn't stated it: the endpoint may have run the request. Callers must not get the status.
+	// Unproven means that the status says that the request was not run, or that it was run with success,
+	// although the answer has nothing that proves it: the endpoint may have run the request. Callers must
+	// not get the status.
 	Unproven
 )
 
