Reset an order that is given up, so that it can't arrive after the next holder's

Cause: the holder gives an order up after 0.35 s and closes its connection in order; the kernel goes on sending its bytes for up to two seconds. The lease was released once the call had ended, not once the order could no longer arrive. A killed process leaves the same bytes.

Ruled out: a wait before the lease is released for as long as the kernel may send (2 s of the 8 s to stop, and no help to a process that is killed); closing all given-up requests with a reset (a run's cancellation would then be sent once only, and get lost in a cut).

Change: an order is revocable: its connection resets when it is closed before the answer, also by the end of the process, which drops what the engine hasn't received (DEPLOY.md: bytes held up by a partition are lost if their sender resets the connection). Its time limit begins before the lease is looked at, so that it ends before a lease that isn't renewed.

--- a/internal/peer/sycfleet/orders.go
+++ b/internal/peer/sycfleet/orders.go
@@ -19,9 +19,11 @@
 	// maxLoadPolls is how many reports a loading engine is asked for before the load
 	// counts as failed.
 	maxLoadPolls = 14
-	// engineTimeout limits a request for an engine's report. An order has half of it. A
-	// call for cache events has cachePollWait in addition.
+	// engineTimeout limits a request for an engine's report. A call for cache events has
+	// cachePollWait in addition.
 	engineTimeout = 700 * time.Millisecond
+	// orderTimeout limits an order. One that is given up then never arrives any more.
+	orderTimeout = engineTimeout / 2
 )
 
 // orderWeights starts the loads that are due by the plan and cordons the engines that the
@@ -155,8 +157,11 @@
 func (f *Fleet) sendOrder(e sycplace.Endpoint, o Order) error {
 	var term int64
 	var holds bool
+	// The time limit begins before the lease is looked at, so that the call ends before the lease does.
+	ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), orderTimeout)
+	defer cancel()
 	f.loop.DoControl(func(now time.Duration) {
-		_, holds = f.lease.Holds(now + engineTimeout/2)
+		_, holds = f.lease.Holds(now + orderTimeout)
 		term = int64(f.lease.Term())
 		if holds {
 			f.orders.Add(1)
@@ -166,8 +171,6 @@
 		return errNotHolder
 	}
 	defer f.orders.Done()
-	ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), engineTimeout/2)
-	defer cancel()
 	o.Holder, o.FencingNumber = f.options.Incarnation, term+1
 	accepted, err := f.options.Engines.Order(ctx, e, o)
 	f.log.WithFields(logrus.Fields{
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -175,7 +175,8 @@
 	CacheEvents(ctx context.Context, e sycplace.Endpoint, from int64, wait time.Duration) (CacheEvents, error)
 	// Report returns an engine's report.
 	Report(ctx context.Context, e sycplace.Endpoint) (EngineReport, error)
-	// Order sends an order to an engine and reports whether the engine has accepted it.
+	// Order sends an order to an engine and reports whether the engine has accepted it. Once Order has
+	// returned, or this process has ended, the order can't reach the engine any more.
 	Order(ctx context.Context, e sycplace.Endpoint, o Order) (accepted bool, err error)
 }
 
--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -125,6 +125,10 @@
 		c.keep(r.Address, k)
 		return nil, &SendError{Err: ErrWithheld}
 	}
+	if r.Revocable {
+		k.setResetOnClose(true)
+		defer k.setResetOnClose(false)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
 	response, err := c.roundTrip(k, r)
 	if err != nil {
--- a/internal/traffic/sycwire/conn.go
+++ b/internal/traffic/sycwire/conn.go
@@ -70,6 +70,18 @@
 	}, nil
 }
 
+// setResetOnClose sets whether closing the connection resets it, which drops what hasn't been received.
+func (k *conn) setResetOnClose(reset bool) {
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := k.Conn.(*net.TCPConn); ok {
+		// This fails only on a closed connection.
+		_ = tcp.SetLinger(linger)
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
 func (c *Client) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
--- a/internal/traffic/sycwire/request.go
+++ b/internal/traffic/sycwire/request.go
@@ -33,6 +33,10 @@
 	// says by its content what it is about. Such requests share connections among themselves only.
 	// Empty: a response without an ID is the last on its connection.
 	Class Class
+	// Revocable makes a request that gets no response never arrive later: its connection is reset, also
+	// if this process ends, so that bytes which the endpoint hasn't received by then are lost. Otherwise
+	// the kernel goes on sending them for up to Settings.Unacknowledged.
+	Revocable bool
 	// Proceed is called right before the request's first byte is sent, once a connection is
 	// open. If it returns false, nothing is sent and Do fails with ErrWithheld. Nil always
 	// proceeds.
