Let a stream that has begun go elsewhere when its last endpoint rejects the rest

The stream's engine was reset by an order to load weights; the second one, on the last attempt, answered 421 without naming its weights, or was full. It had not run there, yet the answer was given up.

Cause: a rejection of a stream that has begun counted as its last attempt, although nothing ran. A first attempt that is rejected may be refused with a time to come back; an answer that has begun can only be aborted.

Ruled out: the break of the first engine itself (an order with interrupt, as planned); silence (0 s of it in the line "answer broken off"). Weighed and dropped: to take unnamed weights for the newest announced ones. That belief would reach the holder of the duties, which would leave an engine with weights in between as it is.

Change: such a rejection doesn't count, up to twice together with the other uncounted attempts; RULES count workers that run a request. It draws on the retry budget as before. maxWeightsRetries is called maxUncounted, since it counts withdrawn selections too.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -15,9 +15,9 @@
 const (
 	// minRemaining is the least time to the deadline at which a request is still sent.
 	minRemaining = 5 * time.Millisecond
-	// maxWeightsRetries limits how often the same endpoint may be selected again because it had
-	// other weights than expected or because its selection no longer held.
-	maxWeightsRetries = 2
+	// maxUncounted limits the attempts that don't count as such: the endpoint had other weights than
+	// expected, its selection no longer held, or it rejected a stream that has begun.
+	maxUncounted = 2
 	// maxUnreachable is the number of tried endpoints after which an attempt that didn't
 	// reach its endpoint is the call's last.
 	maxUnreachable = 4
@@ -34,6 +34,8 @@
 	done bool
 	// arrived reports whether the request reached the endpoint.
 	arrived bool
+	// rejected is set if the endpoint has stated that it hasn't run the request.
+	rejected bool
 	// sameEndpoint is set if the same endpoint may be tried again. That doesn't count as a
 	// further attempt.
 	sameEndpoint bool
@@ -120,7 +122,7 @@
 	case NotRun:
 		answer.Discard()
 		x.finishAttempt(sycplace.AtCapacity, started)
-		return result{arrived: true, reason: "endpoint_full"}, true
+		return result{arrived: true, rejected: true, reason: "endpoint_full"}, true
 	case Moved:
 		x.finishAttempt(sycplace.Moved, started)
 		x.relay.client.Forget(x.target.Endpoint.Address)
@@ -176,7 +178,7 @@
 	if version > 0 {
 		x.relay.fleet.UpdateWeights(e.ID, e.Incarnation, x.call.Model, version)
 	}
-	return result{arrived: true, sameEndpoint: version > 0, reason: "other_weights"}
+	return result{arrived: true, rejected: true, sameEndpoint: version > 0, reason: "other_weights"}
 }
 
 // handleUnproven finishes an attempt whose answer doesn't prove what its status says to callers. The request
@@ -233,13 +235,18 @@
 	if x.ran && !x.route.Repeats() {
 		return false
 	}
-	if last.sameEndpoint && x.weightsRetries < maxWeightsRetries {
-		x.weightsRetries++
+	switch {
+	case last.sameEndpoint && x.uncounted < maxUncounted:
+		x.uncounted++
 		if last.arrived {
 			x.attempts--
 		}
 		x.tried = x.tried[:len(x.tried)-1]
-	} else if x.attempts >= x.route.Attempts && last.arrived {
+	case last.rejected && x.answering && x.uncounted < maxUncounted:
+		// The caller can't be told any more that the rest wasn't run.
+		x.uncounted++
+		x.attempts--
+	case x.attempts >= x.route.Attempts && last.arrived:
 		return false
 	}
 	if !last.arrived {
--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -61,7 +61,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
 	t.Cleanup(server.Close)
 	target := &sycplace.Target{Endpoint: sycplace.Endpoint{ID: "e0", Address: strings.TrimPrefix(server.URL, "http://")}}
-	fleet := &fakeFleet{target: target, withdrawn: maxWeightsRetries + 1}
+	fleet := &fakeFleet{target: target, withdrawn: maxUncounted + 1}
 	client := sycwire.New(sycwire.Defaults())
 	t.Cleanup(func() { _ = client.Close() })
 	x := &exchange{
@@ -74,14 +74,14 @@
 		target:   target,
 	}
 	x.newRequest()
-	for i := range maxWeightsRetries + 1 {
+	for i := range maxUncounted + 1 {
 		last := x.attempt(t.Context())
 		must.False(t, last.arrived)
 		must.False(t, x.ran)
 		must.True(t, x.nextAttempt(t.Context(), last))
 		must.Eq(t, 0, x.attempts)
 		// Only after some such attempts another endpoint is asked for.
-		must.Eq(t, i == maxWeightsRetries, len(fleet.excluded) == 1)
+		must.Eq(t, i == maxUncounted, len(fleet.excluded) == 1)
 	}
 	must.Eq(t, 0, received.Load())
 	must.Eq(t, []sycplace.Outcome{sycplace.Cancelled, sycplace.Cancelled, sycplace.Cancelled}, fleet.outcomes)
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -93,14 +93,14 @@
 	ctx context.Context
 	// request holds the criteria for the endpoint of the present attempt.
 	request *sycplace.Request
-	// attempts counts the attempts that reached an endpoint or are in flight, without those
-	// repeated for other weights.
+	// attempts counts the attempts that reached an endpoint or are in flight, without the
+	// uncounted ones.
 	attempts int
 	// tried lists the IDs of the endpoints tried so far, which aren't selected again. An
 	// endpoint that the call is repeated at for other weights is removed from it.
 	tried []string
-	// weightsRetries counts the attempts after which the same endpoint might be selected again.
-	weightsRetries int
+	// uncounted is how many attempts weren't counted.
+	uncounted int
 	// ran is set once an endpoint may have run the request.
 	ran bool
 	// answering is set once bytes of an answer have gone to the caller.
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -162,7 +162,12 @@
 	return sycplace.Notice{Leaving: h.Get("Leaving") != ""}
 }
 
-func (rigCodec) Weights(http.Header) int64 { return 7 }
+func (rigCodec) Weights(h http.Header) int64 {
+	if h.Get("Unnamed") != "" {
+		return 0
+	}
+	return 7
+}
 
 func (rigCodec) Disposition(_ string, status int, h http.Header) Disposition {
 	switch {
--- a/internal/traffic/sycrelay/unproven_test.go
+++ b/internal/traffic/sycrelay/unproven_test.go
@@ -18,7 +18,7 @@
 		arrivals   int
 	}{
 		{"once, as asked", "/once/x", named, http.StatusBadGateway, 1},
-		{"once, others", "/once/x", named - 1, http.StatusServiceUnavailable, 1 + maxWeightsRetries},
+		{"once, others", "/once/x", named - 1, http.StatusServiceUnavailable, 1 + maxUncounted},
 		{"repeatable, as asked", "/call/x", named, http.StatusOK, 1},
 	}
 	for _, tt := range tests {
