Don't take news for a VM's former process for the whole topic

Cause: a VM that starts again at its address gets the states that others built for its former process. Such a state holds the records of a topic from the position on that the former process had reached.

Ruled out: orders that were lost or refused (none was sent); the lease (taken over 3.3 and 2.3 s after the kills); the store's list (the VMs that had not been restarted knew 10 to 11). Changes of other kinds were guarded by their numbers already.

Change: a page that begins after what a VM has is not for this process, and is left out. The sender learns the new process's position with its first state.

--- a/internal/peer/sycfleet/exchange_test.go
+++ b/internal/peer/sycfleet/exchange_test.go
@@ -74,6 +74,20 @@
 	return n
 }
 
+// restart replaces a VM by a new process at its address that knows only the other VMs.
+func (n *network) restart(i int) *Fleet {
+	o := n.vms[i].options
+	o.Incarnation = o.Name + "/2"
+	f := newFleet(o, n.vms[i].loop)
+	n.vms[i] = f
+	for j, other := range n.vms {
+		if j != i {
+			f.learnMember(n.now, other.ownMember(), false)
+		}
+	}
+	return f
+}
+
 // run lets time pass. VMs begin their exchanges at different times of a period.
 func (n *network) run(length time.Duration) {
 	const step = 10 * time.Millisecond
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -223,6 +223,11 @@
 	}
 	page := decodePage(in)
 	isAnswer := in.Since != nil
+	if isAnswer && !page.Snapshot && s.Next().Before(decodePosition(in.Since)) {
+		// It is for a former process at this VM's address, which had the records before: this one lacks them.
+		f.noteEra(now, page.Next.Era)
+		return
+	}
 	// The copy is as recent as the sender's only if it lacks none of the sender's records.
 	isNewer := s.Next().Before(page.Next) &&
 		(len(page.Records) > 0 || isAnswer && page.Complete && !s.Next().Before(decodePosition(in.Since)))
