Keep no connection whose endpoint closes it at once

A keep-alive time of half a second or less left the connection in the pool since the rule on answers without an ID: it was closed only when its turn came. As before, it is closed after its answer.

--- a/internal/traffic/sycwire/pool.go
+++ b/internal/traffic/sycwire/pool.go
@@ -78,12 +78,15 @@
 		idleTime = timeout - keepAliveMargin
 	}
 	k.expires = time.Now().Add(idleTime)
-	if k.isSpent() {
+	switch {
+	case k.isSpent():
 		connsRetired.Inc()
 		_ = k.Close()
-		return
+	case idleTime <= 0:
+		_ = k.Close()
+	default:
+		c.keep(address, k)
 	}
-	c.keep(address, k)
 }
 
 // keep returns a connection to the pool, or closes it if the pool is full or closed.
