--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -5,6 +5,10 @@
 // checks that the endpoint hasn't closed it and that no unsolicited bytes have
 // arrived on it, since a request on such a connection could be lost or get the
 // response to another request.
+//
+// A faulty endpoint may send a copy of a response late, where the next response is expected.
+// So a connection is reused for a request only if a late copy of any response that came on it
+// before would be told apart from the one to the request: by its ID, or else by its content.
 package sycwire
 
 import (
