--- a/internal/traffic/sycwire/latecopy_test.go
+++ b/internal/traffic/sycwire/latecopy_test.go
@@ -1,6 +1,7 @@
 package sycwire_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -167,3 +168,18 @@
 	}
 	must.Eq(t, 2, e.conns.Load())
 }
+
+// TestManyStrayResponsesAreGivenUp guards against an endpoint whose copies are read for ever, and against a request that
+// counts as not sent because of them.
+func TestManyStrayResponsesAreGivenUp(t *testing.T) {
+	e := startEndpoint(t, func(conn *net.TCPConn) bool {
+		_, err := io.WriteString(conn, strings.Repeat("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", 3))
+		return err == nil
+	})
+	r := request(e)
+	r.ID, r.Identify = "a", identify
+	_, err := newClient(t).Do(t.Context(), r)
+	var send *sycwire.SendError
+	must.True(t, errors.As(err, &send))
+	must.True(t, send.Sent)
+}
