Let idle connections to endpoints expire by the boot-time clock

What callers could see: a 502 for a request that may run once, sent on a connection that had been idle for longer than its endpoint keeps it. Go's monotonic clock stands still while a machine is suspended, so after eight seconds of suspension a kept connection looked as fresh as before. Its end was only found where the endpoint's close had arrived.

Change: sycwire takes the time from sycclock, as leases and windows do. In passing, one name for one thing: within sycwire what an endpoint sends is a response, in the relay and in logs an answer.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -148,7 +148,7 @@
 		"id": x.call.ID, "attempt": x.attempts, "route": x.route.Name, "service": x.service, "config": x.config.Version(),
 		"endpoint": t.Endpoint.ID, "address": t.Endpoint.Address, "load": t.Load.Requests,
 		"expected": t.Expected.Round(time.Millisecond).String(), "left": time.Until(x.deadline).Round(time.Millisecond).String(),
-		"waited": time.Since(x.arrived).Round(time.Millisecond).String(), "conn": c.Number, "answers": c.Answers,
+		"waited": time.Since(x.arrived).Round(time.Millisecond).String(), "conn": c.Number, "answers": c.Responses,
 	}
 	if x.call.Model != "" {
 		fields["weights"], fields["waiting"], fields["tokens"] = t.Weights, t.Load.Tokens, x.call.Tokens
--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -17,6 +17,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sycamorecart.example/sycamorecart/internal/ground/sycclock"
 )
 
 // Settings limits a client's connections.
@@ -70,6 +72,8 @@
 // concurrent use.
 type Client struct {
 	settings Settings
+	// now returns the time of a clock that also advances while the machine is suspended.
+	now func() time.Duration
 	// mu guards idle and closed.
 	mu sync.Mutex
 	// idle holds the idle connections by address. The most recently used
@@ -81,7 +85,7 @@
 
 // New returns a client that has no open connections yet.
 func New(s Settings) *Client {
-	return &Client{settings: s, idle: map[string][]*conn{}}
+	return &Client{settings: s, now: sycclock.Now, idle: map[string][]*conn{}}
 }
 
 // Close closes all idle connections. Connections in use are closed once their
@@ -163,7 +167,7 @@
 			return nil, err
 		}
 		reason := k.checkStray(r, response.Header)
-		k.answers++
+		k.responses++
 		if reason != notStray {
 			k.recordStray(r, response, reason)
 			if err := discardStray(response.Body); err != nil {
@@ -171,7 +175,7 @@
 			}
 			continue
 		}
-		k.recordAnswer(r, response.Header)
+		k.recordResponse(r, response.Header)
 		return &Response{
 			Status: response.StatusCode,
 			Header: response.Header,
--- a/internal/traffic/sycwire/conn.go
+++ b/internal/traffic/sycwire/conn.go
@@ -39,9 +39,9 @@
 	limit *limitedReader
 	// number identifies the connection in this process.
 	number uint64
-	// answers is how many final responses have arrived on the connection, with those that were
+	// responses is how many final responses have arrived on the connection, with those that were
 	// discarded.
-	answers int
+	responses int
 	// ids holds the hashes of the IDs of all requests that were sent on the connection, at most
 	// maxRequests. A copy of the response to each of them may still arrive, and only its ID tells
 	// it apart, so no ID is sent twice on a connection.
@@ -51,8 +51,8 @@
 	// connection takes only requests of that class, none if it is empty.
 	anonymous bool
 	class     Class
-	// expires is when the idle connection must no longer be reused.
-	expires time.Time
+	// expires is when the idle connection must no longer be reused, by the client's clock.
+	expires time.Duration
 }
 
 // dial opens a connection to the address.
@@ -66,7 +66,7 @@
 	limit := &limitedReader{in: raw}
 	return &conn{
 		Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), limit: limit,
-		number: connNumber.Add(1), expires: time.Now().Add(c.settings.IdleTime),
+		number: connNumber.Add(1), expires: c.now() + c.settings.IdleTime,
 	}, nil
 }
 
@@ -91,7 +91,7 @@
 }
 
 // describe returns the connection's description.
-func (k *conn) describe() Connection { return Connection{Number: k.number, Answers: k.answers} }
+func (k *conn) describe() Connection { return Connection{Number: k.number, Responses: k.responses} }
 
 // admits reports whether a late copy of any response on the connection would be told apart from the
 // response to a request.
@@ -109,8 +109,8 @@
 	}
 }
 
-// recordAnswer records that a response was taken for the one to a request.
-func (k *conn) recordAnswer(r *Request, h http.Header) {
+// recordResponse records that a response was taken for the one to a request.
+func (k *conn) recordResponse(r *Request, h http.Header) {
 	if r.Identify == nil || r.Identify(h).ID == "" {
 		k.anonymous, k.class = true, r.class()
 	}
--- a/internal/traffic/sycwire/pool.go
+++ b/internal/traffic/sycwire/pool.go
@@ -35,7 +35,7 @@
 		if k == nil {
 			return c.dial(ctx, r.Address)
 		}
-		if time.Now().Before(k.expires) && k.reusable() {
+		if c.now() < k.expires && k.reusable() {
 			connsReused.Inc()
 			return k, nil
 		}
@@ -77,7 +77,7 @@
 	if timeout, ok := keepAliveTimeout(header); ok {
 		idleTime = timeout - keepAliveMargin
 	}
-	k.expires = time.Now().Add(idleTime)
+	k.expires = c.now() + idleTime
 	switch {
 	case k.isSpent():
 		connsRetired.Inc()
--- a/internal/traffic/sycwire/request.go
+++ b/internal/traffic/sycwire/request.go
@@ -74,8 +74,8 @@
 type Connection struct {
 	// Number identifies the connection in this process.
 	Number uint64
-	// Answers is how many responses have arrived on it before.
-	Answers int
+	// Responses is how many responses have arrived on it before.
+	Responses int
 }
 
 // write sends the request. A body larger than maxInlineBody is written in the
--- a/internal/traffic/sycwire/stray.go
+++ b/internal/traffic/sycwire/stray.go
@@ -40,7 +40,7 @@
 	switch {
 	case identity.ID != "" && identity.ID != r.ID:
 		return otherID
-	case identity.ID == "" && identity.Required && k.answers > 0:
+	case identity.ID == "" && identity.Required && k.responses > 0:
 		return missingID
 	}
 	return notStray
@@ -50,7 +50,7 @@
 func (k *conn) recordStray(r *Request, response *http.Response, reason strayReason) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_endpoint_answers_discarded_total{reason=%q}`, reason)).Inc()
 	logrus.WithFields(logrus.Fields{
-		"part": "wire", "id": r.ID, "target": r.Target, "address": r.Address, "conn": k.number, "answers": k.answers,
+		"part": "wire", "id": r.ID, "target": r.Target, "address": r.Address, "conn": k.number, "answers": k.responses,
 		"answer_id": r.Identify(response.Header).ID, "status": response.StatusCode, "reason": reason,
 	}).Warn("wire: answer to another request discarded")
 }
