--- a/internal/traffic/sycwire/latecopy_test.go
+++ b/internal/traffic/sycwire/latecopy_test.go
@@ -18,17 +18,28 @@
 	return sycwire.Identity{ID: h.Get("Id"), Required: h.Get("Run") != ""}
 }
 
-// exchange sends a request with an ID and returns the number of its connection and the response.
-func exchange(t *testing.T, client *sycwire.Client, e *endpoint, id string) (number uint64, answer *sycwire.Response) {
+// sent is a request whose response bears the request's ID, if it has one.
+type sent struct {
+	id    string
+	class sycwire.Class
+	// shed is set if the response bears no ID although the request has one.
+	shed bool
+}
+
+// send sends a request and returns the number of its connection and the response.
+func (s sent) send(t *testing.T, client *sycwire.Client, e *endpoint) (number uint64, response *sycwire.Response) {
 	t.Helper()
 	r := request(e)
-	r.ID, r.Header, r.Identify = id, http.Header{"Id": {id}}, identify
+	r.ID, r.Class, r.Identify, r.Header = s.id, s.class, identify, http.Header{}
+	if !s.shed {
+		r.Header.Set("Id", s.id)
+	}
 	r.Proceed = func(c sycwire.Connection) bool { number = c.Number; return true }
-	answer, err := client.Do(t.Context(), r)
+	response, err := client.Do(t.Context(), r)
 	must.NoError(t, err)
-	answer.Discard()
-	must.NoError(t, answer.Close())
-	return number, answer
+	response.Discard()
+	must.NoError(t, response.Close())
+	return number, response
 }
 
 // TestNoIDIsSentTwiceOnAConnection guards against a request whose response can't be told apart from a late
@@ -36,13 +47,13 @@
 func TestNoIDIsSentTwiceOnAConnection(t *testing.T) {
 	e := startEchoingEndpoint(t)
 	client := newClient(t)
-	first, _ := exchange(t, client, e, "a")
-	other, _ := exchange(t, client, e, "b")
-	again, _ := exchange(t, client, e, "a")
+	first, _ := sent{id: "a"}.send(t, client, e)
+	other, _ := sent{id: "b"}.send(t, client, e)
+	again, _ := sent{id: "a"}.send(t, client, e)
 	must.Eq(t, first, other)
 	must.NotEq(t, first, again)
 	// Both connections are kept for others.
-	last, _ := exchange(t, client, e, "c")
+	last, _ := sent{id: "c"}.send(t, client, e)
 	must.Eq(t, again, last)
 	must.Eq(t, 2, e.conns.Load())
 }
@@ -53,12 +64,12 @@
 	const limit = 1024
 	e := startEchoingEndpoint(t)
 	client := newClient(t)
-	first, _ := exchange(t, client, e, "0")
+	first, _ := sent{id: "0"}.send(t, client, e)
 	for i := 1; i < limit; i++ {
-		number, _ := exchange(t, client, e, fmt.Sprint(i))
+		number, _ := sent{id: fmt.Sprint(i)}.send(t, client, e)
 		must.Eq(t, first, number)
 	}
-	number, _ := exchange(t, client, e, "0")
+	number, _ := sent{id: "0"}.send(t, client, e)
 	must.NotEq(t, first, number)
 	must.Eq(t, 2, e.conns.Load())
 }
@@ -94,11 +105,11 @@
 				return err == nil
 			})
 			client := newClient(t)
-			first, _ := exchange(t, client, e, "a")
-			second, answer := exchange(t, client, e, "b")
+			first, _ := sent{id: "a"}.send(t, client, e)
+			second, response := sent{id: "b"}.send(t, client, e)
 			must.Eq(t, first, second)
-			must.Eq(t, http.StatusOK, answer.Status)
-			must.Eq(t, "b", strings.Join(answer.Header.Values("Id"), ","))
+			must.Eq(t, http.StatusOK, response.Status)
+			must.Eq(t, "b", strings.Join(response.Header.Values("Id"), ","))
 		})
 	}
 }
@@ -106,22 +117,15 @@
 // TestConnectionAfterAResponseWithoutID guards against a request on a connection on which a late copy of a response
 // without an ID would be taken for the one to it, and against connections that are given up needlessly.
 func TestConnectionAfterAResponseWithoutID(t *testing.T) {
-	// send is a request, whose response bears an ID if the request does.
-	type send struct {
-		id    string
-		class sycwire.Class
-		// shed is set if the response bears no ID although the request does.
-		shed bool
-	}
-	caller, other, report, order := send{id: "a"}, send{id: "b"}, send{class: "reports"}, send{}
+	caller, other, report, order := sent{id: "a"}, sent{id: "b"}, sent{class: "reports"}, sent{}
 	tests := []struct {
 		name          string
-		first, second send
+		first, second sent
 		reused        bool
 	}{
 		{"two with IDs", caller, other, true},
-		{"a shed", send{id: "a", shed: true}, other, false},
-		{"a shed before a call", send{id: "a", shed: true}, report, false},
+		{"a shed", sent{id: "a", shed: true}, other, false},
+		{"a shed before a call", sent{id: "a", shed: true}, report, false},
 		{"a call after one with an ID", caller, report, true},
 		{"an order after one with an ID", caller, order, true},
 		{"a call's answer", report, other, false},
@@ -129,24 +133,15 @@
 		{"an order's answer before a call", order, report, false},
 		{"two orders", order, order, false},
 		{"two of a class", report, report, true},
-		{"two of different classes", report, send{class: "events"}, false},
+		{"two of different classes", report, sent{class: "events"}, false},
 		{"an order after a call", report, order, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			e := startEchoingEndpoint(t)
 			client := newClient(t)
-			for _, s := range []send{tt.first, tt.second} {
-				r := request(e)
-				r.ID, r.Class, r.Identify = s.id, s.class, identify
-				if r.Header = (http.Header{}); !s.shed && s.id != "" {
-					r.Header.Set("Id", s.id)
-				}
-				answer, err := client.Do(t.Context(), r)
-				must.NoError(t, err)
-				answer.Discard()
-				must.NoError(t, answer.Close())
-			}
+			tt.first.send(t, client, e)
+			tt.second.send(t, client, e)
 			must.Eq(t, tt.reused, e.conns.Load() == 1)
 		})
 	}
@@ -158,13 +153,8 @@
 	e := startEchoingEndpoint(t)
 	client := newClient(t)
 	for i := range 6 {
-		exchange(t, client, e, fmt.Sprint(i))
-		r := request(e)
-		r.Class, r.Identify, r.Header = "reports", identify, http.Header{}
-		answer, err := client.Do(t.Context(), r)
-		must.NoError(t, err)
-		answer.Discard()
-		must.NoError(t, answer.Close())
+		sent{id: fmt.Sprint(i)}.send(t, client, e)
+		sent{class: "reports"}.send(t, client, e)
 	}
 	must.Eq(t, 2, e.conns.Load())
 }
