Take no page of engines' caches that a former process asked for

What it costs: parts of prompts read again. A VM that starts twice at its address within three seconds got the last page of engines' caches that its former process had asked for, took it for the last of its own reading, and never asked for the pages before.

Change: the page counts only if the state that brings it was built for this process. TestCachesForAFormerProcessAreNotAll failed before.

--- a/internal/peer/sycfleet/caches.go
+++ b/internal/peer/sycfleet/caches.go
@@ -260,9 +260,10 @@
 	return source
 }
 
-// receiveCaches applies the reports of engines' caches that this VM has asked for.
+// receiveCaches applies the reports of engines' caches that this process has asked for, not a former one at
+// this VM's address.
 func (f *Fleet) receiveCaches(now time.Duration, in *sycgossippb.State) {
-	if !in.HasCaches || f.cacheReads.synced {
+	if !in.HasCaches || f.cacheReads.synced || in.ReceivedFrom != f.options.Incarnation {
 		return
 	}
 	for _, c := range in.Caches {
--- a/internal/peer/sycfleet/restart_test.go
+++ b/internal/peer/sycfleet/restart_test.go
@@ -44,6 +44,8 @@
 				if !snapshotFirst {
 					read()
 				}
+				// Until others have answered, a new VM can't tell which records of a restored log are new in its era.
+				n.run(3 * time.Second)
 				must.Eq(t, at(era, keys), topic.Next())
 				must.Len(t, keys, topic.Since(sycfeed.Position{}))
 				must.Eq(t, snapshotFirst, loaded)
@@ -51,3 +53,18 @@
 		}
 	}
 }
+
+// TestCachesForAFormerProcessAreNotAll guards against a VM that starts again at its address and takes the last page of engines'
+// caches, which its former process had asked for, for all there is.
+func TestCachesForAFormerProcessAreNotAll(t *testing.T) {
+	n := newNetwork(t, 3)
+	former := n.vms[0].peers.link("vm1")
+	former.wantsCaches, former.cachesAfter = true, "e"
+	late := n.vms[0].buildState(n.now, "vm1")
+	must.True(t, late.HasCaches)
+	started := n.restart(1)
+	started.receiveState(n.now, late)
+	must.False(t, started.cacheReads.synced)
+	n.run(time.Second)
+	must.True(t, started.cacheReads.synced)
+}
