Log when a stream is given to its standby

Now: 'relay: standby accepted' with the request's ID, the endpoint, the last event and whether the standby's answer has begun. No decision changes. Ruled out by reading: 'given_up' in 'relay: answer broken off' shows it only where the former attempt ends with a time-out of its own.

--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -126,6 +126,21 @@
 	return s.err == nil && s.answer.Status == http.StatusOK && s.exchange.disposition(s.answer) == Answered
 }
 
+// logDecision logs what became of the standby, and whether its answer has begun.
+func (s *standby) logDecision(decision string) {
+	begun := false
+	select {
+	case <-s.done:
+		begun = true
+	default:
+	}
+	x := s.exchange
+	x.relay.log.WithFields(logrus.Fields{
+		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "after_event": x.lastEvent, "begun": begun,
+		"took": time.Since(s.started).Round(time.Millisecond).String(),
+	}).Info("relay: standby " + decision)
+}
+
 // abandon ends the attempt, whose answer isn't needed.
 func (s *standby) abandon() {
 	s.mu.Lock()
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -172,6 +172,7 @@
 		// The endpoint has continued before the standby was sent, or the attempt has ended.
 		return false
 	case accepted:
+		s.logDecision("accepted")
 		t.switched = true
 		t.cancel()
 		return false
