A silent stream goes to its standby only once that has sent an event

What callers saw: a stream whose sound endpoint paused for over 1.1 s was cut at its deadline, or aborted, although the endpoint would have gone on: the standby had accepted the request and then sent nothing that takes the stream further.

Cause: "hasn't rejected within 0.25 s" was taken for "will complete it". The former endpoint was cancelled then, and with two attempts allowed nothing was left.

Change: both endpoints run until one sends an event that takes the stream further; the other is cancelled at that moment. A standby reads ahead up to that event and hands it on with the stream. One that is overdue (its first-byte limit, at least the longest pause) is replaced if the route allows a further attempt. Its work counts as an attempt, as before. rejectionTime is gone.

TestOnlyOneEndpointKeepsAStream asserted that the first endpoint is always left within the 0.25 s; it now asserts for each case which endpoint keeps the stream and that the other one is left before the stream ends, and has one case more.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -56,7 +56,7 @@
 	ctx, x.timeout = x.startTimeout(ctx)
 	defer x.timeout.stop()
 	answer, err := x.relay.client.Do(ctx, x.outgoing(nil))
-	return x.receive(ctx, answer, err, started)
+	return x.receive(ctx, answer, nil, err, started)
 }
 
 // outgoing returns the request as it is sent to the target. A stream is to continue after its last event.
@@ -91,8 +91,9 @@
 	}
 }
 
-// receive passes on the answer to an attempt that started at a time. Err says why there is none.
-func (x *exchange) receive(ctx context.Context, answer *sycwire.Response, err error, started time.Time) result {
+// receive passes on the answer to an attempt that started at a time. Events has read the
+// begin of the answer, and is nil if nothing has been read of it. Err says why there is no answer.
+func (x *exchange) receive(ctx context.Context, answer *sycwire.Response, events *eventReader, err error, started time.Time) result {
 	if err != nil {
 		return x.handleNoAnswer(ctx, err, started)
 	}
@@ -103,7 +104,10 @@
 	x.heard = time.Now()
 	x.timeout.admitHead()
 	if x.route.Kind == sycsite.Stream && answer.Status == http.StatusOK {
-		return x.relayStream(answer, started)
+		if events == nil {
+			events = newEventReader(answer)
+		}
+		return x.relayStream(answer, events, started)
 	}
 	x.timeout.suspend()
 	return x.relayBuffered(answer, started)
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -24,8 +24,8 @@
 const (
 	// rigEvents is the number of events of a rig's streams.
 	rigEvents = 4
-	// shortSilence ends while a standby may still be rejected, longSilence after that.
-	shortSilence, longSilence = maxStreamPause + 4*rejectionTime/5, maxStreamPause + 2*rejectionTime
+	// shortSilence and longSilence end soon and some time after a standby is asked.
+	shortSilence, longSilence = maxStreamPause + 200*time.Millisecond, maxStreamPause + 500*time.Millisecond
 )
 
 // rigStream is what the caller of a stream must get.
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -13,14 +14,12 @@
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
-// rejectionTime is how long an endpoint has to reject a request that is to resume a stream at it. An
-// endpoint that hasn't rejected the request by then has accepted it, and the endpoint before it must
-// stop soon: two of them must not run the request for long.
-const rejectionTime = 250 * time.Millisecond
+// minStandbyTime is the least time to the deadline at which a standby is still begun.
+const minStandbyTime = 250 * time.Millisecond
 
 // standby is an attempt to resume a stream at another endpoint while its present endpoint is silent. The
-// present attempt ends only once the other endpoint has accepted the request, since it may be the only
-// one that can complete the stream.
+// present attempt ends only once the other endpoint has sent an event that takes the stream further: until
+// then the present one may be the only one that can complete the stream.
 type standby struct {
 	// exchange is a copy of the call's, with the standby as the present attempt. Only the standby
 	// uses it.
@@ -30,24 +29,29 @@
 	cancel context.CancelFunc
 	// started is when the endpoint was selected.
 	started time.Time
-	// sent is closed right before the request's first byte is sent, done once answer or err is set, and
-	// settled once it is decided whether the present attempt ends.
-	sent, done, settled chan struct{}
-	// mu guards isSent, abandoned and the end of send.
+	// done is closed once answer, events and err are set.
+	done chan struct{}
+	// mu guards isSent, abandoned, overdue and the end of send.
 	mu sync.Mutex
-	// isSent is set with sent.
+	// isSent is set right before the request's first byte is sent.
 	isSent bool
-	// answer and err are the result of send, set before done is closed.
+	// answer and err are the result of the request. Events has read the answer up to the first event that
+	// takes the stream further, the answer's end or an error; it is nil if the answer isn't a stream's.
 	answer *sycwire.Response
+	events *eventReader
 	err    error
+	// resumes is set if the endpoint has sent an event that takes the stream further, or the stream's end.
+	resumes bool
 	// abandoned is set once the answer isn't needed.
 	abandoned bool
+	// overdue is set if the attempt is abandoned because its endpoint has sent no event for too long.
+	overdue bool
 }
 
 // newStandby selects the endpoint of a standby, none of those that have rejected the stream. Arrivals is
 // how many of these the request reached. It returns nil if there is no endpoint, or no time for one.
 func (x *exchange) newStandby(rejectedBy []string, arrivals int) *standby {
-	if time.Until(x.deadline) < rejectionTime {
+	if time.Until(x.deadline) < minStandbyTime {
 		return nil
 	}
 	own, request := *x, *x.request
@@ -66,7 +70,7 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	return &standby{
 		exchange: &own, ctx: ctx, cancel: cancel, started: time.Now(),
-		sent: make(chan struct{}), done: make(chan struct{}), settled: make(chan struct{}),
+		done: make(chan struct{}),
 	}
 }
 
@@ -74,7 +78,7 @@
 func (s *standby) begin(lastEvent string) {
 	x := s.exchange
 	x.lastEvent = lastEvent
-	go s.send(x.outgoing(s.proceed))
+	go s.send(x.outgoing(s.proceed), lastEvent)
 }
 
 // proceed records that the request is sent from now on. It returns false if the standby was abandoned.
@@ -85,79 +89,66 @@
 		return false
 	}
 	s.isSent = true
-	close(s.sent)
 	return true
 }
 
-// abandonUnsent abandons the standby if nothing has been sent, and reports whether it has.
-func (s *standby) abandonUnsent() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.isSent {
-		s.abandonLocked()
-	}
-	return s.abandoned
-}
-
-// send sends the request and waits for the answer's header.
-func (s *standby) send(r *sycwire.Request) {
+// send sends the request and reads the answer up to the first event that takes the stream further.
+func (s *standby) send(r *sycwire.Request, lastEvent string) {
 	answer, err := s.exchange.relay.client.Do(s.ctx, r)
+	var events *eventReader
+	resumes := false
+	if err == nil && answer.Status == http.StatusOK && s.exchange.disposition(answer) == Answered {
+		events = newEventReader(answer)
+		failure := events.readAhead(lastEvent)
+		resumes = failure == nil || errors.Is(failure, io.EOF)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answer, s.err = answer, err
+	s.answer, s.events, s.err, s.resumes = answer, events, err, resumes
 	close(s.done)
 	if s.abandoned {
 		s.discard()
 	}
 }
 
-// accepted waits until the endpoint has rejected the request or the time for that is over, and reports
-// whether the stream may be left to it.
-func (s *standby) accepted() bool {
-	select {
-	case <-s.sent:
-	case <-s.done:
-	}
-	select {
-	case <-s.done:
-	case <-time.After(rejectionTime):
-		return true
-	}
-	return s.err == nil && s.answer.Status == http.StatusOK && s.exchange.disposition(s.answer) == Answered
+// logDecision logs what became of the standby.
+func (s *standby) logDecision(decision string) {
+	x := s.exchange
+	x.relay.log.WithFields(logrus.Fields{
+		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "after_event": x.lastEvent,
+		"took": time.Since(s.started).Round(time.Millisecond).String(),
+	}).Info("relay: standby " + decision)
 }
 
-// logDecision logs what became of the standby, and whether its answer has begun.
-func (s *standby) logDecision(decision string) {
-	begun := false
+// hasEnded reports whether the endpoint has resumed the stream or failed.
+func (s *standby) hasEnded() bool {
 	select {
 	case <-s.done:
-		begun = true
+		return true
 	default:
+		return false
 	}
-	x := s.exchange
-	x.relay.log.WithFields(logrus.Fields{
-		"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "after_event": x.lastEvent, "begun": begun,
-		"took": time.Since(s.started).Round(time.Millisecond).String(),
-	}).Info("relay: standby " + decision)
 }
 
-// abandon ends the attempt, whose answer isn't needed.
-func (s *standby) abandon() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.abandonLocked()
+// patience returns how long the endpoint may take to resume the stream while a further one could be asked.
+func (s *standby) patience() time.Duration {
+	return max(s.exchange.target.FirstByteTimeout(), maxStreamPause)
 }
 
-// abandonLocked is abandon for a caller that holds mu.
-func (s *standby) abandonLocked() {
+// abandon ends the attempt, whose answer isn't needed, and reports whether the request has been sent. Overdue
+// is set if the endpoint has sent no event for too long.
+func (s *standby) abandon(overdue bool) (sent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.cancel()
-	s.abandoned = true
+	s.abandoned, s.overdue = true, overdue
 	select {
 	case <-s.done:
 		s.discard()
 	default:
 		// The goroutine of send discards the answer.
 	}
+	return s.isSent
 }
 
 // discard finishes an attempt whose answer isn't needed. The caller holds mu, and done is closed.
@@ -166,7 +157,11 @@
 		s.exchange.applyNotice(s.answer)
 		_ = s.answer.Close()
 	}
-	s.exchange.finishAttempt(sycplace.Cancelled, s.started)
+	outcome := sycplace.Cancelled
+	if s.overdue {
+		outcome = sycplace.Silent
+	}
+	s.exchange.finishAttempt(outcome, s.started)
 }
 
 // withdraw finishes an attempt that hasn't begun to send.
@@ -184,9 +179,14 @@
 // reject finishes an attempt whose endpoint can't resume the stream.
 func (s *standby) reject() {
 	var why result
-	if s.err != nil {
+	switch {
+	case s.err != nil:
 		why = s.exchange.handleNoAnswer(s.ctx, s.err, s.started)
-	} else {
+	case s.events != nil:
+		s.exchange.applyNotice(s.answer)
+		why = s.exchange.abortAttempt(s.answer, s.events.failure(), s.started)
+		_ = s.answer.Close()
+	default:
 		why, _ = s.exchange.handleRejection(s.answer, s.started)
 		_ = s.answer.Close()
 	}
@@ -205,7 +205,7 @@
 	x.timeout = x.newTimeout(s.cancel)
 	defer x.timeout.stop()
 	<-s.done
-	return x.receive(s.ctx, s.answer, s.err, s.started)
+	return x.receive(s.ctx, s.answer, s.events, s.err, s.started)
 }
 
 // takeStandby returns the standby of the attempt that has ended, nil if there is none. Endpoints that
@@ -226,6 +226,6 @@
 // dropStandby ends the standby of the last attempt, which isn't needed.
 func (x *exchange) dropStandby() {
 	if s := x.takeStandby(); s != nil {
-		s.abandon()
+		s.abandon(false)
 	}
 }
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -80,22 +80,62 @@
 	}
 }
 
+// TestSilentStandbyTakesNoStream guards against the stream of a sound endpoint that is given up for one that has sent no event.
+func TestSilentStandbyTakesNoStream(t *testing.T) {
+	// begin is an endpoint that begins an answer, sends a part again and again, and ends after a time.
+	begin := func(part string, end time.Duration) rigEndpoint {
+		return func(w http.ResponseWriter, r *http.Request, _ int) {
+			for ended := time.Now().Add(end); time.Now().Before(ended); {
+				send(w, part)
+				pause(r, maxStreamPause/8)
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+	tests := []struct {
+		name  string
+		other rigEndpoint
+	}{
+		{"other sends no answer", func(_ http.ResponseWriter, r *http.Request, _ int) { pause(r, time.Hour) }},
+		{"other sends only a head", begin("", time.Hour)},
+		{"other sends only comments", begin(": soon\n\n", time.Hour)},
+		{"other sends only bytes", begin("x", time.Hour)},
+		{"other sends only the last event again", begin(rigEventsFrom(0, 1), time.Hour)},
+		{"other breaks off after the silence", begin("", longSilence)},
+		{"other breaks off inside an event", begin("x", longSilence)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 2, streamWith(longSilence, longSilence), tt.other)
+			ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+			defer cancel()
+			status, body, err := r.get(ctx, "/stream/1")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, status)
+			must.Eq(t, rigStream, body)
+		})
+	}
+}
+
 // TestOnlyOneEndpointKeepsAStream guards against two endpoints that both run a stream, one of them
 // without its caller, and against an endpoint that gets the blame for a caller who left.
 func TestOnlyOneEndpointKeepsAStream(t *testing.T) {
-	const limit = 400 * time.Millisecond
 	tests := []struct {
 		name string
 		// silence is how long the first endpoint is silent, and head when the other's answer begins.
 		silence, head time.Duration
+		// keeps is the endpoint that keeps the stream.
+		keeps int
 		// leaves is when the caller leaves.
 		leaves time.Duration
 	}{
-		{"first goes on early, other begins at once", shortSilence, 0, time.Hour},
-		{"first goes on early, other begins late", shortSilence, longSilence, time.Hour},
-		{"first goes on late, other begins late", longSilence, longSilence, time.Hour},
-		{"caller leaves while the other hasn't begun", longSilence, longSilence, shortSilence},
-		{"caller leaves after the other was accepted", longSilence, longSilence, maxStreamPause + rejectionTime + rejectionTime/3},
+		{"first goes on early, other begins at once", shortSilence, 0, 1, time.Hour},
+		{"first goes on early, other begins late", shortSilence, longSilence, 0, time.Hour},
+		{"first goes on late, other begins late", longSilence, longSilence, 0, time.Hour},
+		{"first goes on late, other begins early", longSilence, longSilence - maxStreamPause - 200*time.Millisecond, 1, time.Hour},
+		{"caller leaves while the other hasn't begun", longSilence, longSilence, 0, shortSilence},
+		{"caller leaves after the first has gone on", longSilence, longSilence, 0, longSilence + longSilence/4},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -108,27 +148,30 @@
 			ctx, cancel := context.WithTimeout(t.Context(), tt.leaves)
 			defer cancel()
 			status, body, err := r.get(ctx, "/stream/1")
-			awaitLeft(r, 0)
+			ended := time.Now()
+			// The other one is left while the stream still goes on.
+			must.True(t, awaitLeft(r, 1-tt.keeps).Before(ended) || tt.leaves < time.Hour)
 			must.False(t, r.wasTold("e0 failed"))
 			must.False(t, r.wasTold("e1 failed"))
 			if tt.leaves < time.Hour {
-				awaitLeft(r, 1)
+				awaitLeft(r, tt.keeps)
 				return
 			}
-			_, left1 := r.count(1)
+			_, left := r.count(tt.keeps)
 			must.NoError(t, err)
 			must.Eq(t, http.StatusOK, status)
 			must.Eq(t, rigStream, body)
-			must.Eq(t, 0, left1)
+			must.Eq(t, 0, left)
 		})
 	}
-	// The first endpoint is left that long after the other has the request.
-	must.Less(t, limit, rejectionTime)
 }
 
-// awaitLeft waits until the caller of an endpoint's request has left.
-func awaitLeft(r *rig, endpoint int) {
+// awaitLeft waits until the caller of an endpoint's request has left, and returns when that was.
+func awaitLeft(r *rig, endpoint int) time.Time {
 	for left := 0; left == 0; _, left = r.count(endpoint) {
 		time.Sleep(time.Millisecond)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left[endpoint][0]
 }
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -39,6 +39,15 @@
 	id  []byte
 	// hasData is set if the last event has a line with data.
 	hasData bool
+	// ahead holds what readAhead has read for next, in order. The last entry alone may be an error.
+	ahead []readEvent
+}
+
+// readEvent is the result of reading one event.
+type readEvent struct {
+	raw, id []byte
+	hasData bool
+	err     error
 }
 
 func newEventReader(in io.Reader) *eventReader {
@@ -49,6 +58,35 @@
 // again. A stream that ends between events fails with io.EOF, one that ends
 // inside an event with io.ErrUnexpectedEOF.
 func (e *eventReader) next() (raw, id []byte, err error) {
+	if len(e.ahead) > 0 {
+		first := e.ahead[0]
+		e.ahead = e.ahead[1:]
+		e.raw, e.id, e.hasData = first.raw, first.id, first.hasData
+		return first.raw, first.id, first.err
+	}
+	return e.read()
+}
+
+// readAhead reads until the first event that takes the stream further than the event with an ID, and keeps
+// what it reads for next. It returns io.EOF if the stream ends before such an event.
+func (e *eventReader) readAhead(lastID string) error {
+	for size := 0; ; {
+		raw, id, err := e.read()
+		if size += len(raw); err == nil && size > maxEventBytes {
+			err = errEventTooLong
+		}
+		e.ahead = append(e.ahead, readEvent{bytes.Clone(raw), bytes.Clone(id), e.hasData, err})
+		if err != nil || e.advances(lastID) {
+			return err
+		}
+	}
+}
+
+// failure returns why reading ahead has failed.
+func (e *eventReader) failure() error { return e.ahead[len(e.ahead)-1].err }
+
+// read is next without what was read ahead.
+func (e *eventReader) read() (raw, id []byte, err error) {
 	e.raw, e.id, e.hasData = e.raw[:0], e.id[:0], false
 	for {
 		line, err := e.readLine()
@@ -95,16 +133,19 @@
 	return e.hasData
 }
 
-// hasNext reports whether a further complete event is in the read buffer.
+// hasNext reports whether a further complete event has been received.
 func (e *eventReader) hasNext() bool {
+	if len(e.ahead) > 0 {
+		return true
+	}
 	buffered, err := e.in.Peek(e.in.Buffered())
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
 }
 
 // relayStream passes on a stream of events. It passes on complete events only, so that another
 // endpoint can resume the stream after any of them.
-func (x *exchange) relayStream(answer *sycwire.Response, started time.Time) result {
-	timeout, in := x.timeout, newEventReader(answer)
+func (x *exchange) relayStream(answer *sycwire.Response, in *eventReader, started time.Time) result {
+	timeout := x.timeout
 	flusher, _ := x.writer.(http.Flusher)
 	first := true
 	for {
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -13,7 +13,7 @@
 
 // answerTimeout ends an attempt whose answer doesn't arrive in time, if the request may be sent to
 // another endpoint and there is one. Before the answer has begun it cancels the attempt. An answer that
-// has begun is resumed by a standby, and the attempt is cancelled once that is accepted.
+// has begun is resumed by a standby, and the attempt is cancelled once that has sent an event.
 type answerTimeout struct {
 	// cancel cancels the attempt's context.
 	cancel context.CancelFunc
@@ -42,7 +42,7 @@
 	begun bool
 	// attempts is how many further attempts the request may have.
 	attempts int
-	// rejectedBy lists the endpoints that have rejected the stream or couldn't be reached.
+	// rejectedBy lists the endpoints that couldn't resume the stream, or whose standby was abandoned.
 	rejectedBy []string
 	// arrivals is how many of them the request reached.
 	arrivals int
@@ -113,8 +113,8 @@
 	}
 }
 
-// expireBegun lets a standby resume an answer that has begun, and cancels the attempt if the standby is
-// accepted before the endpoint has continued. It returns false if the answer hasn't begun.
+// expireBegun lets a standby resume an answer that has begun, and cancels the attempt if the standby does so
+// before the endpoint has continued. It returns false if the answer hasn't begun.
 func (t *answerTimeout) expireBegun() bool {
 	t.mu.Lock()
 	begun, rejectedBy, arrivals := t.begun, t.rejectedBy, t.arrivals
@@ -125,11 +125,72 @@
 	}
 	// The selection may take a while, in which events must not wait.
 	s := t.newStandby(rejectedBy, arrivals)
-	if t.beginStandby(s) && t.settle(s, s.accepted()) {
+	if t.beginStandby(s) {
+		t.awaitStandby(s)
+	}
+	return true
+}
+
+// awaitStandby waits until a standby has resumed the stream or failed. One that takes too long is replaced if
+// a further endpoint may be asked.
+func (t *answerTimeout) awaitStandby(s *standby) {
+	select {
+	case <-s.done:
+	case <-time.After(s.patience()):
+		if next := t.replaceStandby(s); next != nil {
+			t.awaitStandby(next)
+			return
+		}
+		<-s.done
+	}
+	if t.settle(s, s.resumes) {
 		s.reject()
 		t.checkAttempts()
 	}
-	return true
+}
+
+// replaceStandby replaces a standby whose endpoint has sent no event for too long, and returns the new one. It
+// returns nil, and leaves the standby, if no further endpoint may be asked.
+func (t *answerTimeout) replaceStandby(overdue *standby) *standby {
+	t.mu.Lock()
+	rejectedBy := append(slices.Clone(t.rejectedBy), overdue.exchange.target.Endpoint.ID)
+	arrivals := t.arrivals + 1
+	mayAsk := t.standby == overdue && arrivals < t.attempts && len(rejectedBy) < maxUnreachable
+	t.mu.Unlock()
+	if !mayAsk {
+		return nil
+	}
+	next := t.newStandby(rejectedBy, arrivals)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case next == nil:
+		return nil
+	case t.standby != overdue || overdue.hasEnded():
+		next.withdraw()
+		return nil
+	}
+	t.dropLocked(true)
+	t.standby = next
+	// The stream hasn't gone on since the overdue standby began.
+	next.begin(overdue.exchange.lastEvent)
+	return next
+}
+
+// dropLocked abandons the present standby, whose endpoint isn't asked again. Overdue is set if it has sent no
+// event for too long. The caller holds mu.
+func (t *answerTimeout) dropLocked(overdue bool) {
+	s := t.standby
+	t.standby = nil
+	if overdue {
+		s.logDecision("overdue")
+	} else {
+		s.logDecision("not needed")
+	}
+	if s.abandon(overdue) {
+		t.arrivals++
+		t.rejectedBy = append(t.rejectedBy, s.exchange.target.Endpoint.ID)
+	}
 }
 
 // checkAttempts calls markLast once the request may go to no further endpoint.
@@ -162,17 +223,16 @@
 	return false
 }
 
-// settle cancels the attempt if a standby was accepted. It returns true if the standby was rejected.
-func (t *answerTimeout) settle(s *standby, accepted bool) (rejected bool) {
+// settle cancels the attempt if a standby resumes the stream. It returns true if the standby has failed.
+func (t *answerTimeout) settle(s *standby, resumes bool) (failed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	defer close(s.settled)
 	switch {
 	case t.standby != s:
-		// The endpoint has continued before the standby was sent, or the attempt has ended.
+		// The endpoint has continued, or the attempt has ended.
 		return false
-	case accepted:
-		s.logDecision("accepted")
+	case resumes:
+		s.logDecision("resumes the stream")
 		t.switched = true
 		t.cancel()
 		return false
@@ -198,27 +258,24 @@
 	return t.arrivals < t.attempts && len(t.rejectedBy) < maxUnreachable
 }
 
-// admitEvent stops the timer like suspend when an event arrives. If the event advances the stream, it
-// ends a standby that hasn't been sent. It waits for the decision about one that has, since its endpoint
-// may have begun to run the request, which two endpoints mustn't run for long. It returns false if the
-// attempt has been cancelled in favour of the standby, which sends this event itself.
+// admitEvent stops the timer like suspend when an event arrives. If the event advances the stream, it ends
+// the standby: two endpoints mustn't run the request for long. It returns false if the attempt has been
+// cancelled in favour of the standby, which sends this event itself.
 func (t *answerTimeout) admitEvent(advances bool) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.suspendLocked()
 	// Whatever arrives goes to the caller, and with it the answer's header.
 	t.begun = true
-	s := t.standby
-	switch {
-	case s == nil || !advances:
-	case s.abandonUnsent():
-		t.standby = nil
-	default:
-		t.mu.Unlock()
-		<-s.settled
-		t.mu.Lock()
+	switched := t.switched
+	dropped := !switched && advances && t.standby != nil
+	if dropped {
+		t.dropLocked(false)
+	}
+	t.mu.Unlock()
+	if dropped {
+		t.checkAttempts()
 	}
-	return !t.switched
+	return !switched
 }
 
 // hasSwitched reports whether the attempt was cancelled in favour of a standby.
--- a/internal/traffic/sycrelay/timeout_test.go
+++ b/internal/traffic/sycrelay/timeout_test.go
@@ -134,7 +134,7 @@
 			timeout := newAnswerTimeout(func() {}, always, time.Second)
 			timeout.begun, timeout.attempts = true, maxUnreachable
 			timeout.newStandby = func([]string, int) *standby { asked.Add(1); return nil }
-			timeout.standby = &standby{exchange: &exchange{target: &sycplace.Target{}}, settled: make(chan struct{})}
+			timeout.standby = &standby{exchange: &exchange{target: &sycplace.Target{}}}
 			end(timeout)
 			must.True(t, timeout.settle(timeout.standby, false))
 			time.Sleep(time.Minute)
