A standby that closes its connection without an event completes no stream

What callers saw (by a test only): a silent stream ended as complete after its first events. Cause: a standby whose answer has neither a length nor chunks and that closes its connection before any event counted as one that had nothing left to send. Now only a framed end counts; the present endpoint keeps the stream. Ruled out: the first attempt, which has errNoEvent for it. Measured: the new case of TestSilentStandbyTakesNoStream failed before (a body of one event, no error), passes now; the package is green.

--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -100,7 +100,8 @@
 	if err == nil && answer.Status == http.StatusOK && s.exchange.disposition(answer) == Answered {
 		events = newEventReader(answer)
 		failure := events.readAhead(lastEvent)
-		resumes = failure == nil || errors.Is(failure, io.EOF)
+		// The end of a connection doesn't prove that the stream has ended.
+		resumes = failure == nil || errors.Is(failure, io.EOF) && !answer.EndsWithConnection
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/traffic/sycrelay/standby_test.go
+++ b/internal/traffic/sycrelay/standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -103,6 +104,11 @@
 		{"other sends only the last event again", begin(rigEventsFrom(0, 1), time.Hour)},
 		{"other breaks off after the silence", begin("", longSilence)},
 		{"other breaks off inside an event", begin("x", longSilence)},
+		{"other closes its connection after a head without a length", func(w http.ResponseWriter, _ *http.Request, _ int) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			_ = conn.Close()
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
