A refused claim says nothing of its key: outcome unknown instead of not-run

Cause: while an append without an answer is pending, a VM refuses further claims at once. That is true of the refused request, not of its key; a caller that reads it as 'nothing ran with my key' and sends its call under a new key runs it twice. Class: a statement about more than is known. Of the two readings the one that is safe for callers is taken: the outcome is 'unknown' as long as nobody has read the key's claim. The same for a caller whose time ends while its claim is undecided. A gateway without claims still says not-run: no request with a key can have run there.

--- a/internal/decide/sycclaim/claim.go
+++ b/internal/decide/sycclaim/claim.go
@@ -121,5 +121,5 @@
 	case NotKept:
 		return fmt.Sprintf("the first request with this Idempotency-Key ran with status %d; its answer is no longer held", e.Status)
 	}
-	return "no claim could be made for this Idempotency-Key; the request was not run"
+	return "no claim could be made for this Idempotency-Key; this request was not run, an earlier one with the key may have been"
 }
--- a/internal/traffic/sycgateway/idempotency.go
+++ b/internal/traffic/sycgateway/idempotency.go
@@ -45,7 +45,9 @@
 		return false, err
 	}
 	if x.g.options.Claims == nil {
-		return false, claimFailure(&sycclaim.Error{Reason: sycclaim.Unavailable, RetryAfter: claimRetryAfter})
+		failure := claimFailure(&sycclaim.Error{Reason: sycclaim.Unavailable, RetryAfter: claimRetryAfter})
+		failure.Outcome = sycapi.NotRun
+		return false, failure
 	}
 	ticket, first, err := x.g.options.Claims.Claim(ctx, sycclaim.Call{
 		Customer: x.customer(),
@@ -80,12 +82,13 @@
 	if errors.As(err, &refused) {
 		return claimFailure(refused)
 	}
-	return x.contextFailure(ctx, sycapi.NotRun)
+	return x.contextFailure(ctx, sycapi.Unknown)
 }
 
 // claimFailure returns the failure for a request that was not run because of its
-// claim. The outcome is unknown if an earlier request with the same key may have
-// run.
+// claim. The outcome is that of the key: it is unknown if an earlier request with the
+// same key may have run, since a caller that reads "not run" may send its call under a
+// new key. Without a claim nobody knows whether there was an earlier request.
 func claimFailure(e *sycclaim.Error) *sycapi.Failure {
 	f := &sycapi.Failure{
 		Status:     http.StatusConflict,
@@ -100,7 +103,6 @@
 		f.Outcome = sycapi.NotRun
 	case sycclaim.Unavailable:
 		f.Status = http.StatusServiceUnavailable
-		f.Outcome = sycapi.NotRun
 	}
 	return f
 }
--- a/internal/traffic/sycgateway/service_test.go
+++ b/internal/traffic/sycgateway/service_test.go
@@ -196,8 +196,6 @@
 // TestDuplicateKeysAtTwoGateways sends concurrent requests with the same
 // idempotency keys to two gateways. For each key the service must run at most one
 // request, despite faults of the service and the log.
-//
-// The case of the log's lost answers is TestKnownRedDuplicateKeys; see KNOWN-RED.txt.
 func TestDuplicateKeysAtTwoGateways(t *testing.T) {
 	testDuplicateKeys(t, []duplicateKeys{
 		{"no fault", sycservice.Faults{}, sycplatform.Faults{}, sycfault.Fault{}, 200},
@@ -207,9 +205,20 @@
 		{"crossed answers", sycservice.Faults{Cross: 1000}, sycplatform.Faults{}, sycfault.Fault{}, 0},
 		{"service unreachable", sycservice.Faults{}, sycplatform.Faults{}, sycfault.Fault{Cut: true}, 0},
 		{"log unavailable", sycservice.Faults{}, sycplatform.Faults{Log: sycplatform.Fault{Out: true}}, sycfault.Fault{}, 503},
+		{"lost answers of the log", sycservice.Faults{}, sycplatform.Faults{LoseAppends: 4}, sycfault.Fault{}, 200},
 	})
 }
 
+// TestUnavailableClaimsTellNothingOfTheKey guards against a refusal that a caller reads as "nothing ran with my key".
+func TestUnavailableClaimsTellNothingOfTheKey(t *testing.T) {
+	cl := newClaimGateways(t)
+	cl.platform.SetFaults(sycplatform.Faults{Log: sycplatform.Fault{Out: true}})
+	resp := cl.gateways[0].post(t, "/book/book", "a", "Idempotency-Key", "k")
+	_ = readBody(t, resp)
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	must.Eq(t, "unknown", resp.Header.Get("Sycamorecart-Outcome"))
+}
+
 // duplicateKeys is a case of concurrent requests with the same idempotency keys.
 type duplicateKeys struct {
 	name string
