A customer that a configuration drops and a later one names again keeps what it has spent

What operators would see: a customer that a configuration leaves out for a moment and the next one names again may spend its burst again, on each VM (QUOTA). Cause: Configure dropped the bucket and with it the total spent. The new bucket begins full; the totals that VMs tell each other begin at 0, below what the others remember, so that a report credits the difference in place of charging it. Change: a bucket is kept for ten minutes after its customer was dropped, with its limit and totals, then forgotten together with what others reported. A VM that hears of a member for the first time remembers its totals of customers too that it doesn't know yet, so that they aren't charged when the customer comes back. Ruled out: taking a falling total for a new count: a refund lets totals fall, too. Measured: TestCustomerAddedAgainHasNoSecondBurst failed before, passes; the package is green (30 s, TestFleetStaysWithinTheRate in it).

--- a/internal/decide/sycquota/quota.go
+++ b/internal/decide/sycquota/quota.go
@@ -54,6 +54,9 @@
 	minReportDelay = 300 * time.Millisecond
 	// spendingMemory is the time over which the spending of other VMs is averaged.
 	spendingMemory = time.Second
+	// droppedMemory is how long a customer that the configuration no longer names is remembered. What it
+	// has spent must still count if a later configuration names it again.
+	droppedMemory = 10 * time.Minute
 	// maxReserve limits the reserve for what other VMs haven't reported yet, as a part of
 	// the burst.
 	maxReserve = 0.5
@@ -99,6 +102,9 @@
 	othersSpent float64
 	// active is when the customer was last charged. Nothing reads it.
 	active time.Duration
+	// dropped is set while the configuration doesn't name the customer, since droppedAt.
+	dropped   bool
+	droppedAt time.Duration
 }
 
 // Limiter holds one VM's buckets for all customers.
@@ -135,7 +141,8 @@
 	}
 }
 
-// Configure replaces the customers' limits and drops customers without one.
+// Configure replaces the customers' limits. Customers without one keep their former limit until they are
+// forgotten, droppedMemory later.
 func (r *Limiter) Configure(now time.Duration, limits []Limit) {
 	configured := map[string]bool{}
 	for _, l := range limits {
@@ -150,12 +157,27 @@
 			r.buckets[l.Customer] = b
 		}
 		r.advance(now, b)
-		b.limit = l
+		b.limit, b.dropped = l, false
 		b.level = min(b.level, l.Burst)
 	}
-	for name := range r.buckets {
-		if !configured[name] {
-			delete(r.buckets, name)
+	for name, b := range r.buckets {
+		switch {
+		case configured[name]:
+		case !b.dropped:
+			b.dropped, b.droppedAt = true, now
+		case now-b.droppedAt > droppedMemory:
+			r.forget(name)
+		}
+	}
+}
+
+// forget removes a customer and what other VMs have reported of it.
+func (r *Limiter) forget(customer string) {
+	delete(r.buckets, customer)
+	for _, members := range []map[string]*member{r.members, r.leaving} {
+		for _, m := range members {
+			delete(m.spent, customer)
+			delete(m.charged, customer)
 		}
 	}
 }
@@ -201,13 +223,13 @@
 	return limit, level, vms
 }
 
-// CountExhausted returns the number of limited customers whose bucket on this VM
+// CountExhausted returns the number of limited customers of the configuration whose bucket on this VM
 // is empty.
 func (r *Limiter) CountExhausted(now time.Duration) int {
 	n := 0
 	for _, b := range r.buckets {
 		r.advance(now, b)
-		if b.limit.Rate > 0 && b.level <= 0 {
+		if !b.dropped && b.limit.Rate > 0 && b.level <= 0 {
 			n++
 		}
 	}
@@ -236,15 +258,16 @@
 	m.setIncarnation(incarnation)
 	for _, u := range usage {
 		b := r.buckets[u.Customer]
-		if b == nil {
+		switch {
+		case first:
+			m.spent[u.Customer] = u.Spent
+			continue
+		case b == nil:
 			continue
 		}
 		r.advance(now, b)
 		delta := u.Spent - m.spent[u.Customer]
 		m.spent[u.Customer] = u.Spent
-		if first {
-			delta = 0
-		}
 		b.level = min(b.level-delta, b.limit.Burst)
 		if delta > 0 {
 			b.active = now
--- a/internal/decide/sycquota/quota_test.go
+++ b/internal/decide/sycquota/quota_test.go
@@ -37,6 +37,55 @@
 	must.True(t, ok)
 }
 
+// TestCustomerAddedAgainHasNoSecondBurst guards against a spent limit that is full again on all VMs after a configuration without
+// the customer, and against one that is never forgotten.
+func TestCustomerAddedAgainHasNoSecondBurst(t *testing.T) {
+	vms := []*sycquota.Limiter{sycquota.New(true, sycquota.Headroom{}), sycquota.New(true, sycquota.Headroom{})}
+	names := []string{"a", "b"}
+	now := time.Duration(0)
+	tell := func() {
+		for i, vm := range vms {
+			vms[1-i].Receive(now, names[i], "1", vm.Report())
+			vms[1-i].Heard(now, now, names[i], "1")
+		}
+	}
+	configure := func(limits []sycquota.Limit) {
+		for _, vm := range vms {
+			vm.Configure(now, limits)
+		}
+		tell()
+	}
+	for i, vm := range vms {
+		vm.SetMembers(0, []string{names[1-i]})
+	}
+	configure(limits(rate, burst))
+	_, ok := vms[0].Admit(now, "c", burst)
+	must.True(t, ok)
+	tell()
+	for range 3 {
+		configure(nil)
+		configure(limits(rate, burst))
+		for _, vm := range vms {
+			_, ok = vm.Admit(now, "c", burst)
+			must.False(t, ok)
+		}
+	}
+	now = 100 * time.Millisecond
+	configure(limits(rate, burst))
+	_, ok = vms[0].Admit(now, "c", burst/10)
+	must.True(t, ok)
+	tell()
+	_, ok = vms[1].Admit(now, "c", burst/10)
+	must.False(t, ok)
+	// A customer that is away for long is forgotten.
+	configure(nil)
+	now = time.Hour
+	configure(nil)
+	for _, vm := range vms {
+		must.SliceEmpty(t, vm.Report())
+	}
+}
+
 // A refund must restore the level that the request was charged.
 func TestRefundRestoresTheCharge(t *testing.T) {
 	limiter := sycquota.New(true, sycquota.Headroom{})
