A search that began before a stream's first event cancels no stream that has begun

What callers saw: nothing yet (by reading, and a test in simulated time). Cause: the timer that finds an attempt silent before its first event asks the control loop whether another endpoint could get the request. If that takes longer than until the first event and the next silence, as on a VM short of processor time, the timer took that second silence for the first one and cancelled the endpoint, also while a standby was still being selected or had sent nothing.

Ruled out: a wake-up that gets lost by it. Once an answer has begun, each event starts the timer again, and that one begins the standby.

Change: the search cancels only an answer that hasn't begun. Measured: TestSearchCancelsNoBegunAnswer failed before (the attempt was cancelled), passes now with -race.

--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -104,8 +104,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case !t.expiredLocked():
-		// The answer has gone on meanwhile.
+	case t.begun || !t.expiredLocked():
+		// The answer has begun or gone on meanwhile.
 	case other:
 		t.cancel()
 	default:
