A rollout's late state in the log is replaced by its newest

What operators would see: the log says 'running' for good for a rollout that has ended. Cause: an older write of the state that was carried out late and read before the answer to the newer write came; the answer then set 'published' to the newer state, so that nobody wrote it again. Change: the answer counts only if no state was read since the call began. Ruled out: a loop of writes (the VM's own write, read first, already equals the state).

--- a/internal/peer/sycfleet/rollout.go
+++ b/internal/peer/sycfleet/rollout.go
@@ -45,8 +45,10 @@
 	// failureReason says why this VM's verdict on the release is failed. It is empty for any
 	// other verdict.
 	failureReason string
-	// published is the state in the log, as far as this VM knows.
-	published RolloutState
+	// published is the state in the log, as far as this VM knows. statusReads counts how often it was read
+	// from there.
+	published   RolloutState
+	statusReads int
 	// lastPublish is when this VM last tried to publish the state.
 	lastPublish time.Duration
 }
@@ -145,6 +147,7 @@
 	}
 	if s.era >= f.lease.Next().Era {
 		r.published = s.State
+		r.statusReads++
 	}
 	if s.State != RolloutRunning {
 		r.move.AdoptState(sycrelease.State(s.State))
@@ -266,7 +269,7 @@
 	}
 	r.lastPublish = now
 	report := RolloutReport{Service: r.Service, Release: r.Release, State: state}
-	era := f.lease.Next().Era
+	era, reads := f.lease.Next().Era, r.statusReads
 	f.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(f.tomb.Context(context.Background()), readGrace)
 		defer cancel()
@@ -275,8 +278,9 @@
 			return nil
 		}
 		f.loop.DoControl(func(time.Duration) {
-			// A restore since the call began may have taken the record back.
-			if f.lease.Next().Era == era {
+			// A restore since the call began may have taken the record back, and what was read since may be
+			// an older write that was carried out late.
+			if f.lease.Next().Era == era && r.statusReads == reads {
 				r.published = state
 			}
 		})
