A service's answer that is arriving isn't given up for another endpoint (sycgateway)

What callers saw (by a test only): 504 for a repeatable request whose endpoint was sending its answer. Cause: the timer that gives an endpoint half of the remaining time ran on while the answer was read into the buffer, so that a slow but whole answer was cancelled halfway, before another endpoint was even selected; with none, or a full one, nothing was left.

Ruled out: answers over Limits.Answer, for which the timer is stopped; requests that run once, which get all of the time.

Change: the header and each part of the body start the timer again. An endpoint that stops in the middle of its answer is still given up after the same silence; the request's deadline ends an attempt as before. Measured: both cases of TestArrivingAnswerIsKept failed before (504), pass now; the package passes with -race.

--- a/internal/traffic/sycgateway/relay.go
+++ b/internal/traffic/sycgateway/relay.go
@@ -31,7 +31,7 @@
 // streamed.
 func (c *serviceCall) relay(a *sycproxy.Response) error {
 	limit := c.x.g.limits.Answer
-	body, err := io.ReadAll(io.LimitReader(a.Body, int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(&watchedReader{a.Body, c.restartSilenceTimer}, int64(limit)+1))
 	if err != nil {
 		return err
 	}
@@ -41,6 +41,21 @@
 	return c.streamResponse(a, body)
 }
 
+// watchedReader calls received whenever bytes are read from in.
+type watchedReader struct {
+	in       io.Reader
+	received func()
+}
+
+// Read reads from in.
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.in.Read(p)
+	if n > 0 {
+		r.received()
+	}
+	return n, err
+}
+
 // deliver records a complete response for repeats and sends it to the client.
 func (c *serviceCall) deliver(a *sycproxy.Response, body []byte) error {
 	x := c.x
--- a/internal/traffic/sycgateway/service.go
+++ b/internal/traffic/sycgateway/service.go
@@ -37,10 +37,12 @@
 	grant sycwork.Grant
 	// excluded names the endpoints whose attempts failed.
 	excluded []string
-	// silenceTimer cancels an attempt if the endpoint doesn't respond in time. It
+	// silenceTimer cancels an attempt if the endpoint sends nothing for maxSilence. It
 	// is stopped once a response is streamed to the client, because the client then
 	// determines the pace.
 	silenceTimer *time.Timer
+	// maxSilence limits the endpoint's silence in the current attempt.
+	maxSilence time.Duration
 }
 
 // serveService serves a request on a service route.
@@ -203,6 +205,7 @@
 		return err
 	}
 	c.grant.FirstToken()
+	c.restartSilenceTimer()
 	if err := c.relay(answer); err != nil {
 		answer.Discard()
 		return err
@@ -216,13 +219,16 @@
 // deadline. The first attempt of a repeatable request gets only half of the
 // remaining time, which leaves time for another one.
 func (c *serviceCall) startSilenceTimer(cancel func(), now time.Time) *time.Timer {
-	maxWait := c.x.deadline.Sub(now)
+	c.maxSilence = c.x.deadline.Sub(now)
 	if c.kind == sycattempt.Repeatable && len(c.excluded) == 0 {
-		maxWait /= 2
+		c.maxSilence /= 2
 	}
-	return time.AfterFunc(maxWait, cancel)
+	return time.AfterFunc(c.maxSilence, cancel)
 }
 
+// restartSilenceTimer records that the endpoint has sent something.
+func (c *serviceCall) restartSilenceTimer() { c.silenceTimer.Reset(c.maxSilence) }
+
 // sendGuard returns the check that is made right before the first byte of an
 // attempt is sent: the claim must still permit the request. It is nil if there is
 // no claim.
