sycfleet: learn how long ago the configuration in force came into force

The line of a call that ends without a whole answer is to tell whether a configuration was just replaced. The age was known to the control loop only.

Change: the view that requests read holds the loop's time of the change, which counts a suspension; Fleet.ConfigAge.

--- a/internal/peer/sycfleet/apply.go
+++ b/internal/peer/sycfleet/apply.go
@@ -101,7 +101,7 @@
 	if old := f.Config(); old != nil && old.Version() >= c.Version() {
 		return
 	}
-	f.view.Store(&view{config: c})
+	f.view.Store(&view{config: c, since: now})
 	f.updatedAt[configAge] = now
 	f.configureLimits(now)
 	for _, s := range c.Services() {
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -251,6 +251,15 @@
 // Config returns the configuration in force, nil before this VM has received one.
 func (f *Fleet) Config() *sycsite.Config { return f.view.Load().config }
 
+// ConfigAge returns how long ago the configuration in force came into force on this VM, 0 if there is none.
+func (f *Fleet) ConfigAge() time.Duration {
+	v := f.view.Load()
+	if v.config == nil {
+		return 0
+	}
+	return f.loop.Now() - v.since
+}
+
 // Ready reports whether this VM can serve: it has a configuration and isn't shutting down.
 func (f *Fleet) Ready() bool { return f.Config() != nil && !f.leaving.Load() }
 
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -184,4 +184,6 @@
 type view struct {
 	// config is the configuration in force, nil before this VM has received one.
 	config *sycsite.Config
+	// since is the loop's time at which the configuration came into force.
+	since time.Duration
 }
