One place ends callers' connections, with a typed reason

What callers saw: a connection that closes although their request was read, and nothing that tells the causes apart. Six places of sycrelay aborted, a drain's end looked like callers that had gone, and a long answer whose caller had gone like one that its endpoint broke off. The server itself counted nothing.

Ruled out: a second log line for an abort; the line relay: request failed carries the reason, bytes, config_now, config_age and draining. A wrapper of the response writer: it would hide net/http's own interfaces; so an answer counts as complete once its handler has returned normally.

Change: abort in ending.go alone closes a connection (syccaller.Reason) and counts sycamorecart_calls_aborted_total. Package syccaller counts from ConnState the connections that close with a request read and no complete answer (sycamorecart_caller_connections_cut_total), as internal if nothing stated a reason. Node.Close cancels what still runs with a *DrainCutError before the server closes its connections, lists it in one line and waits up to 0.2 s for its handlers.

--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -18,6 +18,7 @@
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycrelay"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
@@ -36,6 +37,8 @@
 	// shutdownMargin is the time kept between the deadline for running requests and the
 	// end of the grace period.
 	shutdownMargin = 600 * time.Millisecond
+	// cutTime limits how long the requests that are cut when the VM stops may take to end.
+	cutTime = 200 * time.Millisecond
 	// memoryFraction is the fraction of the VM's memory limit that is set as the Go
 	// runtime's soft limit. The rest is for stacks, buffers and code.
 	memoryFraction = 0.75
@@ -61,6 +64,8 @@
 	tomb    tomb.Tomb
 	options Options
 	log     *logrus.Entry
+	// callers observes callers' connections.
+	callers *syccaller.Tracker
 	// relay forwards callers' requests to endpoints.
 	relay *sycrelay.Relay
 	// servers holds the HTTP servers for callers, readiness checks and metrics.
@@ -74,6 +79,7 @@
 	n := &Node{
 		options: o,
 		log:     logrus.WithField("part", "node"),
+		callers: syccaller.New(),
 		relay:   sycrelay.New(sycrelay.Options{Fleet: o.Fleet, Codec: o.Codec, Client: o.Client}),
 	}
 	Apply(o.Settings)
@@ -101,6 +107,9 @@
 			ErrorLog:          nil,
 		}
 		server.ErrorLog = connectionLog
+		if len(n.servers) == 0 {
+			n.callers.Install(server)
+		}
 		n.servers = append(n.servers, server)
 		n.tomb.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -158,6 +167,7 @@
 // for their goroutines.
 func (n *Node) Close() error {
 	n.tomb.Kill(nil)
+	n.callers.Cut()
 	var err error
 	for _, s := range n.servers {
 		err = errors.Join(err, s.Close())
@@ -165,6 +175,7 @@
 	if len(n.servers) > 0 {
 		err = errors.Join(err, n.tomb.Wait())
 	}
+	n.callers.Wait(cutTime)
 	return errors.Join(err, n.options.Fleet.Close(), n.options.Client.Close())
 }
 
--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -91,8 +91,7 @@
 		return false
 	}
 	if err != nil {
-		x.finish("caller_gone", 0)
-		panic(http.ErrAbortHandler)
+		x.abort(x.goneReason(), "", 0)
 	}
 	x.body = body
 	return true
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -66,16 +66,16 @@
 	if whole {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.writer.WriteHeader(answer.Status)
-	x.answering = true
-	if _, err := x.writer.Write(body); err != nil {
-		x.finish("caller_gone", answer.Status)
-		panic(http.ErrAbortHandler)
+	x.writeHeader(answer.Status)
+	if err := x.write(body); err != nil {
+		x.abort(x.goneReason(), "", answer.Status)
 	}
 	if !whole {
-		if _, err := io.Copy(x.writer, answer); err != nil {
-			x.finish("broken_off", answer.Status)
-			panic(http.ErrAbortHandler)
+		source := &sourceReader{in: answer}
+		n, err := io.Copy(x.writer, source)
+		x.bytes += n
+		if err != nil {
+			x.abort(x.copyReason(source), "", answer.Status)
 		}
 	}
 	x.finish(outcome, answer.Status)
@@ -101,8 +101,8 @@
 func (x *exchange) relayFailure(f *failure) {
 	x.copyHeader(f.header)
 	x.writer.Header().Set("Content-Length", strconv.Itoa(len(f.body)))
-	x.writer.WriteHeader(f.status)
-	_, _ = x.writer.Write(f.body)
+	x.writeHeader(f.status)
+	_ = x.write(f.body)
 	x.finish("endpoint_failed", f.status)
 }
 
@@ -161,8 +161,8 @@
 	h.Set("Content-Type", "application/json")
 	body := fmt.Sprintf("{\"error\":%q}\n", reason)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(status)
-	_, _ = io.WriteString(x.writer, body)
+	x.writeHeader(status)
+	_ = x.write([]byte(body))
 	x.finish(reason, status)
 }
 
@@ -183,9 +183,8 @@
 	if x.config != nil {
 		fields["config"] = x.config.Version()
 	}
-	if status == 0 {
-		// An aborted answer may be due to a configuration that came into force meanwhile.
-		fields["config_now"] = x.relay.fleet.Config().Version()
+	if x.ending != "" {
+		maps.Copy(fields, x.endingFields())
 	}
 	if x.target != nil {
 		fields["endpoints"] = x.tried
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -26,6 +26,8 @@
 	notRunRetryAfter = 100 * time.Millisecond
 	// lowestPriority is the number of the least urgent priority.
 	lowestPriority = 9
+	// reasonNoTime is the reason of an attempt for which no time was left.
+	reasonNoTime = "no_time"
 )
 
 // result is how an attempt ended.
@@ -49,7 +51,7 @@
 	x.heard = started
 	if time.Until(x.deadline) < minRemaining {
 		x.finishAttempt(sycplace.Cancelled, started)
-		return result{reason: "no_time"}
+		return result{reason: reasonNoTime}
 	}
 	x.attempts++
 	x.tried = append(x.tried, x.target.Endpoint.ID)
@@ -233,7 +235,7 @@
 // nextAttempt selects the target of another attempt after a failed one. It returns false if
 // the call may have no further attempt.
 func (x *exchange) nextAttempt(ctx context.Context, last result) bool {
-	if ctx.Err() != nil || last.reason == "no_time" {
+	if ctx.Err() != nil || last.reason == reasonNoTime {
 		return false
 	}
 	if x.ran && !x.route.Repeats() {
@@ -276,12 +278,10 @@
 // aborted, so that the caller notices that the rest is missing.
 func (x *exchange) giveUp(ctx context.Context, last result) {
 	if x.ctx.Err() != nil {
-		x.finish("caller_gone", 0)
-		panic(http.ErrAbortHandler)
+		x.abort(x.goneReason(), "", 0)
 	}
 	if x.answering {
-		x.finish("broken_off/"+last.reason, 0)
-		panic(http.ErrAbortHandler)
+		x.abort(x.breakReason(ctx, last), last.reason, 0)
 	}
 	if !x.ran {
 		x.relay.fleet.Refund(x.customer, x.cost)
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -132,6 +132,8 @@
 type Fleet interface {
 	// Config returns the configuration in force, nil before this VM has received one.
 	Config() *sycsite.Config
+	// ConfigAge returns how long ago that configuration came into force on this VM.
+	ConfigAge() time.Duration
 	// NewID returns the ID of a new attempt, unique on this VM.
 	NewID() uint64
 	// Admit charges a request to its customer and selects the endpoint of its first attempt.
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -12,6 +12,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
@@ -105,6 +106,10 @@
 	ran bool
 	// answering is set once bytes of an answer have gone to the caller.
 	answering bool
+	// bytes counts the bytes of answers' bodies that were written to the caller's connection.
+	bytes int64
+	// ending is why the call ends without a whole answer, empty unless it is aborted or has panicked.
+	ending syccaller.Reason
 	// heard is when the present attempt's endpoint last sent something: the answer's header or an
 	// event. Before that it is when the attempt started.
 	heard time.Time
@@ -130,7 +135,7 @@
 
 // ServeHTTP processes a caller's request. It implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	x := &exchange{relay: r, writer: w, arrived: time.Now(), ctx: req.Context()}
+	x := &exchange{relay: r, writer: w, arrived: time.Now(), ctx: req.Context(), call: &Call{}}
 	if req.Header.Get("Expect") == "" && (req.ContentLength < 0 || req.ContentLength > serverDiscards) {
 		x.unread = req.Body
 	}
@@ -140,11 +145,11 @@
 	}
 	call, err := r.codec.Parse(req)
 	if err != nil {
-		x.call = &Call{}
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
 	x.call = call
+	syccaller.Of(x.ctx).Identify(call.ID)
 	if !x.admit() || !x.checkOverload() || !x.readBody(req) {
 		return
 	}
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -18,6 +18,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
@@ -133,7 +134,13 @@
 
 func (*rigFleet) PauseLeft(*sycplace.Request) time.Duration { return 0 }
 
-func (*rigFleet) Refund(string, float64) {}
+func (*rigFleet) ConfigAge() time.Duration { return time.Second }
+
+func (f *rigFleet) Refund(string, float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = append(f.told, "refunded")
+}
 
 func (*rigFleet) RecordFirstByte(uint64) {}
 
@@ -186,6 +193,7 @@
 type rig struct {
 	*rigFleet
 	relay   *Relay
+	callers *syccaller.Tracker
 	address string
 }
 
@@ -224,9 +232,11 @@
 	client := sycwire.New(sycwire.Defaults())
 	t.Cleanup(func() { _ = client.Close() })
 	relay := New(Options{Fleet: f, Codec: rigCodec{}, Client: client})
-	callers := httptest.NewServer(relay)
+	callers, tracker := httptest.NewUnstartedServer(relay), syccaller.New()
+	tracker.Install(callers.Config)
+	callers.Start()
 	t.Cleanup(callers.Close)
-	return &rig{rigFleet: f, relay: relay, address: strings.TrimPrefix(callers.URL, "http://")}
+	return &rig{rigFleet: f, relay: relay, callers: tracker, address: strings.TrimPrefix(callers.URL, "http://")}
 }
 
 // get requests a path and returns the answer's status and body, and why it isn't whole.
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -179,10 +179,9 @@
 		if advances {
 			x.eventCount++
 		}
-		if _, err := x.writer.Write(raw); err != nil {
+		if err := x.write(raw); err != nil {
 			x.finishAttempt(sycplace.Cancelled, started)
-			x.finish("caller_gone", answer.Status)
-			panic(http.ErrAbortHandler)
+			x.abort(x.goneReason(), "", answer.Status)
 		}
 		if !in.hasNext() {
 			flusher.Flush()
@@ -200,8 +199,7 @@
 	if x.answering {
 		return
 	}
-	x.answering = true
 	x.firstByte = time.Since(x.arrived)
 	x.copyHeader(answer.Header)
-	x.writer.WriteHeader(answer.Status)
+	x.writeHeader(answer.Status)
 }
