A panic under a request is a 500, or ends the connection through the one place

What callers saw: nothing, net/http recovered the panic and closed the connection. The attempt stayed open at the fleet, the customer charged, the endpoint's connection open, and a panic in the goroutines of the timeout or of a standby ended the process.

Cause: nothing recovered. Besides, answerTimeout.admitEvent held its lock in a panic, so that stopping the timeout waited for ever, and sycwire.Client.Do left the connection open.

Ruled out: recovering in the fleet's control loop. The fleet's methods run there, and its state may be inconsistent after a panic; the process still ends.

Change: Relay.ServeHTTP recovers. The stack is logged (relay: panic under a request) and counted (sycamorecart_call_panics_total by place). The present attempt is finished as cancelled, a standby dropped, the customer refunded unless an endpoint may have the request. The caller gets 500 with the id, or is aborted with the reason panic. A panic in the timer's or a standby's goroutine is recovered too, and the call goes on without it: they only look for another endpoint. The overload gate's wait for a selection ends in a panic too.

--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -160,6 +160,9 @@
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
 	body := fmt.Sprintf("{\"error\":%q}\n", reason)
+	if status == http.StatusInternalServerError {
+		body = fmt.Sprintf("{\"error\":%q,\"id\":%q}\n", reason, x.call.ID)
+	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writeHeader(status)
 	_ = x.write([]byte(body))
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -64,7 +64,7 @@
 // outgoing returns the request as it is sent to the target. A stream is to continue after its last event.
 // Proceed is asked last whether the request may be sent; nil always allows it.
 func (x *exchange) outgoing(proceed func() bool) *sycwire.Request {
-	target, selected := x.target, x.request
+	target, selected, slot := x.target, x.request, x.slot
 	return &sycwire.Request{
 		Address: target.Endpoint.Address,
 		Method:  x.call.Method,
@@ -86,6 +86,7 @@
 			if !x.relay.fleet.Permits(selected, target) || proceed != nil && !proceed() {
 				return false
 			}
+			slot.sent.Store(true)
 			x.logSent(c)
 			return true
 		},
@@ -206,8 +207,13 @@
 // handleNoAnswer finishes an attempt that got no answer.
 func (x *exchange) handleNoAnswer(ctx context.Context, err error, started time.Time) result {
 	var send *sycwire.SendError
+	var panicked *PanicError
 	sent := !errors.As(err, &send) || send.Sent
 	switch {
+	case errors.As(err, &panicked):
+		x.ran = true
+		x.finishAttempt(sycplace.Cancelled, started)
+		return result{arrived: true, reason: reasonPanic}
 	case ctx.Err() != nil && x.ctx.Err() != nil:
 		x.ran = x.ran || sent
 		x.finishAttempt(sycplace.Cancelled, started)
@@ -229,6 +235,7 @@
 
 // finishAttempt reports the outcome of the attempt that started at a time.
 func (x *exchange) finishAttempt(o sycplace.Outcome, started time.Time) {
+	x.slot = nil
 	x.relay.fleet.FinishAttempt(x.request.ID, o, x.route.Name, time.Since(started))
 }
 
@@ -270,7 +277,7 @@
 	if target == nil {
 		return false
 	}
-	x.target = target
+	x.target, x.slot = target, &slot{}
 	return true
 }
 
@@ -284,7 +291,7 @@
 		x.abort(x.breakReason(ctx, last), last.reason, 0)
 	}
 	if !x.ran {
-		x.relay.fleet.Refund(x.customer, x.cost)
+		x.refund()
 		if x.verdict != nil {
 			x.refuseSuspect(x.verdict)
 			return
--- a/internal/traffic/sycrelay/ending.go
+++ b/internal/traffic/sycrelay/ending.go
@@ -59,7 +59,10 @@
 // breakReason returns why an answer that has begun can't be completed after the last attempt, while the
 // caller waits. The context is the call's, with its deadline.
 func (x *exchange) breakReason(ctx context.Context, last result) syccaller.Reason {
-	if ctx.Err() != nil || last.reason == reasonNoTime {
+	switch {
+	case last.reason == reasonPanic:
+		return syccaller.Panic
+	case ctx.Err() != nil || last.reason == reasonNoTime:
 		return syccaller.Deadline
 	}
 	return syccaller.BrokenOff
--- a/internal/traffic/sycrelay/ending_test.go
+++ b/internal/traffic/sycrelay/ending_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -14,7 +15,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
 // reasons lists all reasons for which a connection may end.
@@ -25,10 +28,13 @@
 // shortDeadline is the time that a call with the header Short has.
 const shortDeadline = 300 * time.Millisecond
 
-// endingCodec is a rig's codec whose calls may have a deadline.
+// endingCodec is a rig's codec that panics where a call's path or an endpoint's header says so.
 type endingCodec struct{ rigCodec }
 
 func (c endingCodec) Parse(r *http.Request) (*Call, error) {
+	if strings.HasSuffix(r.URL.Path, "/parse") {
+		panic("parse")
+	}
 	call, err := c.rigCodec.Parse(r)
 	if strings.HasSuffix(r.URL.Path, "/short") {
 		call.Timeout = shortDeadline
@@ -36,6 +42,44 @@
 	return call, err
 }
 
+func (c endingCodec) Outgoing(call *Call, f Forward) http.Header {
+	if strings.HasSuffix(call.Path, "/outgoing") {
+		panic("outgoing")
+	}
+	return c.rigCodec.Outgoing(call, f)
+}
+
+func (c endingCodec) Identify(h http.Header) sycwire.Identity {
+	if h.Get("Identify") != "" {
+		panic("identify")
+	}
+	return c.rigCodec.Identify(h)
+}
+
+func (c endingCodec) Notice(endpoint string, status int, h http.Header) sycplace.Notice {
+	if h.Get("Notice") != "" {
+		panic("notice")
+	}
+	return c.rigCodec.Notice(endpoint, status, h)
+}
+
+func (c endingCodec) Disposition(endpoint string, status int, h http.Header) Disposition {
+	if h.Get("Disposition") != "" {
+		panic("disposition")
+	}
+	return c.rigCodec.Disposition(endpoint, status, h)
+}
+
+// panicking returns an endpoint whose answer makes the codec panic in a method. It then works until the VM
+// closes the connection.
+func panicking(method string) rigEndpoint {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		w.Header().Set(method, "1")
+		send(w, "data: begun")
+		pause(r, time.Hour)
+	}
+}
+
 // counts returns the values of a counter for all reasons.
 func counts(counter func(syccaller.Reason) *metrics.Counter) []uint64 {
 	var out []uint64
@@ -90,6 +134,10 @@
 		{"deadline within a long answer", "/call/short", []rigEndpoint{longAnswer(0, 0, time.Hour)}, 0, true, 200, syccaller.Deadline, false},
 		{"drain ends before", "/once/1", []rigEndpoint{silent}, cut, false, 0, syccaller.DrainCut, false},
 		{"drain ends within", "/single/1", []rigEndpoint{hour}, cut, true, 200, syccaller.DrainCut, false},
+		{"panic without a call", "/call/parse", []rigEndpoint{hour}, 0, false, 500, "", false},
+		{"panic before sending", "/once/outgoing", []rigEndpoint{hour}, 0, false, 500, "", true},
+		{"panic before the first byte", "/once/1", []rigEndpoint{panicking("Disposition")}, 0, false, 500, "", false},
+		{"panic after the first byte", "/stream/1", []rigEndpoint{streamWith(broken), panicking("Notice")}, 0, true, 200, syccaller.Panic, false},
 		{"answered", "/stream/1", []rigEndpoint{streamWith()}, 0, true, 200, "", false},
 	}
 	for _, tt := range tests {
@@ -163,3 +211,76 @@
 		return slices.Equal(aborted, counts(abortedCalls)) && slices.Equal(closed, counts(syccaller.CutConnections))
 	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 }
+
+// TestPanicClosesTheEndpointsConnection guards against an endpoint that works on after a panic.
+func TestPanicClosesTheEndpointsConnection(t *testing.T) {
+	for _, method := range []string{"Identify", "Notice", "Disposition"} {
+		r := newRig(t, 1, panicking(method))
+		r.relay.codec = endingCodec{}
+		status, body, err := r.get(t.Context(), "/once/1")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusInternalServerError, status)
+		must.Eq(t, "{\"error\":\"panic\",\"id\":\"1\"}\n", body)
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
+			_, left := r.count(0)
+			return left == 1
+		}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+	}
+}
+
+// TestPanicUnderAStandbyKeepsTheStream guards against a panic in the goroutines that look for another endpoint
+// that ends the process or the stream.
+func TestPanicUnderAStandbyKeepsTheStream(t *testing.T) {
+	tests := []struct {
+		name    string
+		standby rigEndpoint
+	}{
+		{"rejection, notice", answerWith(0, http.StatusServiceUnavailable, "Notice", "")},
+		{"rejection, disposition", answerWith(0, http.StatusServiceUnavailable, "Disposition", "")},
+		{"answer, identify", panicking("Identify")},
+		{"answer, disposition", panicking("Disposition")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 2, streamWith(longSilence), tt.standby)
+			r.relay.codec = endingCodec{}
+			status, body, err := r.get(t.Context(), "/stream/1")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, status)
+			must.Eq(t, rigStream, body)
+			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return r.unfinished() == 0 }),
+				wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+			received, _ := r.count(1)
+			must.Eq(t, 1, received)
+		})
+	}
+}
+
+// panickingFleet is a fleet that panics when an attempt is finished.
+type panickingFleet struct{ rigFleet }
+
+func (*panickingFleet) FinishAttempt(uint64, sycplace.Outcome, string, time.Duration) {
+	panic("finish")
+}
+
+// TestPanicLeavesTheTimeoutUnlocked guards against a call that hangs after a panic, as its timeout can't be
+// stopped.
+func TestPanicLeavesTheTimeoutUnlocked(t *testing.T) {
+	r := newRig(t, 2, streamWith())
+	x := &exchange{
+		relay: New(Options{Fleet: &panickingFleet{}, Codec: endingCodec{}}), call: &Call{}, request: &sycplace.Request{},
+		route: r.config.Match("h", "/stream/1"), target: r.targets[0],
+	}
+	var cancelled atomic.Bool
+	done := make(chan struct{})
+	close(done)
+	s := &standby{exchange: x, cancel: func() { cancelled.Store(true) }, done: done}
+	timeout := &answerTimeout{cancel: func() {}, standby: s}
+	func() {
+		defer func() { must.NotNil(t, recover()) }()
+		timeout.admitEvent(true)
+	}()
+	timeout.stop()
+	must.True(t, cancelled.Load())
+}
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -110,6 +110,10 @@
 	bytes int64
 	// ending is why the call ends without a whole answer, empty unless it is aborted or has panicked.
 	ending syccaller.Reason
+	// charged is set while the customer is charged for the call.
+	charged bool
+	// slot is the present attempt's place at its endpoint, nil if no attempt is unfinished at the fleet.
+	slot *slot
 	// heard is when the present attempt's endpoint last sent something: the answer's header or an
 	// event. Before that it is when the attempt started.
 	heard time.Time
@@ -136,6 +140,7 @@
 // ServeHTTP processes a caller's request. It implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	x := &exchange{relay: r, writer: w, arrived: time.Now(), ctx: req.Context(), call: &Call{}}
+	defer x.recoverPanic()
 	if req.Header.Get("Expect") == "" && (req.ContentLength < 0 || req.ContentLength > serverDiscards) {
 		x.unread = req.Body
 	}
@@ -156,20 +161,24 @@
 	x.run()
 }
 
+// selectFirst charges the customer and selects the endpoint of the first attempt.
+func (x *exchange) selectFirst() sycfleet.AdmissionResult {
+	defer x.relay.gate.beginSelection()()
+	return x.relay.fleet.Admit(sycfleet.Admission{
+		Customer: x.customer,
+		Cost:     x.cost,
+		Route:    x.route.Name,
+		Request:  x.request,
+	})
+}
+
 // run sends the request to endpoints until one has answered or the call may have no further
 // attempt.
 func (x *exchange) run() {
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	x.newRequest()
-	endSelection := x.relay.gate.beginSelection()
-	admission := x.relay.fleet.Admit(sycfleet.Admission{
-		Customer: x.customer,
-		Cost:     x.cost,
-		Route:    x.route.Name,
-		Request:  x.request,
-	})
-	endSelection()
+	admission := x.selectFirst()
 	switch {
 	case admission.LimitedFor > 0:
 		x.refusalFields = logrus.Fields{
@@ -186,7 +195,7 @@
 		x.refuse(http.StatusServiceUnavailable, string(admission.Refusal.Reason), admission.Refusal.After)
 		return
 	}
-	x.target = admission.Target
+	x.target, x.slot, x.charged = admission.Target, &slot{}, true
 	defer x.dropStandby()
 	var standby *standby
 	for {
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -67,6 +67,7 @@
 		return nil
 	}
 	own.attempts++
+	own.slot = &slot{}
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	return &standby{
 		exchange: &own, ctx: ctx, cancel: cancel, started: time.Now(),
@@ -78,7 +79,7 @@
 func (s *standby) begin(lastEvent string) {
 	x := s.exchange
 	x.lastEvent = lastEvent
-	go s.send(x.outgoing(s.proceed), lastEvent)
+	go s.send(lastEvent)
 }
 
 // proceed records that the request is sent from now on. It returns false if the standby was abandoned.
@@ -93,16 +94,9 @@
 }
 
 // send sends the request and reads the answer up to the first event that takes the stream further.
-func (s *standby) send(r *sycwire.Request, lastEvent string) {
-	answer, err := s.exchange.relay.client.Do(s.ctx, r)
-	var events *eventReader
-	resumes := false
-	if err == nil && answer.Status == http.StatusOK && s.exchange.disposition(answer) == Answered {
-		events = newEventReader(answer)
-		failure := events.readAhead(lastEvent)
-		// The end of a connection doesn't prove that the stream has ended.
-		resumes = failure == nil || errors.Is(failure, io.EOF) && !answer.EndsWithConnection
-	}
+func (s *standby) send(lastEvent string) {
+	defer s.exchange.catchPanic(placeStandby)
+	answer, events, resumes, err := s.resume(lastEvent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answer, s.events, s.err, s.resumes = answer, events, err, resumes
@@ -112,6 +106,28 @@
 	}
 }
 
+// resume sends the request and reads the begin of the answer. A panic becomes a *PanicError.
+func (s *standby) resume(lastEvent string) (answer *sycwire.Response, events *eventReader, resumes bool, err error) {
+	x := s.exchange
+	defer func() {
+		if value := recover(); value != nil {
+			x.reportPanic(placeStandby, value)
+			if answer != nil {
+				_ = answer.Close()
+			}
+			answer, events, resumes, err = nil, nil, false, &PanicError{Value: value}
+		}
+	}()
+	answer, err = x.relay.client.Do(s.ctx, x.outgoing(s.proceed))
+	if err != nil || answer.Status != http.StatusOK || x.disposition(answer) != Answered {
+		return answer, nil, false, err
+	}
+	events = newEventReader(answer)
+	failure := events.readAhead(lastEvent)
+	// The end of a connection doesn't prove that the stream has ended.
+	return answer, events, failure == nil || errors.Is(failure, io.EOF) && !answer.EndsWithConnection, nil
+}
+
 // logDecision logs what became of the standby.
 func (s *standby) logDecision(decision string) {
 	x := s.exchange
@@ -154,15 +170,15 @@
 
 // discard finishes an attempt whose answer isn't needed. The caller holds mu, and done is closed.
 func (s *standby) discard() {
-	if s.answer != nil {
-		s.exchange.applyNotice(s.answer)
-		_ = s.answer.Close()
-	}
 	outcome := sycplace.Cancelled
 	if s.overdue {
 		outcome = sycplace.Silent
 	}
-	s.exchange.finishAttempt(outcome, s.started)
+	defer s.exchange.finishAttempt(outcome, s.started)
+	if s.answer != nil {
+		defer func() { _ = s.answer.Close() }()
+		s.exchange.applyNotice(s.answer)
+	}
 }
 
 // withdraw finishes an attempt that hasn't begun to send.
@@ -179,6 +195,11 @@
 
 // reject finishes an attempt whose endpoint can't resume the stream.
 func (s *standby) reject() {
+	defer s.cancel()
+	defer s.exchange.releaseSlot()
+	if s.answer != nil {
+		defer func() { _ = s.answer.Close() }()
+	}
 	var why result
 	switch {
 	case s.err != nil:
@@ -186,12 +207,9 @@
 	case s.events != nil:
 		s.exchange.applyNotice(s.answer)
 		why = s.exchange.abortAttempt(s.answer, s.events.failure(), s.started)
-		_ = s.answer.Close()
 	default:
 		why, _ = s.exchange.handleRejection(s.answer, s.started)
-		_ = s.answer.Close()
 	}
-	s.cancel()
 	s.exchange.relay.log.WithFields(logrus.Fields{
 		"id": s.exchange.call.ID, "endpoint": s.exchange.target.Endpoint.ID, "reason": why.reason, "arrived": why.arrived,
 	}).Info("relay: stream not resumed elsewhere, its endpoint keeps it")
@@ -200,7 +218,7 @@
 // adoptStandby makes a standby the present attempt, once the attempt before has ended, and passes on its
 // answer.
 func (x *exchange) adoptStandby(s *standby) result {
-	x.target, x.request, x.heard = s.exchange.target, s.exchange.request, s.started
+	x.target, x.request, x.slot, x.heard = s.exchange.target, s.exchange.request, s.exchange.slot, s.started
 	x.attempts++
 	x.tried = append(x.tried, x.target.Endpoint.ID)
 	x.timeout = x.newTimeout(s.cancel)
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -24,6 +24,8 @@
 	newStandby func(rejectedBy []string, arrivals int) *standby
 	// markLast records that the request may go to no further endpoint after this attempt.
 	markLast func()
+	// reportPanic logs and counts a panic in the timer's goroutine.
+	reportPanic func(value any)
 	// lastEvent returns the ID of the last event that the caller has received. It is called only
 	// while the timer runs.
 	lastEvent func() string
@@ -79,6 +81,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.newStandby, t.lastEvent = own.newStandby, func() string { return x.lastEvent }
+	t.reportPanic = func(value any) { own.reportPanic(placeTimeout, value) }
 	t.markLast = func() { own.relay.fleet.MarkLast(own.request.ID) }
 	t.begun, t.attempts = x.answering, x.route.Attempts-x.attempts
 	return t
@@ -97,6 +100,7 @@
 // expire cancels the attempt, or starts a standby if the answer has begun. If no other endpoint could
 // get the request, this one gets further time instead: it may be slow but sound.
 func (t *answerTimeout) expire() {
+	defer t.recoverPanic()
 	if t.expireBegun() {
 		return
 	}
@@ -113,6 +117,17 @@
 	}
 }
 
+// recoverPanic lets the request go on with its endpoint after a panic in the timer's goroutine, which only
+// looks for another one. The attempt's deadline still holds.
+func (t *answerTimeout) recoverPanic() {
+	if value := recover(); value != nil {
+		t.mu.Lock()
+		report := t.reportPanic
+		t.mu.Unlock()
+		report(value)
+	}
+}
+
 // expireBegun lets a standby resume an answer that has begun, and cancels the attempt if the standby does so
 // before the endpoint has continued. It returns false if the answer hasn't begun.
 func (t *answerTimeout) expireBegun() bool {
@@ -262,20 +277,25 @@
 // the standby: two endpoints mustn't run the request for long. It returns false if the attempt has been
 // cancelled in favour of the standby, which sends this event itself.
 func (t *answerTimeout) admitEvent(advances bool) bool {
+	switched, dropped := t.noteEvent(advances)
+	if dropped {
+		t.checkAttempts()
+	}
+	return !switched
+}
+
+// noteEvent is admitEvent without checkAttempts. Dropped is set if the event has ended the standby.
+func (t *answerTimeout) noteEvent(advances bool) (switched, dropped bool) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.suspendLocked()
 	// Whatever arrives goes to the caller, and with it the answer's header.
 	t.begun = true
-	switched := t.switched
-	dropped := !switched && advances && t.standby != nil
+	dropped = !t.switched && advances && t.standby != nil
 	if dropped {
 		t.dropLocked(false)
 	}
-	t.mu.Unlock()
-	if dropped {
-		t.checkAttempts()
-	}
-	return !switched
+	return t.switched, dropped
 }
 
 // hasSwitched reports whether the attempt was cancelled in favour of a standby.
--- a/internal/traffic/sycwire/client.go
+++ b/internal/traffic/sycwire/client.go
@@ -124,6 +124,19 @@
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
+	panics := true
+	defer func() {
+		if panics {
+			_ = k.Close()
+		}
+	}()
+	response, err := c.use(ctx, k, r)
+	panics = false
+	return response, err
+}
+
+// use is Do on a connection, which it keeps or closes if there is no response.
+func (c *Client) use(ctx context.Context, k *conn, r *Request) (*Response, error) {
 	if ctx.Err() != nil {
 		// Nothing was sent, so the connection is as it was, here and below.
 		c.keep(r.Address, k)
