--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -26,6 +26,8 @@
 	notRunRetryAfter = 100 * time.Millisecond
 	// lowestPriority is the number of the least urgent priority.
 	lowestPriority = 9
+	// reasonNoTime is the reason of an attempt for which no time was left.
+	reasonNoTime = "no_time"
 )
 
 // result is how an attempt ended.
@@ -49,7 +51,7 @@
 	x.heard = started
 	if time.Until(x.deadline) < minRemaining {
 		x.finishAttempt(sycplace.Cancelled, started)
-		return result{reason: "no_time"}
+		return result{reason: reasonNoTime}
 	}
 	x.attempts++
 	x.tried = append(x.tried, x.target.Endpoint.ID)
@@ -62,7 +64,7 @@
 // outgoing returns the request as it is sent to the target. A stream is to continue after its last event.
 // Proceed is asked last whether the request may be sent; nil always allows it.
 func (x *exchange) outgoing(proceed func() bool) *sycwire.Request {
-	target, selected := x.target, x.request
+	target, selected, slot := x.target, x.request, x.slot
 	return &sycwire.Request{
 		Address: target.Endpoint.Address,
 		Method:  x.call.Method,
@@ -84,6 +86,7 @@
 			if !x.relay.fleet.Permits(selected, target) || proceed != nil && !proceed() {
 				return false
 			}
+			slot.sent.Store(true)
 			x.logSent(c)
 			return true
 		},
@@ -204,8 +207,13 @@
 // handleNoAnswer finishes an attempt that got no answer.
 func (x *exchange) handleNoAnswer(ctx context.Context, err error, started time.Time) result {
 	var send *sycwire.SendError
+	var panicked *PanicError
 	sent := !errors.As(err, &send) || send.Sent
 	switch {
+	case errors.As(err, &panicked):
+		x.ran = true
+		x.finishAttempt(sycplace.Cancelled, started)
+		return result{arrived: true, reason: reasonPanic}
 	case ctx.Err() != nil && x.ctx.Err() != nil:
 		x.ran = x.ran || sent
 		x.finishAttempt(sycplace.Cancelled, started)
@@ -227,13 +235,14 @@
 
 // finishAttempt reports the outcome of the attempt that started at a time.
 func (x *exchange) finishAttempt(o sycplace.Outcome, started time.Time) {
+	x.slot = nil
 	x.relay.fleet.FinishAttempt(x.request.ID, o, x.route.Name, time.Since(started))
 }
 
 // nextAttempt selects the target of another attempt after a failed one. It returns false if
 // the call may have no further attempt.
 func (x *exchange) nextAttempt(ctx context.Context, last result) bool {
-	if ctx.Err() != nil || last.reason == "no_time" {
+	if ctx.Err() != nil || last.reason == reasonNoTime {
 		return false
 	}
 	if x.ran && !x.route.Repeats() {
@@ -268,7 +277,7 @@
 	if target == nil {
 		return false
 	}
-	x.target = target
+	x.target, x.slot = target, &slot{}
 	return true
 }
 
@@ -276,15 +285,13 @@
 // aborted, so that the caller notices that the rest is missing.
 func (x *exchange) giveUp(ctx context.Context, last result) {
 	if x.ctx.Err() != nil {
-		x.finish("caller_gone", 0)
-		panic(http.ErrAbortHandler)
+		x.abort(x.goneReason(), "", 0)
 	}
 	if x.answering {
-		x.finish("broken_off/"+last.reason, 0)
-		panic(http.ErrAbortHandler)
+		x.abort(x.breakReason(ctx, last), last.reason, 0)
 	}
 	if !x.ran {
-		x.relay.fleet.Refund(x.customer, x.cost)
+		x.refund()
 		if x.verdict != nil {
 			x.refuseSuspect(x.verdict)
 			return
