A drain answers the requests that have arrived

What callers saw: beside a planned restart, a request on a kept connection ended with a close and no answer, although the VM had read it, or it lay in the VM's socket. By tests only; whether it is the incident's case is not known, since such a request is not passed on to a worker.

Cause: http.Server.Shutdown closes connections whose state is StateIdle, and a kept connection stays so until the next header has been read and parsed. Besides, conn.serve drops each request whose header it has read after Shutdown was called, on new connections and where a part of it had been read too.

Ruled out: that the handler runs on the closed connection, as suspected. conn.serve stores StateActive and then asks whether the server shuts down; Shutdown sets that and then reads the states.

Change: package syccallers, a listener that ends connections itself. The goroutine that reads a connection decides, at its read deadline, and peeks into the socket before. A connection after an answer ends at once in a drain, an unused one after 0.25 s; a request that has begun to arrive is served with Connection: close. The listener also enforces the time limits for headers and idle connections (the same constants), as the server's own deadlines would end connections without looking. A new connection without a byte may now stay for the idle limit, not for the header's.

--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -18,6 +18,7 @@
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
+	"sycamorecart.example/sycamorecart/internal/traffic/syccallers"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycrelay"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
@@ -65,8 +66,8 @@
 	relay *sycrelay.Relay
 	// servers holds the HTTP servers for callers, readiness checks and metrics.
 	servers []*http.Server
-	// callerServer is the server for callers, the first of servers.
-	callerServer *http.Server
+	// callers accepts the callers' connections.
+	callers *syccallers.Listener
 }
 
 // New starts a node's listeners for callers, readiness checks and, if set, metrics.
@@ -93,23 +94,20 @@
 		if err != nil {
 			return nil, errors.Join(eris.Wrapf(err, "listen on %s", l.address), n.Close())
 		}
-		server := &http.Server{
-			Handler:           l.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          nil,
+		wrapped := syccallers.Wrap(listener, syccallers.Limits{Idle: idleTimeout, Header: headerTimeout})
+		if n.callers == nil {
+			n.callers = wrapped
 		}
-		server.ErrorLog = connectionLog
+		// The listener enforces the limits, so that the server's own timeouts stay 0.
+		server := &http.Server{Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: connectionLog, ConnState: wrapped.ConnState}
 		n.servers = append(n.servers, server)
 		n.tomb.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(wrapped); !errors.Is(err, http.ErrServerClosed) {
 				return eris.Wrap(err, "serve")
 			}
 			return nil
 		})
 	}
-	n.callerServer = n.servers[0]
 	n.log.WithFields(logrus.Fields{"name": o.Settings.Name, "callers": o.Settings.Callers.String()}).Info("node: started")
 	return n, nil
 }
@@ -149,7 +147,7 @@
 	time.Sleep(time.Until(start.Add(balancerDelay)))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(n.options.Settings.Grace-shutdownMargin))
 	defer cancel()
-	err := n.callerServer.Shutdown(ctx)
+	err := n.callers.Drain(ctx)
 	n.log.WithField("took", time.Since(start).String()).Info("node: drained")
 	return eris.Wrap(err, "finish requests")
 }
--- /dev/null
+++ b/internal/traffic/syccallers/conn.go
@@ -0,0 +1,171 @@
+package syccallers
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// phase says what a connection is being read for.
+type phase int
+
+const (
+	// unused is the phase of a new connection in which no byte has been read.
+	unused phase = iota
+	// waiting is the phase after an answer in which no byte of the next request has been read.
+	waiting
+	// inHeader is the phase in which a part of a request's line and header has been read.
+	inHeader
+	// inRequest is the phase from the end of a request's header to the end of its answer.
+	inRequest
+)
+
+// conn is a caller's connection. Its read deadline is that of its phase, except in a request, where it is
+// the server's.
+type conn struct {
+	net.Conn
+	listener *Listener
+	// mu protects the fields below and the order of calls that set the read deadline.
+	mu    sync.Mutex
+	phase phase
+	// since is when the phase began, by the listener's clock.
+	since time.Duration
+	// deadline is the read deadline that the server has set, zero if none.
+	deadline time.Time
+}
+
+// Read reads from the connection. It returns io.EOF if the caller has exceeded the limit of the
+// connection's phase and nothing has arrived that isn't read yet.
+func (k *conn) Read(p []byte) (int, error) {
+	k.arm()
+	for {
+		n, err := k.Conn.Read(p)
+		if n > 0 {
+			k.noteBytes()
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || k.current() == inRequest {
+			return n, err
+		}
+		switch {
+		case !k.overdue():
+			k.arm()
+		case k.readable():
+			// A read after its deadline returns nothing, whatever has arrived.
+			if err := k.Conn.SetReadDeadline(time.Time{}); err != nil {
+				return 0, err
+			}
+		default:
+			return 0, io.EOF
+		}
+	}
+}
+
+// readable reports whether a read would return at once, with bytes or with the connection's end.
+func (k *conn) readable() bool {
+	c, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	// Control, other than Read, doesn't depend on the read deadline, which has passed.
+	readable := false
+	err = raw.Control(func(fd uintptr) {
+		var peeked [1]byte
+		_, _, errno := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		readable = !errors.Is(errno, unix.EAGAIN)
+	})
+	return err == nil && readable
+}
+
+// noteBytes records that bytes have been read.
+func (k *conn) noteBytes() {
+	if p := k.current(); p == unused || p == waiting {
+		k.enter(inHeader)
+	}
+}
+
+// enter begins a phase.
+func (k *conn) enter(p phase) {
+	k.mu.Lock()
+	k.phase, k.since = p, k.listener.now()
+	k.mu.Unlock()
+	k.arm()
+}
+
+// current returns the connection's phase.
+func (k *conn) current() phase {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.phase
+}
+
+// left returns how long the connection may still stay in its phase, and whether that is limited. The
+// caller must hold mu.
+func (k *conn) left() (time.Duration, bool) {
+	limit := k.listener.limit(k.phase)
+	limited := limit > 0
+	if k.listener.draining.Load() {
+		if d, ok := drainLimit(k.phase); ok {
+			limit, limited = d, true
+		}
+	}
+	return k.since + limit - k.listener.now(), limited
+}
+
+// overdue reports whether the connection has been in its phase for too long.
+func (k *conn) overdue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	left, limited := k.left()
+	return limited && left <= 0
+}
+
+// arm sets the read deadline of the connection's phase.
+func (k *conn) arm() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	deadline := k.deadline
+	if k.phase != inRequest {
+		deadline = time.Time{}
+	}
+	if left, limited := k.left(); limited {
+		deadline = time.Now().Add(left)
+	}
+	// This fails only on a closed connection, where reading fails too.
+	_ = k.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline sets the server's read deadline. It has no effect before the header of a request has
+// been read.
+func (k *conn) SetReadDeadline(t time.Time) error {
+	k.mu.Lock()
+	k.deadline = t
+	k.mu.Unlock()
+	k.arm()
+	return nil
+}
+
+// CloseWrite ends what the VM sends. The server does so before it closes a connection whose caller may
+// still be sending.
+func (k *conn) CloseWrite() error {
+	if c, ok := k.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection.
+func (k *conn) Close() error {
+	err := k.Conn.Close()
+	k.listener.remove(k)
+	return err
+}
