The header size limit of a configuration applies

What callers saw: with a limit of 8 KB in force, a header of 15 KB was served. Cause: HeaderBytes was decoded and read by nobody; the server runs on a constant of 64 KB, which net/http fixes at its start.

Change: the relay rejects a request whose line and header are over the limit of the configuration with 431 (header_too_large), before anything but parsing is done with it. The size is counted from the parsed request, never above what was sent: optional spaces and removed fields (Transfer-Encoding) are left out. The server's 64 KB stay the ceiling, and the limit without a configuration.

--- a/internal/traffic/sycrelay/admit.go
+++ b/internal/traffic/sycrelay/admit.go
@@ -21,7 +21,6 @@
 // returns false if this VM has no configuration yet, no route matches the call, or the call
 // needs a key and no customer has the call's.
 func (x *exchange) admit() bool {
-	x.config = x.relay.fleet.Config()
 	if x.config == nil {
 		x.refuse(http.StatusServiceUnavailable, "no_configuration", noConfigRetryAfter)
 		return false
@@ -98,6 +97,27 @@
 	return true
 }
 
+// headerTooLarge reports whether the request's line and header are over the limit of the configuration.
+func (x *exchange) headerTooLarge(req *http.Request) bool {
+	return x.config != nil && x.config.Limits().HeaderBytes > 0 && headerBytes(req) > x.config.Limits().HeaderBytes
+}
+
+// headerBytes returns the size of a request's line and header, without optional spaces and the header fields
+// that net/http removes.
+func headerBytes(req *http.Request) int {
+	const lineEnd = len("\r\n")
+	size := len(req.Method) + len(" ") + len(req.RequestURI) + len(" ") + len(req.Proto) + lineEnd
+	if req.Host != "" {
+		size += len("Host:") + len(req.Host) + lineEnd
+	}
+	for name, values := range req.Header {
+		for _, v := range values {
+			size += len(name) + len(":") + len(v) + lineEnd
+		}
+	}
+	return size + lineEnd
+}
+
 // bodyLimit returns the longest body that a caller may send, in bytes.
 func (x *exchange) bodyLimit() int64 {
 	if x.config != nil && x.config.Limits().BodyBytes > 0 {
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -138,13 +138,20 @@
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	x.config = r.fleet.Config()
 	call, err := r.codec.Parse(req)
 	if err != nil {
-		x.call = &Call{}
+		call = &Call{}
+	}
+	x.call = call
+	if x.headerTooLarge(req) {
+		x.fail(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
+		return
+	}
+	if err != nil {
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
-	x.call = call
 	if !x.admit() || !x.checkOverload() || !x.readBody(req) {
 		return
 	}
