The time limits of a configuration apply to open connections

What callers saw: whatever limits an operator put in force, an idle connection ended after 2 min and a slow header after 10 s. With a longer idle limit a VM closed connections that its callers might still use; with a shorter one it kept them. Cause: HeaderTime and IdleTime were decoded and read by nobody.

Change: Fleet.WatchConfig tells sycnode at once of a new configuration; the listener sets the new limits for all open connections by moving the deadlines of their reads. A connection over a lowered limit is ended only by the goroutine that reads it, if nothing has arrived (peek). Requests whose header has been read have no limit here. A part of a header that is not completed in time is answered 408 (not run), a connection without a byte is closed. Line ends before a request do not begin one. A limit that is left out is the constant.

--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -24,12 +24,11 @@
 )
 
 const (
-	// idleTimeout limits how long callers may keep an idle connection. Operators'
-	// configurations name shorter limits.
+	// idleTimeout limits how long callers may keep an idle connection if the configuration names no limit.
 	idleTimeout = 2 * time.Minute
-	// headerTimeout limits the time to read a request's line and headers.
+	// headerTimeout limits the time to read a request's line and headers if the configuration names no limit.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits the size of a request's line and headers.
+	// maxHeaderBytes limits the size of a request's line and headers. Configurations may only lower it.
 	maxHeaderBytes = 64 << 10
 	// balancerDelay is how long the load balancer may still send new connections to a VM
 	// that isn't ready: it checks once a second and stops after two failed checks.
@@ -94,7 +93,7 @@
 		if err != nil {
 			return nil, errors.Join(eris.Wrapf(err, "listen on %s", l.address), n.Close())
 		}
-		wrapped := syccallers.Wrap(listener, syccallers.Limits{Idle: idleTimeout, Header: headerTimeout})
+		wrapped := syccallers.Wrap(listener, callerLimits(nil))
 		if n.callers == nil {
 			n.callers = wrapped
 		}
@@ -108,6 +107,7 @@
 			return nil
 		})
 	}
+	n.tomb.Go(n.followLimits)
 	n.log.WithFields(logrus.Fields{"name": o.Settings.Name, "callers": o.Settings.Callers.String()}).Info("node: started")
 	return n, nil
 }
--- a/internal/peer/sycfleet/apply.go
+++ b/internal/peer/sycfleet/apply.go
@@ -98,10 +98,12 @@
 // installConfig puts a configuration in force unless one of its version or a newer one already
 // is.
 func (f *Fleet) installConfig(now time.Duration, c *sycsite.Config) {
-	if old := f.Config(); old != nil && old.Version() >= c.Version() {
+	old := f.view.Load()
+	if old.config != nil && old.config.Version() >= c.Version() {
 		return
 	}
-	f.view.Store(&view{config: c})
+	f.view.Store(newView(c))
+	close(old.replaced)
 	f.updatedAt[configAge] = now
 	f.configureLimits(now)
 	for _, s := range c.Services() {
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -213,7 +213,7 @@
 			s.Ask(f.startedAt)
 		}
 	}
-	f.view.Store(&view{})
+	f.view.Store(newView(nil))
 	f.topology = syctopology.New([]syctopology.VM{f.self()})
 	f.direct.Store(true)
 	return f
@@ -251,6 +251,13 @@
 // Config returns the configuration in force, nil before this VM has received one.
 func (f *Fleet) Config() *sycsite.Config { return f.view.Load().config }
 
+// WatchConfig returns the configuration in force, nil before this VM has received one, and a channel that
+// is closed once another one is in force.
+func (f *Fleet) WatchConfig() (*sycsite.Config, <-chan struct{}) {
+	v := f.view.Load()
+	return v.config, v.replaced
+}
+
 // Ready reports whether this VM can serve: it has a configuration and isn't shutting down.
 func (f *Fleet) Ready() bool { return f.Config() != nil && !f.leaving.Load() }
 
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -184,4 +184,9 @@
 type view struct {
 	// config is the configuration in force, nil before this VM has received one.
 	config *sycsite.Config
+	// replaced is closed once another view has replaced this one.
+	replaced chan struct{}
 }
+
+// newView returns a view with a configuration.
+func newView(c *sycsite.Config) *view { return &view{config: c, replaced: make(chan struct{})} }
--- a/internal/traffic/syccallers/conn.go
+++ b/internal/traffic/syccallers/conn.go
@@ -1,6 +1,7 @@
 package syccallers
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 )
 
@@ -24,8 +26,25 @@
 	inHeader
 	// inRequest is the phase from the end of a request's header to the end of its answer.
 	inRequest
+	// ending is the phase after a limit has been exceeded.
+	ending
 )
 
+// timeoutAnswer is the answer to a request whose header hasn't arrived in time.
+const timeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nContent-Length: 27\r\n" +
+	"Connection: close\r\n\r\n{\"error\":\"header_timeout\"}\n"
+
+// lingerTime is how long bytes are discarded after timeoutAnswer. A caller that is still sending when the
+// connection closes may see a reset in place of the answer.
+const lingerTime = 500 * time.Millisecond
+
+// endings counts the connections that were ended in each phase.
+var endings = map[phase]*metrics.Counter{
+	unused:   metrics.GetOrCreateCounter(`sycamorecart_caller_connections_ended_total{reason="unused"}`),
+	waiting:  metrics.GetOrCreateCounter(`sycamorecart_caller_connections_ended_total{reason="idle"}`),
+	inHeader: metrics.GetOrCreateCounter(`sycamorecart_caller_connections_ended_total{reason="header_timeout"}`),
+}
+
 // conn is a caller's connection. Its read deadline is that of its phase, except in a request, where it is
 // the server's.
 type conn struct {
@@ -46,9 +65,7 @@
 	k.arm()
 	for {
 		n, err := k.Conn.Read(p)
-		if n > 0 {
-			k.noteBytes()
-		}
+		k.noteBytes(p[:n])
 		if !errors.Is(err, os.ErrDeadlineExceeded) || k.current() == inRequest {
 			return n, err
 		}
@@ -61,11 +78,27 @@
 				return 0, err
 			}
 		default:
+			k.end()
 			return 0, io.EOF
 		}
 	}
 }
 
+// end ends the connection, with an answer if a part of a request has been read.
+func (k *conn) end() {
+	p := k.current()
+	endings[p].Inc()
+	if p != inHeader {
+		return
+	}
+	k.enter(ending)
+	// Errors are ignored, because the connection is closed next.
+	_ = k.Conn.SetDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(k.Conn, timeoutAnswer)
+	_ = k.CloseWrite()
+	_, _ = io.Copy(io.Discard, k.Conn)
+}
+
 // readable reports whether a read would return at once, with bytes or with the connection's end.
 func (k *conn) readable() bool {
 	c, ok := k.Conn.(syscall.Conn)
@@ -86,9 +119,10 @@
 	return err == nil && readable
 }
 
-// noteBytes records that bytes have been read.
-func (k *conn) noteBytes() {
-	if p := k.current(); p == unused || p == waiting {
+// noteBytes records that bytes have been read. Line ends before a request don't belong to it.
+func (k *conn) noteBytes(read []byte) {
+	begun := len(bytes.Trim(read, "\r\n")) > 0
+	if p := k.current(); begun && (p == unused || p == waiting) {
 		k.enter(inHeader)
 	}
 }
@@ -133,6 +167,9 @@
 func (k *conn) arm() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.phase == ending {
+		return
+	}
 	deadline := k.deadline
 	if k.phase != inRequest {
 		deadline = time.Time{}
--- a/internal/traffic/syccallers/listener.go
+++ b/internal/traffic/syccallers/listener.go
@@ -37,7 +37,7 @@
 	net.Listener
 	// now returns the time by the boot-time clock.
 	now    func() time.Duration
-	limits Limits
+	limits atomic.Pointer[Limits]
 	// draining is set once Drain has been called. It is set while mu is held.
 	draining atomic.Bool
 	// mu protects the fields below.
@@ -50,7 +50,9 @@
 
 // Wrap returns a listener that accepts the connections of another one.
 func Wrap(l net.Listener, limits Limits) *Listener {
-	return &Listener{Listener: l, now: sycclock.Now, limits: limits, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
+	out := &Listener{Listener: l, now: sycclock.Now, conns: map[*conn]struct{}{}, ended: make(chan struct{})}
+	out.limits.Store(&limits)
+	return out
 }
 
 // Accept waits for the next connection. It returns http.ErrServerClosed once the listener drains.
@@ -85,6 +87,23 @@
 	}
 }
 
+// SetLimits replaces the limits, also those of open connections. It returns how many connections wait for a
+// request and how many of them, or of those in a header, are over the new limits. These end unless something
+// has arrived.
+func (l *Listener) SetLimits(limits Limits) (idle, over int) {
+	l.limits.Store(&limits)
+	for _, k := range l.open() {
+		if p := k.current(); p == unused || p == waiting {
+			idle++
+		}
+		if k.overdue() {
+			over++
+		}
+		k.arm()
+	}
+	return idle, over
+}
+
 // Drain closes the listener, ends connections that wait for a request and waits until all others have
 // ended. A request that arrives meanwhile is served; its answer must ask the caller to close the
 // connection. Drain returns an error if connections are still open when ctx ends. It is called once.
@@ -149,9 +168,9 @@
 func (l *Listener) limit(p phase) time.Duration {
 	switch p {
 	case unused, waiting:
-		return l.limits.Idle
+		return l.limits.Load().Idle
 	case inHeader:
-		return l.limits.Header
+		return l.limits.Load().Header
 	default:
 		return 0
 	}
--- a/internal/traffic/syccallers/rig_test.go
+++ b/internal/traffic/syccallers/rig_test.go
@@ -90,7 +90,8 @@
 
 // client is a caller's connection.
 type client struct {
-	t *testing.T
+	t   *testing.T
+	rig *rig
 	net.Conn
 	in *bufio.Reader
 	// raw is the server's end.
@@ -103,7 +104,7 @@
 	c, err := net.Dial("tcp", r.listener.Addr().String())
 	must.NoError(r.t, err)
 	r.t.Cleanup(func() { _ = c.Close() })
-	return &client{t: r.t, Conn: c, in: bufio.NewReader(c), raw: <-r.raw}
+	return &client{t: r.t, rig: r, Conn: c, in: bufio.NewReader(c), raw: <-r.raw}
 }
 
 // request returns the text of a request.
