--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -19,17 +19,17 @@
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
 	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/syccallers"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycrelay"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
 const (
-	// idleTimeout limits how long callers may keep an idle connection. Operators'
-	// configurations name shorter limits.
+	// idleTimeout limits how long callers may keep an idle connection if the configuration names no limit.
 	idleTimeout = 2 * time.Minute
-	// headerTimeout limits the time to read a request's line and headers.
+	// headerTimeout limits the time to read a request's line and headers if the configuration names no limit.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits the size of a request's line and headers.
+	// maxHeaderBytes limits the size of a request's line and headers. Configurations may only lower it.
 	maxHeaderBytes = 64 << 10
 	// balancerDelay is how long the load balancer may still send new connections to a VM
 	// that isn't ready: it checks once a second and stops after two failed checks.
@@ -64,14 +64,14 @@
 	tomb    tomb.Tomb
 	options Options
 	log     *logrus.Entry
-	// callers observes callers' connections.
-	callers *syccaller.Tracker
+	// endings observes how callers' connections end.
+	endings *syccaller.Tracker
 	// relay forwards callers' requests to endpoints.
 	relay *sycrelay.Relay
 	// servers holds the HTTP servers for callers, readiness checks and metrics.
 	servers []*http.Server
-	// callerServer is the server for callers, the first of servers.
-	callerServer *http.Server
+	// callers accepts the callers' connections.
+	callers *syccallers.Listener
 }
 
 // New starts a node's listeners for callers, readiness checks and, if set, metrics.
@@ -79,7 +79,7 @@
 	n := &Node{
 		options: o,
 		log:     logrus.WithField("part", "node"),
-		callers: syccaller.New(),
+		endings: syccaller.New(),
 		relay:   sycrelay.New(sycrelay.Options{Fleet: o.Fleet, Codec: o.Codec, Client: o.Client}),
 	}
 	Apply(o.Settings)
@@ -99,26 +99,24 @@
 		if err != nil {
 			return nil, errors.Join(eris.Wrapf(err, "listen on %s", l.address), n.Close())
 		}
-		server := &http.Server{
-			Handler:           l.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          nil,
+		wrapped := syccallers.Wrap(listener, callerLimits(nil))
+		if n.callers == nil {
+			n.callers = wrapped
 		}
-		server.ErrorLog = connectionLog
+		// The listener enforces the limits, so that the server's own timeouts stay 0.
+		server := &http.Server{Handler: l.handler, MaxHeaderBytes: maxHeaderBytes, ErrorLog: connectionLog, ConnState: wrapped.ConnState}
 		if len(n.servers) == 0 {
-			n.callers.Install(server)
+			n.endings.Install(server)
 		}
 		n.servers = append(n.servers, server)
 		n.tomb.Go(func() error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(wrapped); !errors.Is(err, http.ErrServerClosed) {
 				return eris.Wrap(err, "serve")
 			}
 			return nil
 		})
 	}
-	n.callerServer = n.servers[0]
+	n.tomb.Go(n.followLimits)
 	n.log.WithFields(logrus.Fields{"name": o.Settings.Name, "callers": o.Settings.Callers.String()}).Info("node: started")
 	return n, nil
 }
@@ -158,7 +156,7 @@
 	time.Sleep(time.Until(start.Add(balancerDelay)))
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(n.options.Settings.Grace-shutdownMargin))
 	defer cancel()
-	err := n.callerServer.Shutdown(ctx)
+	err := n.callers.Drain(ctx)
 	n.log.WithField("took", time.Since(start).String()).Info("node: drained")
 	return eris.Wrap(err, "finish requests")
 }
@@ -167,7 +165,7 @@
 // for their goroutines.
 func (n *Node) Close() error {
 	n.tomb.Kill(nil)
-	n.callers.Cut()
+	n.endings.Cut()
 	var err error
 	for _, s := range n.servers {
 		err = errors.Join(err, s.Close())
@@ -175,7 +173,7 @@
 	if len(n.servers) > 0 {
 		err = errors.Join(err, n.tomb.Wait())
 	}
-	n.callers.Wait(cutTime)
+	n.endings.Wait(cutTime)
 	return errors.Join(err, n.options.Fleet.Close(), n.options.Client.Close())
 }
 
--- a/internal/peer/sycfleet/port.go
+++ b/internal/peer/sycfleet/port.go
@@ -186,4 +186,11 @@
 	config *sycsite.Config
 	// since is the loop's time at which the configuration came into force.
 	since time.Duration
+	// replaced is closed once another view has replaced this one.
+	replaced chan struct{}
+}
+
+// newView returns a view with a configuration that comes into force at a time of the loop.
+func newView(now time.Duration, c *sycsite.Config) *view {
+	return &view{config: c, since: now, replaced: make(chan struct{})}
 }
