--- a/internal/operate/sycnode/node.go
+++ b/internal/operate/sycnode/node.go
@@ -18,8 +18,8 @@
 	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/operate/sycsetting"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
 	"sycamorecart.example/sycamorecart/internal/traffic/syccallers"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycrelay"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
@@ -65,7 +65,7 @@
 	options Options
 	log     *logrus.Entry
 	// endings observes how callers' connections end.
-	endings *syccaller.Tracker
+	endings *sycending.Tracker
 	// relay forwards callers' requests to endpoints.
 	relay *sycrelay.Relay
 	// servers holds the HTTP servers for callers, readiness checks and metrics.
@@ -79,7 +79,7 @@
 	n := &Node{
 		options: o,
 		log:     logrus.WithField("part", "node"),
-		endings: syccaller.New(),
+		endings: sycending.New(),
 		relay:   sycrelay.New(sycrelay.Options{Fleet: o.Fleet, Codec: o.Codec, Client: o.Client}),
 	}
 	Apply(o.Settings)
--- a/internal/traffic/syccaller/connection.go
+++ b/internal/traffic/sycending/connection.go
@@ -1,4 +1,4 @@
-package syccaller
+package sycending
 
 import (
 	"context"
--- a/internal/traffic/syccaller/tracker.go
+++ b/internal/traffic/sycending/tracker.go
@@ -1,9 +1,9 @@
-// Package syccaller observes callers' connections from the side of the HTTP server: it counts those that
+// Package sycending observes callers' connections from the side of the HTTP server: it counts those that
 // close although a request was read and its answer isn't complete, by the reason that the request's handler
 // stated. It also cancels the requests that still run when the VM stops.
 //
 // An answer counts as complete once its handler has returned normally.
-package syccaller
+package sycending
 
 import (
 	"cmp"
--- a/internal/traffic/sycrelay/ending.go
+++ b/internal/traffic/sycrelay/ending.go
@@ -10,15 +10,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 )
 
 // abort closes the caller's connection without a whole answer, and logs and counts why. Nothing else in this
 // package may close it. The detail completes the outcome, empty for none. The status is 0 if no single
 // endpoint's answer was being passed on. It doesn't return.
-func (x *exchange) abort(reason syccaller.Reason, detail string, status int) {
+func (x *exchange) abort(reason sycending.Reason, detail string, status int) {
 	x.ending = reason
-	syccaller.Of(x.ctx).End(reason)
+	sycending.Of(x.ctx).End(reason)
 	abortedCalls(reason).Inc()
 	outcome := string(reason)
 	if detail != "" {
@@ -32,7 +32,7 @@
 func closeConnection() { panic(http.ErrAbortHandler) }
 
 // abortedCalls returns the counter of the calls that were aborted for a reason.
-func abortedCalls(reason syccaller.Reason) *metrics.Counter {
+func abortedCalls(reason sycending.Reason) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_calls_aborted_total{reason=%q}`, reason))
 }
 
@@ -48,35 +48,35 @@
 }
 
 // goneReason returns why the context of the caller's request has ended, or its connection fails.
-func (x *exchange) goneReason() syccaller.Reason {
-	var cut *syccaller.DrainCutError
+func (x *exchange) goneReason() sycending.Reason {
+	var cut *sycending.DrainCutError
 	if errors.As(context.Cause(x.ctx), &cut) {
-		return syccaller.DrainCut
+		return sycending.DrainCut
 	}
-	return syccaller.CallerGone
+	return sycending.CallerGone
 }
 
 // breakReason returns why an answer that has begun can't be completed after the last attempt, while the
 // caller waits. The context is the call's, with its deadline.
-func (x *exchange) breakReason(ctx context.Context, last result) syccaller.Reason {
+func (x *exchange) breakReason(ctx context.Context, last result) sycending.Reason {
 	switch {
 	case last.reason == reasonPanic:
-		return syccaller.Panic
+		return sycending.Panic
 	case ctx.Err() != nil || last.reason == reasonNoTime:
-		return syccaller.Deadline
+		return sycending.Deadline
 	}
-	return syccaller.BrokenOff
+	return sycending.BrokenOff
 }
 
 // copyReason returns why an answer couldn't be copied from its endpoint to the caller.
-func (x *exchange) copyReason(source *sourceReader) syccaller.Reason {
+func (x *exchange) copyReason(source *sourceReader) sycending.Reason {
 	switch {
 	case x.ctx.Err() != nil || source.err == nil:
 		return x.goneReason()
 	case !time.Now().Before(x.deadline):
-		return syccaller.Deadline
+		return sycending.Deadline
 	}
-	return syccaller.BrokenOff
+	return sycending.BrokenOff
 }
 
 // sourceReader keeps the error of the reader that it reads from.
--- a/internal/traffic/sycrelay/ending_test.go
+++ b/internal/traffic/sycrelay/ending_test.go
@@ -16,13 +16,13 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
 // reasons lists all reasons for which a connection may end.
-var reasons = []syccaller.Reason{
-	syccaller.CallerGone, syccaller.BrokenOff, syccaller.Deadline, syccaller.DrainCut, syccaller.Panic, syccaller.Internal,
+var reasons = []sycending.Reason{
+	sycending.CallerGone, sycending.BrokenOff, sycending.Deadline, sycending.DrainCut, sycending.Panic, sycending.Internal,
 }
 
 // shortDeadline is the time that a call with the header Short has.
@@ -81,7 +81,7 @@
 }
 
 // counts returns the values of a counter for all reasons.
-func counts(counter func(syccaller.Reason) *metrics.Counter) []uint64 {
+func counts(counter func(sycending.Reason) *metrics.Counter) []uint64 {
 	var out []uint64
 	for _, r := range reasons {
 		out = append(out, counter(r).Get())
@@ -122,29 +122,29 @@
 		within bool
 		// status is the answer's, 0 for none. The reason is empty if the answer is complete.
 		status   int
-		reason   syccaller.Reason
+		reason   sycending.Reason
 		refunded bool
 	}{
-		{"caller leaves before", "/call/1", []rigEndpoint{silent}, leave, false, 0, syccaller.CallerGone, false},
-		{"caller leaves within", "/single/1", []rigEndpoint{hour}, leave, true, 200, syccaller.CallerGone, false},
-		{"endpoint breaks off a stream", "/single/1", []rigEndpoint{streamWith(broken)}, 0, true, 200, syccaller.BrokenOff, false},
-		{"endpoint breaks off a long answer", "/call/1", []rigEndpoint{longAnswer(0, 0, broken)}, 0, true, 200, syccaller.BrokenOff, false},
+		{"caller leaves before", "/call/1", []rigEndpoint{silent}, leave, false, 0, sycending.CallerGone, false},
+		{"caller leaves within", "/single/1", []rigEndpoint{hour}, leave, true, 200, sycending.CallerGone, false},
+		{"endpoint breaks off a stream", "/single/1", []rigEndpoint{streamWith(broken)}, 0, true, 200, sycending.BrokenOff, false},
+		{"endpoint breaks off a long answer", "/call/1", []rigEndpoint{longAnswer(0, 0, broken)}, 0, true, 200, sycending.BrokenOff, false},
 		{"deadline before", "/call/short", []rigEndpoint{silent}, 0, false, 504, "", false},
-		{"deadline within a stream", "/single/short", []rigEndpoint{hour}, 0, true, 200, syccaller.Deadline, false},
-		{"deadline within a long answer", "/call/short", []rigEndpoint{longAnswer(0, 0, time.Hour)}, 0, true, 200, syccaller.Deadline, false},
-		{"drain ends before", "/once/1", []rigEndpoint{silent}, cut, false, 0, syccaller.DrainCut, false},
-		{"drain ends within", "/single/1", []rigEndpoint{hour}, cut, true, 200, syccaller.DrainCut, false},
+		{"deadline within a stream", "/single/short", []rigEndpoint{hour}, 0, true, 200, sycending.Deadline, false},
+		{"deadline within a long answer", "/call/short", []rigEndpoint{longAnswer(0, 0, time.Hour)}, 0, true, 200, sycending.Deadline, false},
+		{"drain ends before", "/once/1", []rigEndpoint{silent}, cut, false, 0, sycending.DrainCut, false},
+		{"drain ends within", "/single/1", []rigEndpoint{hour}, cut, true, 200, sycending.DrainCut, false},
 		{"panic without a call", "/call/parse", []rigEndpoint{hour}, 0, false, 500, "", false},
 		{"panic before sending", "/once/outgoing", []rigEndpoint{hour}, 0, false, 500, "", true},
 		{"panic before the first byte", "/once/1", []rigEndpoint{panicking("Disposition")}, 0, false, 500, "", false},
-		{"panic after the first byte", "/stream/1", []rigEndpoint{streamWith(broken), panicking("Notice")}, 0, true, 200, syccaller.Panic, false},
+		{"panic after the first byte", "/stream/1", []rigEndpoint{streamWith(broken), panicking("Notice")}, 0, true, 200, sycending.Panic, false},
 		{"answered", "/stream/1", []rigEndpoint{streamWith()}, 0, true, 200, "", false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRig(t, len(tt.endpoints), tt.endpoints...)
 			r.relay.codec = endingCodec{}
-			aborted, closed := counts(abortedCalls), counts(syccaller.CutConnections)
+			aborted, closed := counts(abortedCalls), counts(sycending.CutConnections)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			act := func() {
@@ -188,7 +188,7 @@
 				}
 			}
 			must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-				return slices.Equal(aborted, counts(abortedCalls)) && slices.Equal(closed, counts(syccaller.CutConnections)) && r.unfinished() == 0
+				return slices.Equal(aborted, counts(abortedCalls)) && slices.Equal(closed, counts(sycending.CutConnections)) && r.unfinished() == 0
 			}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 			must.Eq(t, tt.refunded, r.wasTold("refunded"))
 		})
@@ -199,7 +199,7 @@
 // reason.
 func TestBodyBrokenOffByItsCaller(t *testing.T) {
 	r := newRig(t, 1, reset)
-	aborted, closed := counts(abortedCalls), counts(syccaller.CutConnections)
+	aborted, closed := counts(abortedCalls), counts(sycending.CutConnections)
 	body := io.MultiReader(strings.NewReader("a"), iotest.ErrReader(errors.New("broken off")))
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.address+"/once/1", body)
 	must.NoError(t, err)
@@ -208,7 +208,7 @@
 	aborted[0]++
 	closed[0]++
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool {
-		return slices.Equal(aborted, counts(abortedCalls)) && slices.Equal(closed, counts(syccaller.CutConnections))
+		return slices.Equal(aborted, counts(abortedCalls)) && slices.Equal(closed, counts(sycending.CutConnections))
 	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 }
 
--- a/internal/traffic/sycrelay/panic.go
+++ b/internal/traffic/sycrelay/panic.go
@@ -10,7 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 )
 
 // place names the goroutine of a call in which a panic was recovered.
@@ -66,7 +66,7 @@
 	if x.answering {
 		x.abort(panicReason(value), "", 0)
 	}
-	x.ending = syccaller.Panic
+	x.ending = sycending.Panic
 	clear(x.writer.Header())
 	if x.relay.draining.Load() {
 		x.writer.Header().Set("Connection", "close")
@@ -75,11 +75,11 @@
 }
 
 // panicReason returns the reason of a connection that is closed after a panic with a value.
-func panicReason(value any) syccaller.Reason {
+func panicReason(value any) sycending.Reason {
 	if value == http.ErrAbortHandler {
-		return syccaller.Internal
+		return sycending.Internal
 	}
-	return syccaller.Panic
+	return sycending.Panic
 }
 
 // mayHaveRun reports whether an endpoint may have run the request or may run it.
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -12,7 +12,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
@@ -109,7 +109,7 @@
 	// bytes counts the bytes of answers' bodies that were written to the caller's connection.
 	bytes int64
 	// ending is why the call ends without a whole answer, empty unless it is aborted or has panicked.
-	ending syccaller.Reason
+	ending sycending.Reason
 	// charged is set while the customer is charged for the call.
 	charged bool
 	// slot is the present attempt's place at its endpoint, nil if no attempt is unfinished at the fleet.
@@ -152,7 +152,7 @@
 	call, err := r.codec.Parse(req)
 	if err == nil {
 		x.call = call
-		syccaller.Of(x.ctx).Identify(call.ID)
+		sycending.Of(x.ctx).Identify(call.ID)
 	}
 	if x.headerTooLarge(req) {
 		x.fail(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -18,7 +18,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
 	"sycamorecart.example/sycamorecart/internal/peer/sycfleet"
-	"sycamorecart.example/sycamorecart/internal/traffic/syccaller"
+	"sycamorecart.example/sycamorecart/internal/traffic/sycending"
 	"sycamorecart.example/sycamorecart/internal/traffic/sycwire"
 )
 
@@ -193,7 +193,7 @@
 type rig struct {
 	*rigFleet
 	relay   *Relay
-	callers *syccaller.Tracker
+	callers *sycending.Tracker
 	address string
 }
 
@@ -232,7 +232,7 @@
 	client := sycwire.New(sycwire.Defaults())
 	t.Cleanup(func() { _ = client.Close() })
 	relay := New(Options{Fleet: f, Codec: rigCodec{}, Client: client})
-	callers, tracker := httptest.NewUnstartedServer(relay), syccaller.New()
+	callers, tracker := httptest.NewUnstartedServer(relay), sycending.New()
 	tracker.Install(callers.Config)
 	callers.Start()
 	t.Cleanup(callers.Close)
