--- a/platform/sycjoin/network_test.go
+++ b/internal/standin/sycloopback/network.go
@@ -1,4 +1,6 @@
-package sycjoin_test
+// Package sycloopback reserves ranges of loopback addresses for tests that start several VMs,
+// so that test processes that run at the same time don't take each other's ports.
+package sycloopback
 
 import (
 	"fmt"
@@ -16,7 +18,7 @@
 	firstNetwork, networkCount = 216, 38
 	// thirdNumbers is the number of values of an address's third number.
 	thirdNumbers = 256
-	// reservationPort is the port that a rig listens on at lastHost to reserve its network.
+	// reservationPort is the port that a test listens on at lastHost to reserve its network.
 	reservationPort = 8079
 	// lastHost is the last host number of a network. No VM uses it.
 	lastHost = 254
@@ -24,18 +26,18 @@
 	firstPort = 8080
 )
 
-// network is a range of loopback addresses that one rig uses alone. The rig doesn't use ports
+// Network is a range of loopback addresses that one test uses alone. Its VMs don't use ports
 // of 127.0.0.1, as a connection of any other test may take a port that was free a moment ago.
-type network struct {
+type Network struct {
 	// prefix is the first three numbers of the addresses.
 	prefix string
 	// hosts is the number of the last host assigned.
 	hosts int
 }
 
-// reserveNetwork reserves a network until the test ends. It begins the search at the process
-// ID, since other processes run these tests at the same time.
-func reserveNetwork(t *testing.T) *network {
+// Reserve reserves a network until the test ends. It begins the search at the process ID,
+// since other processes run such tests at the same time.
+func Reserve(t testing.TB) *Network {
 	t.Helper()
 	for i := range networkCount * thirdNumbers {
 		n := (os.Getpid() + i) % (networkCount * thirdNumbers)
@@ -43,16 +45,16 @@
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", prefix, lastHost, reservationPort))
 		if err == nil {
 			t.Cleanup(func() { _ = l.Close() })
-			return &network{prefix: prefix}
+			return &Network{prefix: prefix}
 		}
 	}
 	t.Fatal("all networks for tests are in use")
 	return nil
 }
 
-// host returns the addresses of a host that no other VM of the rig has, one for each of a
+// Host returns the addresses of a host that no other VM of the test has, one for each of a
 // number of ports.
-func (n *network) host(t *testing.T, ports int) []netip.AddrPort {
+func (n *Network) Host(t testing.TB, ports int) []netip.AddrPort {
 	t.Helper()
 	n.hosts++
 	must.Less(t, lastHost, n.hosts)
