A panic in the overload gate leaves it unlocked

What callers would see: after one panic under the gate's lock every later request hangs. net/http recovered such a panic before too.

Found by reading all locks that a caller's request takes: the fleet's state is used on its loop only, sycwire's locks are deferred.

Change: gate.ask with a deferred unlock.

--- a/internal/traffic/sycrelay/overload.go
+++ b/internal/traffic/sycrelay/overload.go
@@ -34,17 +34,22 @@
 // decide decides whether a new request is accepted. It returns what the decision is based on
 // too.
 func (g *gate) decide(r sycoverload.Request) (sycoverload.Decision, sycoverload.State) {
-	g.mu.Lock()
-	before := g.guard.State()
-	decision := g.guard.Decide(g.now(), r)
-	state := g.guard.State()
-	g.mu.Unlock()
+	decision, before, state := g.ask(r)
 	if state != before {
 		g.report(state, before.Share > 0)
 	}
 	return decision, state
 }
 
+// ask returns the guard's decision and its states before and after it.
+func (g *gate) ask(r sycoverload.Request) (decision sycoverload.Decision, before, after sycoverload.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before = g.guard.State()
+	decision = g.guard.Decide(g.now(), r)
+	return decision, before, g.guard.State()
+}
+
 // report updates the gauges, and logs if the VM has become overloaded or no longer is.
 func (g *gate) report(s sycoverload.State, wasOverloaded bool) {
 	metrics.GetOrCreateGauge("sycamorecart_overload_delay_seconds", nil).Set(s.Delay.Seconds())
--- a/internal/traffic/sycrelay/overload_test.go
+++ b/internal/traffic/sycrelay/overload_test.go
@@ -75,3 +75,14 @@
 		must.Positive(t, fleet.admitted)
 	}
 }
+
+// TestPanicLeavesTheGateUnlocked guards against a panic under one request that stops all later ones.
+func TestPanicLeavesTheGateUnlocked(t *testing.T) {
+	g := New(Options{}).gate
+	g.guard = nil
+	func() {
+		defer func() { must.NotNil(t, recover()) }()
+		g.decide(sycoverload.Request{})
+	}()
+	must.True(t, g.mu.TryLock())
+}
