--- a/internal/traffic/syccaller/tracker.go
+++ b/internal/traffic/syccaller/tracker.go
@@ -89,12 +89,12 @@
 // close removes a connection, and counts it if its last request has no complete answer.
 func (t *Tracker) close(conn net.Conn) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	c := t.connections[conn]
-	delete(t.connections, conn)
-	t.mu.Unlock()
 	if c == nil {
 		return
 	}
+	delete(t.connections, conn)
 	c.cancel(nil)
 	if reason, cut := c.cut(); cut {
 		CutConnections(reason).Inc()
