Tests of callers' connections wait until the server reads

TestDrainAnswersWhatHasArrived/read_as_the_drain_begins failed once in 10 runs with -race (the answer did not come within 40 s): the test began the drain when the connection was in its waiting phase, but the server had not begun to read. Its own read then set the deadline in the past, at which the test's connection waits for a read to succeed. The case is for a read under way, so the test now waits for one; what it asserts is unchanged.

--- a/internal/traffic/syccallers/drain_test.go
+++ b/internal/traffic/syccallers/drain_test.go
@@ -50,7 +50,7 @@
 			c := r.dial()
 			c.exchange("/first")
 			must.Eq(t, "/first", <-r.entered)
-			r.eventually("the connection is idle", func() bool { return r.count(waiting) == 1 })
+			c.awaitIdle()
 			tt.prepare(r, c)
 			r.elapsed.Add(int64(time.Minute))
 			result := r.drain(t.Context())
--- a/internal/traffic/syccallers/limits_test.go
+++ b/internal/traffic/syccallers/limits_test.go
@@ -100,7 +100,7 @@
 func used(r *rig, c *client) {
 	c.exchange("/first")
 	must.Eq(r.t, "/first", <-r.entered)
-	r.eventually("the connection is idle", func() bool { return r.count(waiting) == 1 })
+	c.awaitIdle()
 }
 
 // begin returns a function that sends a part of a header and waits until it has been read.
--- a/internal/traffic/syccallers/rig_test.go
+++ b/internal/traffic/syccallers/rig_test.go
@@ -88,6 +88,12 @@
 	return n
 }
 
+// awaitIdle waits until the server waits for the connection's next request.
+func (c *client) awaitIdle() {
+	c.t.Helper()
+	c.rig.eventually("the connection is idle", func() bool { return c.rig.count(waiting) == 1 && c.raw.reading.Load() })
+}
+
 // client is a caller's connection.
 type client struct {
 	t   *testing.T
@@ -174,11 +180,15 @@
 	crossing atomic.Pointer[func()]
 	// got receives a value when bytes have been read.
 	got chan struct{}
+	// reading is set while the server reads.
+	reading atomic.Bool
 }
 
 // Read reads from the connection.
 func (k *lateConn) Read(p []byte) (int, error) {
+	k.reading.Store(true)
 	n, err := k.TCPConn.Read(p)
+	k.reading.Store(false)
 	if n > 0 {
 		select {
 		case k.got <- struct{}{}:
