--- a/internal/traffic/syccallers/limits_test.go
+++ b/internal/traffic/syccallers/limits_test.go
@@ -88,9 +88,7 @@
 			r.elapsed.Add(int64(time.Minute))
 			r.listener.SetLimits(tt.changed)
 			r.elapsed.Add(int64(time.Minute))
-			for _, k := range r.listener.open() {
-				k.arm()
-			}
+			r.listener.SetLimits(tt.changed)
 			tt.finish(c)
 		})
 	}
