An engine isn't interrupted under an attempt that has become a request's last since the plan

What callers saw: nothing yet (by reading, and a test). Cause: the holder decides to interrupt an engine's requests when it plans the load, asks for a report (up to 0.7 s), and only then sends the order. A standby that is rejected in between leaves its stream without a further attempt (MarkLast), and the order broke that stream off.

Ruled out: news of other VMs that are still on their way; they can't be known here.

Change: the order interrupts only if, when it is sent, no request there is known to have lost its last other endpoint. Otherwise the engine ends its requests first, as after loadAnywayAfter. Measured: one case of TestLastAttemptIsNotInterrupted failed before, all three pass now; sycfleet and sycreload pass with -race.

--- a/internal/peer/sycfleet/orders.go
+++ b/internal/peer/sycfleet/orders.go
@@ -163,6 +163,8 @@
 	f.loop.DoControl(func(now time.Duration) {
 		_, holds = f.lease.Holds(now + orderTimeout)
 		term = int64(f.lease.Term())
+		// Since the order was planned, a request may have lost its last other endpoint.
+		o.Interrupt = o.Interrupt && f.selector.Load(e.ID).NonResumable == 0
 		if holds {
 			f.orders.Add(1)
 		}
