A stream's deadline doesn't count against the endpoint of its standby

What callers saw: nothing directly; a sound endpoint could leave use for a while (three failures without a success in between, sychealth). Cause: a standby has as little as 0.25 s until its stream's deadline, and one that had sent no event by then counted as failed, whether it was rejected at that moment or became the present attempt of a stream whose time was over.

Ruled out: that an endpoint which really hangs is no longer noticed: an attempt that is overdue counts by Selector.Tick, and a standby that is replaced counts as silent.

Change: a standby whose time is over counts as cancelled, and is no longer made the present attempt.

--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -198,6 +198,10 @@
 			"id": x.call.ID, "endpoint": x.target.Endpoint.ID, "reason": result.reason, "arrived": result.arrived,
 			"events": x.eventCount, "attempt": x.attempts,
 		}).Warn("relay: attempt failed")
+		if ctx.Err() != nil {
+			// No standby can resume the stream any more, and its endpoint isn't to blame.
+			x.dropStandby()
+		}
 		if standby = x.takeStandby(); standby != nil {
 			continue
 		}
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -181,6 +181,12 @@
 func (s *standby) reject() {
 	var why result
 	switch {
+	case s.ctx.Err() != nil:
+		// The time was over, or the caller has left, before the endpoint could resume the stream.
+		why = result{arrived: s.arrived(), reason: "no_time"}
+		s.mu.Lock()
+		s.discard()
+		s.mu.Unlock()
 	case s.err != nil:
 		why = s.exchange.handleNoAnswer(s.ctx, s.err, s.started)
 	case s.events != nil:
@@ -226,7 +232,7 @@
 
 // dropStandby ends the standby of the last attempt, which isn't needed.
 func (x *exchange) dropStandby() {
-	if s := x.takeStandby(); s != nil {
-		s.abandon(false)
+	if s := x.takeStandby(); s != nil && s.abandon(false) {
+		x.attempts++
 	}
 }
