While its last attempt is a standby, a stream's engine isn't interrupted

What callers saw: nothing yet (by reading, and a test). Cause: the holder learned that a silent stream has no further attempt only once the standby had failed. Until then it could have the present engine break the stream off for new weights, in favour of a standby that had sent nothing. If that one then hung or broke off, the stream was cut at its deadline or at once.

Ruled out: standbys that weren't sent, which use no attempt; the engine of the standby, whose request isn't resumable by then.

Change: when the request of a standby is sent and uses the last attempt, the present attempt is marked as the last (MarkLast). If both are waited for, the engine ends its requests before it loads.

--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -31,6 +31,8 @@
 	started time.Time
 	// done is closed once answer, events and err are set.
 	done chan struct{}
+	// onSend is called right before the request's first byte is sent.
+	onSend func()
 	// mu guards isSent, abandoned, overdue and the end of send.
 	mu sync.Mutex
 	// isSent is set right before the request's first byte is sent.
@@ -74,22 +76,24 @@
 	}
 }
 
-// begin begins to send the request. The stream is to continue after an event.
-func (s *standby) begin(lastEvent string) {
+// begin begins to send the request. The stream is to continue after an event. OnSend is called right before
+// the request's first byte is sent.
+func (s *standby) begin(lastEvent string, onSend func()) {
 	x := s.exchange
-	x.lastEvent = lastEvent
+	x.lastEvent, s.onSend = lastEvent, onSend
 	go s.send(x.outgoing(s.proceed), lastEvent)
 }
 
 // proceed records that the request is sent from now on. It returns false if the standby was abandoned.
 func (s *standby) proceed() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.abandoned {
-		return false
+	s.isSent = s.isSent || !s.abandoned
+	isSent := s.isSent
+	s.mu.Unlock()
+	if isSent {
+		s.onSend()
 	}
-	s.isSent = true
-	return true
+	return isSent
 }
 
 // send sends the request and reads the answer up to the first event that takes the stream further.
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -173,7 +173,7 @@
 	t.dropLocked(true)
 	t.standby = next
 	// The stream hasn't gone on since the overdue standby began.
-	next.begin(overdue.exchange.lastEvent)
+	next.begin(overdue.exchange.lastEvent, t.checkLastStandby)
 	return next
 }
 
@@ -203,6 +203,17 @@
 	}
 }
 
+// checkLastStandby calls markLast if the standby that is being sent uses the last attempt: until it has sent an
+// event, only the present endpoint has shown that it can complete the stream.
+func (t *answerTimeout) checkLastStandby() {
+	t.mu.Lock()
+	isLast := t.arrivals+1 >= t.attempts
+	t.mu.Unlock()
+	if isLast {
+		t.markLast()
+	}
+}
+
 // beginStandby begins a standby, unless it is nil or the answer has continued or ended meanwhile. It reports
 // whether it has.
 func (t *answerTimeout) beginStandby(s *standby) bool {
@@ -217,7 +228,7 @@
 		s.withdraw()
 	default:
 		t.standby = s
-		s.begin(t.lastEvent())
+		s.begin(t.lastEvent(), t.checkLastStandby)
 		return true
 	}
 	return false
