A load of weights lasts while its engine carries out the order

What callers saw: a stream that was interrupted for a load of weights was aborted with time left, because the next endpoints rejected its rest (broken_off/other_weights). Other requests were refused as endpoint_full or sent on for other_weights.

Cause: an engine that is ordered to wait for its running requests may take longer than the 14 reports that it is asked for. Then the load counted as failed: the engine's cordon ended and nobody asked for its reports, while it went on with the order that it had accepted. Without requests of its own it looked free and was selected first, and rejected what it got, until its record in the log told of its new weights.

Ruled out: orders that the engines lost.

Change: an engine that reports that it carries out an order is asked on, less often, for up to 15 s more. Its cordon stays.

--- a/internal/peer/sycfleet/orders.go
+++ b/internal/peer/sycfleet/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"gopkg.in/tomb.v2"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 )
@@ -16,9 +17,14 @@
 	minLoadTime = 430 * time.Millisecond
 	// loadPollPause is the pause between two requests for a loading engine's report.
 	loadPollPause = 130 * time.Millisecond
-	// maxLoadPolls is how many reports a loading engine is asked for before the load
-	// counts as failed.
+	// maxLoadPolls is how many reports an engine is asked for before a load counts as failed, unless
+	// the engine reports that it carries out an order.
 	maxLoadPolls = 14
+	// busyPollPause is the pause between two requests for the report of an engine that carries out an
+	// order for longer than that, since it waits for its running requests.
+	busyPollPause = 500 * time.Millisecond
+	// maxBusyPolls is how many further reports such an engine is asked for.
+	maxBusyPolls = 30
 	// engineTimeout limits a request for an engine's report. A call for cache events has
 	// cachePollWait in addition.
 	engineTimeout = 700 * time.Millisecond
@@ -118,7 +124,8 @@
 )
 
 // loadWeights orders an engine to load weights, unless it has them or is loading, and waits
-// until its report lists them.
+// until its report lists them. An engine rejects requests while it carries out an order, so the load
+// doesn't end before that.
 func (f *Fleet) loadWeights(e sycplace.Endpoint, w Weights, interrupt bool) error {
 	report, err := f.engineReport(e)
 	if err != nil {
@@ -130,18 +137,24 @@
 		}
 		f.pause(minLoadTime)
 	}
-	for range maxLoadPolls {
+	for polls := 1; f.tomb.Alive(); polls++ {
 		report, err := f.engineReport(e)
 		if err != nil {
 			return err
 		}
 		f.applyEngineReport(e, report)
-		if report.Weights[w.Model] >= w.Version {
+		switch {
+		case report.Weights[w.Model] >= w.Version:
 			return nil
+		case polls < maxLoadPolls:
+			f.pause(loadPollPause)
+		case report.Busy && polls < maxLoadPolls+maxBusyPolls:
+			f.pause(busyPollPause)
+		default:
+			return errLoadTimeout
 		}
-		f.pause(loadPollPause)
 	}
-	return errLoadTimeout
+	return tomb.ErrDying
 }
 
 // engineReport requests an engine's report.
