Answers that begin in a drain ask the caller to close its connection

What callers saw (by reading, and by a test): a request that arrived before a drain and was answered in it left the connection open without a word; at the drain's end the VM closes it, perhaps as the next request is on its way. Cause: Connection: close was decided when the request arrived. Change: it is decided when the answer's header is sent. A stream whose header is sent before the drain can't say so.

--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -132,9 +132,17 @@
 	return sycplace.Failed
 }
 
+// askToClose asks the caller to close its connection after the answer if the VM is being drained.
+func (x *exchange) askToClose() {
+	if x.relay.draining.Load() {
+		x.writer.Header().Set("Connection", "close")
+	}
+}
+
 // copyHeader copies the header of an endpoint's answer to the caller's, except the headers
 // that concern one connection only.
 func (x *exchange) copyHeader(answer http.Header) {
+	x.askToClose()
 	h := x.writer.Header()
 	for name, values := range answer {
 		if !HopHeader(name) && name != "Content-Length" {
@@ -157,6 +165,7 @@
 // fail answers with a status and a reason.
 func (x *exchange) fail(status int, reason string) {
 	x.discardBody()
+	x.askToClose()
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
 	body := fmt.Sprintf("{\"error\":%q}\n", reason)
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -135,9 +135,6 @@
 		x.unread = req.Body
 	}
 	x.awaitTurn()
-	if r.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x.config = r.fleet.Config()
 	call, err := r.codec.Parse(req)
 	if err != nil {
