A withdrawn selection doesn't count among the rejections of a stream's rest

What callers saw: a stream that had begun was aborted (broken_off/other_weights) with 10 s left and sound endpoints that hadn't been asked.

Cause: two rejections of a stream's rest aren't counted as attempts, but a selection that no longer held when it was used, and for which nothing was sent, took one of the two.

Ruled out: that the bound on rejections itself was reached: two endpoints had rejected the rest, and TestRejectionsOfARestAreBounded allows a third.

Change: withdrawn selections are counted by themselves, with the same bound.

Measured: TestWithdrawnSelectionIsNoRejectionOfARest fails before.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -16,7 +16,8 @@
 	// minRemaining is the least time to the deadline at which a request is still sent.
 	minRemaining = 5 * time.Millisecond
 	// maxUncounted limits the attempts that don't count as such: the endpoint had other weights than
-	// expected, its selection no longer held, or it rejected a stream that has begun.
+	// expected, or it rejected a stream that has begun. It also limits those whose selection no longer held,
+	// by themselves, since they reached no endpoint.
 	maxUncounted = 2
 	// maxUnreachable is the number of tried endpoints after which an attempt that didn't
 	// reach its endpoint is the call's last.
@@ -240,11 +241,12 @@
 		return false
 	}
 	switch {
-	case last.sameEndpoint && x.uncounted < maxUncounted:
+	case last.sameEndpoint && !last.arrived && x.withdrawn < maxUncounted:
+		x.withdrawn++
+		x.tried = x.tried[:len(x.tried)-1]
+	case last.sameEndpoint && last.arrived && x.uncounted < maxUncounted:
 		x.uncounted++
-		if last.arrived {
-			x.attempts--
-		}
+		x.attempts--
 		x.tried = x.tried[:len(x.tried)-1]
 	case last.rejected && x.answering && x.uncounted < maxUncounted:
 		// The caller can't be told any more that the rest wasn't run.
--- a/internal/traffic/sycrelay/rejected_rest_test.go
+++ b/internal/traffic/sycrelay/rejected_rest_test.go
@@ -50,6 +50,21 @@
 	must.Eq(t, 2+maxUncounted, arrivals)
 }
 
+// TestWithdrawnSelectionIsNoRejectionOfARest guards against a stream that has begun and is aborted after fewer rejections than allowed, because an
+// endpoint was selected meanwhile that couldn't be used any more.
+func TestWithdrawnSelectionIsNoRejectionOfARest(t *testing.T) {
+	begins := func(w http.ResponseWriter, _ *http.Request, _ int) {
+		send(w, rigEventsFrom(0, 2))
+		panic(http.ErrAbortHandler)
+	}
+	full := answerWith(0, http.StatusServiceUnavailable, "Not-Run", "")
+	r := newRig(t, 2, begins, full, full, streamWith())
+	r.withdraws = func(id uint64) bool { return id == 1 }
+	_, body, err := r.get(t.Context(), "/stream/x")
+	must.NoError(t, err)
+	must.Eq(t, rigStream, body)
+}
+
 // rejectOnce returns an endpoint that rejects its first request and streams the others.
 func rejectOnce(rejection rigEndpoint) rigEndpoint {
 	received := 0
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -99,8 +99,9 @@
 	// tried lists the IDs of the endpoints tried so far, which aren't selected again. An
 	// endpoint that the call is repeated at for other weights is removed from it.
 	tried []string
-	// uncounted is how many attempts weren't counted.
-	uncounted int
+	// uncounted is how many attempts weren't counted, without those of withdrawn, whose selection no longer
+	// held.
+	uncounted, withdrawn int
 	// ran is set once an endpoint may have run the request.
 	ran bool
 	// answering is set once bytes of an answer have gone to the caller.
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -59,6 +59,9 @@
 	selected []string
 	// told lists what was told about endpoints, such as "e1 failed".
 	told []string
+	// withdraws reports whether the selection of an attempt, by its ID from 0, no longer holds when it is
+	// used. Nil lets all hold.
+	withdraws func(id uint64) bool
 }
 
 // tell records something about the endpoint of an attempt.
@@ -117,7 +120,9 @@
 
 func (f *rigFleet) CanRetry(r *sycplace.Request) bool { return len(r.Exclude) < len(f.targets) }
 
-func (*rigFleet) Permits(*sycplace.Request, *sycplace.Target) bool { return true }
+func (f *rigFleet) Permits(r *sycplace.Request, _ *sycplace.Target) bool {
+	return f.withdraws == nil || !f.withdraws(r.ID)
+}
 
 func (f *rigFleet) UpdateWeights(endpoint string, _ int64, _ string, version int64) {
 	f.mu.Lock()
