A standby that only rejects the rest of a stream uses up no attempt

Without the silence such a rejection doesn't count (TestRejectedRestIsNotLost). Cause: settle counted each arrival of a standby as an attempt. Change: two rejections for each call don't count, as elsewhere. For MarkLast they do: an engine isn't interrupted because others have rejected the stream. Ruled out: counting them nowhere, by which an order would break off a stream that nobody else takes ('other full, no attempt left' of TestStandby, unchanged).

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -173,10 +173,10 @@
 // for. The endpoint has not run the request, which may be sent to it again with its weights.
 // An answer that names just the weights asked for contradicts itself, and proves nothing.
 func (x *exchange) handleOtherWeights(answer *sycwire.Response, started time.Time) result {
-	version := x.relay.codec.Weights(answer.Header)
-	if version > 0 && version == x.target.Weights {
+	if x.contradictsWeights(answer) {
 		return x.handleUnproven(answer, started)
 	}
+	version := x.relay.codec.Weights(answer.Header)
 	answer.Discard()
 	x.finishAttempt(sycplace.Cancelled, started)
 	e := x.target.Endpoint
@@ -189,6 +189,12 @@
 	return result{arrived: true, rejected: true, sameEndpoint: version > 0, reason: "other_weights"}
 }
 
+// contradictsWeights reports whether an answer that states other weights than asked for names just these.
+func (x *exchange) contradictsWeights(answer *sycwire.Response) bool {
+	version := x.relay.codec.Weights(answer.Header)
+	return version > 0 && version == x.target.Weights
+}
+
 // handleUnproven finishes an attempt whose answer doesn't prove what its status says to callers. The request
 // may have run or still run.
 func (x *exchange) handleUnproven(answer *sycwire.Response, started time.Time) result {
--- a/internal/traffic/sycrelay/rejected_rest_test.go
+++ b/internal/traffic/sycrelay/rejected_rest_test.go
@@ -1,8 +1,10 @@
 package sycrelay
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -76,3 +78,26 @@
 		streamWith()(w, r, first)
 	}
 }
+
+// TestRejectedStandbyIsNoAttempt guards against a stream that is cut when its endpoint breaks off, because one that has
+// not run it, but rejected it as a standby, counts as its last attempt. Without the silence the stream is resumed.
+func TestRejectedStandbyIsNoAttempt(t *testing.T) {
+	tests := []struct {
+		name      string
+		rejection rigEndpoint
+	}{
+		{"full", answerWith(0, http.StatusServiceUnavailable, "Not-Run", "")},
+		{"other weights", answerWith(0, http.StatusMisdirectedRequest, "", "")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 2, streamWith(longSilence, broken), tt.rejection, streamWith())
+			ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+			defer cancel()
+			_, body, err := r.get(ctx, "/stream/1")
+			must.NoError(t, err)
+			must.Eq(t, rigStream, body)
+		})
+	}
+}
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -42,6 +42,8 @@
 	answer *sycwire.Response
 	events *eventReader
 	err    error
+	// rejected is set if the endpoint has stated that it hasn't run the request.
+	rejected bool
 	// resumes is set if the endpoint has sent an event that takes the stream further, or the stream's end.
 	resumes bool
 	// abandoned is set once the answer isn't needed.
@@ -123,8 +125,13 @@
 		}
 	}()
 	answer, err = x.relay.client.Do(s.ctx, x.outgoing(s.proceed))
-	if err != nil || answer.Status != http.StatusOK || x.disposition(answer) != Answered {
-		return answer, nil, false, err
+	if err != nil {
+		return nil, nil, false, err
+	}
+	disposition := x.disposition(answer)
+	if answer.Status != http.StatusOK || disposition != Answered {
+		s.rejected = disposition == NotRun || disposition == OtherWeights && !x.contradictsWeights(answer)
+		return answer, nil, false, nil
 	}
 	events = newEventReader(answer)
 	failure := events.readAhead(lastEvent)
@@ -243,12 +250,13 @@
 	if x.timeout == nil {
 		return nil
 	}
-	s, rejectedBy, arrivals := x.timeout.takeStandby()
+	s, rejectedBy, arrivals, rejections := x.timeout.takeStandby()
 	if len(rejectedBy) > 0 {
 		// The present attempt's endpoint stays the last one.
 		x.tried = slices.Insert(x.tried, len(x.tried)-1, rejectedBy...)
 	}
 	x.attempts += arrivals
+	x.uncounted += rejections
 	return s
 }
 
--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -46,8 +46,9 @@
 	attempts int
 	// rejectedBy lists the endpoints that couldn't resume the stream, or whose standby was abandoned.
 	rejectedBy []string
-	// arrivals is how many of them the request reached.
-	arrivals int
+	// arrivals is how many of them the request reached, without rejections that don't count. Rejections is how
+	// many didn't count, since nothing ran, and mayReject how many more may.
+	arrivals, rejections, mayReject int
 	// standby is the present standby, nil if there is none.
 	standby *standby
 	// switched is set once the attempt is cancelled in favour of standby.
@@ -83,7 +84,7 @@
 	t.newStandby, t.lastEvent = own.newStandby, func() string { return x.lastEvent }
 	t.reportPanic = func(value any) { own.reportPanic(placeTimeout, value) }
 	t.markLast = func() { own.relay.fleet.MarkLast(own.request.ID) }
-	t.begun, t.attempts = x.answering, x.route.Attempts-x.attempts
+	t.begun, t.attempts, t.mayReject = x.answering, x.route.Attempts-x.attempts, maxUncounted-x.uncounted
 	return t
 }
 
@@ -208,10 +209,11 @@
 	}
 }
 
-// checkAttempts calls markLast once the request may go to no further endpoint.
+// checkAttempts calls markLast once the request may go to no further endpoint. Rejections count here: endpoints
+// that reject the stream are no reason to interrupt the one that has it.
 func (t *answerTimeout) checkAttempts() {
 	t.mu.Lock()
-	isLast := !t.hasAttemptsLocked()
+	isLast := t.arrivals+t.rejections >= t.attempts || !t.hasAttemptsLocked()
 	t.mu.Unlock()
 	if isLast {
 		t.markLast()
@@ -265,7 +267,12 @@
 	}
 	t.standby = nil
 	t.rejectedBy = append(t.rejectedBy, s.exchange.target.Endpoint.ID)
-	if s.arrived() {
+	switch {
+	case !s.arrived():
+	case s.rejected && t.mayReject > 0:
+		t.rejections++
+		t.mayReject--
+	default:
 		t.arrivals++
 	}
 	if t.running {
@@ -318,12 +325,12 @@
 
 // takeStandby returns the standby, which the caller then owns, nil if there is none. It returns the
 // endpoints that have rejected the stream too, and how many of them the request reached.
-func (t *answerTimeout) takeStandby() (s *standby, rejectedBy []string, arrivals int) {
+func (t *answerTimeout) takeStandby() (s *standby, rejectedBy []string, arrivals, rejections int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, rejectedBy, arrivals = t.standby, t.rejectedBy, t.arrivals
-	t.standby, t.rejectedBy, t.arrivals = nil, nil, 0
-	return s, rejectedBy, arrivals
+	s, rejectedBy, arrivals, rejections = t.standby, t.rejectedBy, t.arrivals, t.rejections
+	t.standby, t.rejectedBy, t.arrivals, t.rejections = nil, nil, 0, 0
+	return s, rejectedBy, arrivals, rejections
 }
 
 // restart lets the next event take up to maxStreamPause from now on.
