--- a/internal/decide/sycquota/quota_test.go
+++ b/internal/decide/sycquota/quota_test.go
@@ -37,8 +37,7 @@
 	must.True(t, ok)
 }
 
-// TestCustomerAddedAgainHasNoSecondBurst guards against a spent limit that is full again on all VMs after a configuration without
-// the customer, and against one that is never forgotten.
+// TestCustomerAddedAgainHasNoSecondBurst guards against a spent limit that is full again after a configuration without the customer.
 func TestCustomerAddedAgainHasNoSecondBurst(t *testing.T) {
 	vms := []*sycquota.Limiter{sycquota.New(true, sycquota.Headroom{}), sycquota.New(true, sycquota.Headroom{})}
 	names := []string{"a", "b"}
--- a/internal/peer/sycfleet/orders_busy_test.go
+++ b/internal/peer/sycfleet/orders_busy_test.go
@@ -25,8 +25,7 @@
 	return EngineReport{Busy: busy, Weights: map[string]int64{"m": version}}, nil
 }
 
-// TestLoadLastsWhileTheEngineIsBusy guards against an engine that waits for its running requests before it loads weights, gets
-// requests again meanwhile because the load counts as failed, and rejects them.
+// TestLoadLastsWhileTheEngineIsBusy guards against a load that counts as failed while its engine waits for running requests.
 func TestLoadLastsWhileTheEngineIsBusy(t *testing.T) {
 	f := newNetwork(t, 1).vms[0]
 	f.options.Engines = &busyEngines{reports: maxLoadPolls + 2}
--- a/internal/peer/sycfleet/orders_test.go
+++ b/internal/peer/sycfleet/orders_test.go
@@ -21,8 +21,7 @@
 	return true, nil
 }
 
-// TestLastAttemptIsNotInterrupted guards against an engine that is ordered to break off a request that no other
-// endpoint may get any more, because another one could have got it when the order was planned.
+// TestLastAttemptIsNotInterrupted guards against an order that breaks off a request whose last attempt has begun since the plan.
 func TestLastAttemptIsNotInterrupted(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/traffic/syccallers/drain_test.go
+++ b/internal/traffic/syccallers/drain_test.go
@@ -18,8 +18,7 @@
 	return result
 }
 
-// TestDrainAnswersWhatHasArrived guards against a drain that closes a connection whose next request has been read, or has
-// arrived and isn't read yet.
+// TestDrainAnswersWhatHasArrived guards against a drain that closes a connection on which a request has arrived.
 func TestDrainAnswersWhatHasArrived(t *testing.T) {
 	const text = "POST /next HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 	tests := []struct {
--- a/internal/traffic/sycending/tracker_test.go
+++ b/internal/traffic/sycending/tracker_test.go
@@ -16,8 +16,7 @@
 // hookKey is the key of a value that a server's own hook sets.
 type hookKey struct{}
 
-// TestServersView guards against a connection that closes with a request read and no complete answer and isn't
-// counted, or is counted though its answer was complete. Hooks that the server has must be called too.
+// TestServersView guards against connections that are counted as cut though they aren't, or the reverse, and against lost hooks.
 func TestServersView(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -87,8 +86,7 @@
 	return len(t.connections)
 }
 
-// TestCutReachesLateConnections guards against a connection that arrives while the VM stops and whose request
-// looks like one of a caller that has gone.
+// TestCutReachesLateConnections guards against a late connection, cut by the VM's stop, that looks like a caller's leaving.
 func TestCutReachesLateConnections(t *testing.T) {
 	tracker := New()
 	early, late := &net.TCPConn{}, &net.TCPConn{}
--- a/internal/traffic/sycgateway/silent_test.go
+++ b/internal/traffic/sycgateway/silent_test.go
@@ -12,8 +12,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycwork"
 )
 
-// TestArrivingAnswerIsKept guards against an answer that is given up while it arrives, in favour of an endpoint that
-// has shown nothing.
+// TestArrivingAnswerIsKept guards against an arriving answer that is given up for an endpoint that has shown nothing.
 func TestArrivingAnswerIsKept(t *testing.T) {
 	const parts = 40
 	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/traffic/sycrelay/closedrest_test.go
+++ b/internal/traffic/sycrelay/closedrest_test.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// TestClosedConnectionCompletesNoRest guards against a stream that looks complete although pieces are missing: the
-// endpoint that was to send its rest has closed a connection without sending any.
+// TestClosedConnectionCompletesNoRest guards against a stream that looks complete because the endpoint of its rest closed without sending any.
 func TestClosedConnectionCompletesNoRest(t *testing.T) {
 	breaks := streamWith(0, broken)
 	tests := []struct {
--- a/internal/traffic/sycrelay/deadline_test.go
+++ b/internal/traffic/sycrelay/deadline_test.go
@@ -8,8 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestDeadlineBlamesNoStandby guards against a sound endpoint that counts as failed because it was asked to resume a
-// stream shortly before its deadline.
+// TestDeadlineBlamesNoStandby guards against a sound endpoint that counts as failed for a stream's deadline.
 func TestDeadlineBlamesNoStandby(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/traffic/sycrelay/drain_test.go
+++ b/internal/traffic/sycrelay/drain_test.go
@@ -7,8 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestAnswerInADrainAsksToClose guards against an answer that begins in a drain and lets its caller use the connection again, which
-// the VM is about to close.
+// TestAnswerInADrainAsksToClose guards against an answer in a drain that lets its caller use the connection again.
 func TestAnswerInADrainAsksToClose(t *testing.T) {
 	for _, path := range []string{"/call/x", "/stream/x", "/call/failed", "/single/none"} {
 		t.Run(path, func(t *testing.T) {
--- a/internal/traffic/sycrelay/ending_test.go
+++ b/internal/traffic/sycrelay/ending_test.go
@@ -107,8 +107,7 @@
 	return open
 }
 
-// TestEveryEndingHasItsReason guards against a connection that ends with a request read and no complete
-// answer without a line, a counter and a finished attempt, and against a drain's cuts that look like callers'.
+// TestEveryEndingHasItsReason guards against a cut request without a line, a reason, a counter or a finished attempt.
 func TestEveryEndingHasItsReason(t *testing.T) {
 	const leave, cut = 1, 2
 	hour := streamWith(time.Hour)
@@ -195,8 +194,7 @@
 	}
 }
 
-// TestBodyBrokenOffByItsCaller guards against an upload that its caller breaks off and that ends without a
-// reason.
+// TestBodyBrokenOffByItsCaller guards against an upload that its caller breaks off and that ends without a reason.
 func TestBodyBrokenOffByItsCaller(t *testing.T) {
 	r := newRig(t, 1, reset)
 	aborted, closed := counts(abortedCalls), counts(sycending.CutConnections)
@@ -228,8 +226,7 @@
 	}
 }
 
-// TestPanicUnderAStandbyKeepsTheStream guards against a panic in the goroutines that look for another endpoint
-// that ends the process or the stream.
+// TestPanicUnderAStandbyKeepsTheStream guards against a panic in the search for another endpoint that ends the process or the stream.
 func TestPanicUnderAStandbyKeepsTheStream(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -264,8 +261,7 @@
 	panic("finish")
 }
 
-// TestPanicLeavesTheTimeoutUnlocked guards against a call that hangs after a panic, as its timeout can't be
-// stopped.
+// TestPanicLeavesTheTimeoutUnlocked guards against a call that hangs after a panic, as its timeout can't be stopped.
 func TestPanicLeavesTheTimeoutUnlocked(t *testing.T) {
 	r := newRig(t, 2, streamWith())
 	x := &exchange{
--- a/internal/traffic/sycrelay/knownred_test.go
+++ b/internal/traffic/sycrelay/knownred_test.go
@@ -11,8 +11,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestKnownRedOverdueStandby guards against a standby that would resume the stream and is given up, as slow, for one
-// that hasn't been asked yet and then rejects.
+// TestKnownRedOverdueStandby guards against a slow standby that is given up for an endpoint that then rejects the stream.
 func TestKnownRedOverdueStandby(t *testing.T) {
 	slow := func(w http.ResponseWriter, r *http.Request, first int) {
 		pause(r, longSilence)
--- a/internal/traffic/sycrelay/laststandby_test.go
+++ b/internal/traffic/sycrelay/laststandby_test.go
@@ -9,8 +9,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestLastStandbyKeepsTheEndpoint guards against an engine that is made to break off a stream whose last attempt is
-// a standby that has sent nothing.
+// TestLastStandbyKeepsTheEndpoint guards against an interrupted engine whose stream has only a standby that has sent nothing.
 func TestLastStandbyKeepsTheEndpoint(t *testing.T) {
 	hang := func(_ http.ResponseWriter, r *http.Request, _ int) { pause(r, time.Hour) }
 	tests := []struct {
--- a/internal/traffic/sycrelay/random_test.go
+++ b/internal/traffic/sycrelay/random_test.go
@@ -68,8 +68,7 @@
 	}
 }
 
-// TestRandomStreams guards against pieces that are lost, doubled or out of order, streams that look complete, and attempts
-// that are never finished or twice.
+// TestRandomStreams guards against lost, doubled or disordered pieces, false ends, and attempts not finished exactly once.
 func TestRandomStreams(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/traffic/sycrelay/rejected_rest_test.go
+++ b/internal/traffic/sycrelay/rejected_rest_test.go
@@ -52,8 +52,7 @@
 	must.Eq(t, 2+maxUncounted, arrivals)
 }
 
-// TestWithdrawnSelectionIsNoRejectionOfARest guards against a stream that has begun and is aborted after fewer rejections than allowed, because an
-// endpoint was selected meanwhile that couldn't be used any more.
+// TestWithdrawnSelectionIsNoRejectionOfARest guards against a withdrawn selection that counts as a rejection of a stream's rest.
 func TestWithdrawnSelectionIsNoRejectionOfARest(t *testing.T) {
 	begins := func(w http.ResponseWriter, _ *http.Request, _ int) {
 		send(w, rigEventsFrom(0, 2))
@@ -79,8 +78,7 @@
 	}
 }
 
-// TestRejectedStandbyIsNoAttempt guards against a stream that is cut when its endpoint breaks off, because one that has
-// not run it, but rejected it as a standby, counts as its last attempt. Without the silence the stream is resumed.
+// TestRejectedStandbyIsNoAttempt guards against a stream that is cut because a standby that only rejected it counts as an attempt.
 func TestRejectedStandbyIsNoAttempt(t *testing.T) {
 	tests := []struct {
 		name      string
--- a/internal/traffic/sycrelay/search_test.go
+++ b/internal/traffic/sycrelay/search_test.go
@@ -10,8 +10,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestSearchCancelsNoBegunAnswer guards against an answer that has begun and is cancelled, with no endpoint to
-// resume it, because the search for another endpoint began before its first event.
+// TestSearchCancelsNoBegunAnswer guards against a begun answer that is cancelled by a search that began before its first event.
 func TestSearchCancelsNoBegunAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
