--- a/internal/traffic/sycrelay/timeout.go
+++ b/internal/traffic/sycrelay/timeout.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// maxStreamPause is the longest time between two events of a stream that another endpoint may
-// resume. After it the attempt is cancelled.
+// maxStreamPause is how long a stream that another endpoint may resume can be silent until a standby is
+// asked. A sound endpoint may be silent for about a second.
 const maxStreamPause = 1100 * time.Millisecond
 
 // answerTimeout ends an attempt whose answer doesn't arrive in time, if the request may be sent to
