Log the limits that endpoints name in their answers

Callers of the users' deployment saw an engine in need that got more than its limit. The logs didn't tell a VM that knows a limit from one that doesn't look: no line says what an answer states of it. Nothing acts on it yet.

--- a/internal/decide/sycplace/notice.go
+++ b/internal/decide/sycplace/notice.go
@@ -17,8 +17,20 @@
 	Leaving bool
 	// Pause is how long the endpoint wants no requests from this VM, 0 if it takes them.
 	Pause time.Duration
+	// Limit is the limit that the endpoint names, in requests a second from all VMs together, 0
+	// if it names none.
+	Limit float64
+	// Unlimited is set if the answer names no limit, and would if the endpoint had one.
+	Unlimited bool
+	// UnreadLimit is the limit's text if it can't be read. Such a limit changes nothing.
+	UnreadLimit string
+	// Waited is the time from when the request was sent, or earlier, until its answer came.
+	Waited time.Duration
 }
 
+// IsNews reports whether the notice may say something new of an endpoint that had no limit.
+func (n Notice) IsNews() bool { return n.Leaving || n.Pause > 0 || n.Limit > 0 || n.UnreadLimit != "" }
+
 // noticed is what the answers of one incarnation of an endpoint have said about it.
 type noticed struct {
 	incarnation int64
@@ -73,7 +85,7 @@
 // counts for the endpoint's health.
 func (s *Selector) ApplyNotice(now time.Duration, id string, incarnation int64, n Notice) Notice {
 	e := s.endpoints[id]
-	if e != nil && e.record.Incarnation != incarnation || n == (Notice{}) {
+	if e != nil && e.record.Incarnation != incarnation || !n.Leaving && n.Pause == 0 {
 		return Notice{}
 	}
 	known := s.notices.keep(id, incarnation)
--- a/internal/peer/sycfleet/notice.go
+++ b/internal/peer/sycfleet/notice.go
@@ -1,6 +1,7 @@
 package sycfleet
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,9 @@
 // answered request by its ID, or the call to an engine by its path. Requests that are admitted
 // after ApplyNotice returns are selected by the notice.
 func (f *Fleet) ApplyNotice(source string, e sycplace.Endpoint, n sycplace.Notice) {
+	if !n.IsNews() {
+		return
+	}
 	f.loop.Post(func(now time.Duration) {
 		news := f.selector.ApplyNotice(now, e.ID, e.Incarnation, n)
 		line := f.log.WithFields(logrus.Fields{
@@ -32,6 +36,12 @@
 			noticesPause.Inc()
 			line.WithFields(logrus.Fields{"asked": n.Pause.String(), "pause": news.Pause.String()}).Info("fleet: endpoint asks for a pause")
 		}
+		if n.Limit > 0 {
+			line.WithField("limit", n.Limit).Info("fleet: endpoint names a limit")
+		}
+		if n.UnreadLimit != "" {
+			line.WithField("limit", fmt.Sprintf("%.40q", n.UnreadLimit)).Warn("fleet: endpoint's limit can't be read")
+		}
 	})
 }
 
--- a/internal/traffic/sycrelay/answer.go
+++ b/internal/traffic/sycrelay/answer.go
@@ -82,10 +82,13 @@
 	return result{done: true}
 }
 
-// applyNotice records what the target's answer says about the target itself.
-func (x *exchange) applyNotice(answer *sycwire.Response) {
+// applyNotice records what the answer to an attempt that started at a time says about the target itself. That
+// the target has no limit any more is shown only by the answer of a run.
+func (x *exchange) applyNotice(answer *sycwire.Response, started time.Time) {
 	notice := x.relay.codec.Notice(x.target.Endpoint.ID, answer.Status, answer.Header)
+	notice.Unlimited = notice.Unlimited && x.disposition(answer) == Answered
 	if notice != (sycplace.Notice{}) {
+		notice.Waited = time.Since(started)
 		x.relay.fleet.ApplyNotice(x.call.ID, x.target.Endpoint, notice)
 	}
 }
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -125,7 +125,7 @@
 // handleRejection learns from an answer, and finishes the attempt if the answer isn't what the caller is to
 // get or, for a stream that has begun, its rest.
 func (x *exchange) handleRejection(answer *sycwire.Response, started time.Time) (why result, rejected bool) {
-	x.applyNotice(answer)
+	x.applyNotice(answer, started)
 	switch x.disposition(answer) {
 	case NotRun:
 		answer.Discard()
--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -188,7 +188,7 @@
 	defer s.exchange.finishAttempt(outcome, s.started)
 	if s.answer != nil {
 		defer func() { _ = s.answer.Close() }()
-		s.exchange.applyNotice(s.answer)
+		s.exchange.applyNotice(s.answer, s.started)
 	}
 }
 
@@ -222,7 +222,7 @@
 	case s.err != nil:
 		why = s.exchange.handleNoAnswer(s.ctx, s.err, s.started)
 	case s.events != nil:
-		s.exchange.applyNotice(s.answer)
+		s.exchange.applyNotice(s.answer, s.started)
 		why = s.exchange.abortAttempt(s.answer, s.events.failure(), s.started)
 	default:
 		why, _ = s.exchange.handleRejection(s.answer, s.started)
