VMs together keep the limit that an endpoint names

Callers saw an engine in need that got all of its usual traffic: nothing read its limit (hypothesis 1; 2 and 3 need code that reads it). The cause is of the class 'what an endpoint says of itself isn't state of the fleet': leaving and pauses were kept, each VM for itself.

The limit is kept by incarnation in sycplace's notices. VMs tell each other limits and how many requests they have sent under them. sycthrottle: three VMs send to such an endpoint, of its own failure domain and two others; each has a sycquota bucket with the whole limit that holds one request, begins empty, is charged by the others' reports and by even parts for silent ones. The attempt takes the request from the bucket when it begins (first, second, standby, check of a conviction alike), a selection from before the news when it is sent; it goes back only if nothing was sent. Only a run's answer to a request sent after the newest limited answer lifts it. Without an endpoint that may take it a request is refused at once (limited), callers are asked back one after the other. sycquota's limits have a Least, since a part of one request is none.

Why it holds: 4 s give 4 R + 3 requests, and 2 R t more for reports that are t late; the users allow 6 R + 5.

--- a/internal/decide/sycplace/attempt.go
+++ b/internal/decide/sycplace/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sychealth"
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
 )
 
 const (
@@ -41,6 +42,8 @@
 	overdue bool
 	// last is true once no other endpoint may get the request any more.
 	last bool
+	// throttle is what the attempt was charged to, nil if its endpoint has no limit.
+	throttle *sycthrottle.Throttle
 }
 
 // Evidence is what one attempt shows about the release of its endpoint. Rollouts
--- a/internal/decide/sycplace/notice.go
+++ b/internal/decide/sycplace/notice.go
@@ -1,6 +1,10 @@
 package sycplace
 
-import "time"
+import (
+	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
+)
 
 const (
 	// maxNotices limits the endpoints whose notices are kept. The oldest are dropped.
@@ -41,6 +45,10 @@
 	// single is set if the pause was limited to maxPause: until the endpoint has served a
 	// request it gets one at a time.
 	single bool
+	// throttle keeps the limit that the endpoint names, nil if it has never named one.
+	throttle *sycthrottle.Throttle
+	// unread is set once the endpoint has named a limit that can't be read.
+	unread bool
 }
 
 // notices holds what endpoints have said about themselves. It outlasts an endpoint's record,
@@ -50,6 +58,8 @@
 	byID map[string]*noticed
 	// order lists the keys of byID, the oldest first.
 	order []string
+	// throttled holds those of byID that have a throttle.
+	throttled map[string]*noticed
 }
 
 // of returns the notices of an incarnation of an endpoint, nil if there are none.
@@ -70,10 +80,12 @@
 	}
 	if len(n.order) > maxNotices {
 		delete(n.byID, n.order[0])
+		delete(n.throttled, n.order[0])
 		n.order = n.order[1:]
 	}
 	known := &noticed{incarnation: incarnation}
 	n.byID[id] = known
+	delete(n.throttled, id)
 	return known
 }
 
@@ -81,22 +93,26 @@
 // was news. A notice of another incarnation than the one in the registry is ignored.
 //
 // An endpoint that has said that it leaves gets no new requests, whatever the registry says of
-// the same incarnation later. One that asked for a pause gets none until its end. Neither
-// counts for the endpoint's health.
+// the same incarnation later. One that asked for a pause gets none until its end. One that names a
+// limit gets no more from all VMs together. None of this counts for the endpoint's health.
 func (s *Selector) ApplyNotice(now time.Duration, id string, incarnation int64, n Notice) Notice {
 	e := s.endpoints[id]
-	if e != nil && e.record.Incarnation != incarnation || !n.Leaving && n.Pause == 0 {
+	if e != nil && e.record.Incarnation != incarnation {
 		return Notice{}
 	}
+	news := s.observeLimit(now, id, incarnation, n)
+	if !n.Leaving && n.Pause == 0 {
+		return news
+	}
 	known := s.notices.keep(id, incarnation)
-	news := Notice{Leaving: n.Leaving && !known.leaving && (e == nil || !e.record.Leaving)}
+	news.Leaving = n.Leaving && !known.leaving && (e == nil || !e.record.Leaving)
 	known.leaving = known.leaving || n.Leaving
 	if pause := min(n.Pause, maxPause); pause > 0 && now+pause > known.pausedUntil {
 		news.Pause = pause
 		known.pausedUntil = now + pause
 		known.single = known.single || n.Pause > maxPause
 	}
-	if news != (Notice{}) {
+	if news.Leaving || news.Pause > 0 {
 		s.generation.Add(1)
 	}
 	if e != nil {
@@ -113,10 +129,14 @@
 	return record
 }
 
-// admits reports whether an endpoint may get a new request: it is usable and hasn't asked for a
-// pause.
+// admits reports whether an endpoint may get a new request: it is usable, hasn't asked for a
+// pause, and its limit allows one.
 func (s *Selector) admits(now time.Duration, e *endpoint) bool {
-	return s.pause(now, e) == 0 && e.usable(now)
+	if s.pause(now, e) > 0 {
+		return false
+	}
+	_, ok := s.limitWait(now, e)
+	return ok && e.usable(now)
 }
 
 // pause returns what is left of the pause that an endpoint has asked for.
@@ -141,29 +161,44 @@
 	}
 }
 
-// PauseLeft returns the time until the first endpoint that serves a request ends its pause, 0 if
-// one hasn't asked for a pause. It includes the endpoints that the request excludes, since it is
-// meant for the caller's next request.
+// PauseLeft returns the time until the first endpoint that serves a request ends its pause and its
+// limit allows a request, 0 if there is one without either. It includes the endpoints that the request
+// excludes, since it is meant for the caller's next request.
 func (s *Selector) PauseLeft(now time.Duration, r *Request) time.Duration {
-	first := time.Duration(0)
+	left, _ := s.firstLeft(now, r)
+	return left
+}
+
+// firstLeft is PauseLeft. Limited is set if the first endpoint only has to be allowed by its limit.
+func (s *Selector) firstLeft(now time.Duration, r *Request) (first time.Duration, limited bool) {
+	found := false
 	for _, e := range s.order {
 		if e.record.Leaving || !e.serves(r) {
 			continue
 		}
 		left := s.pause(now, e)
-		if left == 0 {
-			return 0
+		after, allowed := s.limitWait(now, e)
+		if left == 0 && allowed {
+			return 0, false
 		}
-		if first == 0 || left < first {
-			first = left
+		isLimited := left == 0
+		if !allowed {
+			left = max(left, after, minReturn)
+		}
+		if !found || left < first {
+			first, limited, found = left, isLimited, true
 		}
 	}
-	return first
+	return first, limited
 }
 
 // noCandidate returns the refusal of a request for which there is no candidate.
 func (s *Selector) noCandidate(now time.Duration, r *Request) *Refusal {
-	if left := s.PauseLeft(now, r); left > 0 {
+	left, limited := s.firstLeft(now, r)
+	switch {
+	case limited:
+		return s.limitedRefusal(now, r, left)
+	case left > 0:
 		return &Refusal{Reason: Paused, After: left}
 	}
 	return &Refusal{Reason: NoEndpoint, After: noEndpointRetry}
--- a/internal/decide/sycplace/permit.go
+++ b/internal/decide/sycplace/permit.go
@@ -17,8 +17,8 @@
 }
 
 // Permits reports whether a request may still be sent to the target selected for it: it is the same
-// incarnation with the same weights, which may still begin requests, doesn't leave and hasn't asked
-// for a pause. A target that has got a cordon since is permitted only while no other endpoint can
+// incarnation with the same weights, which may still begin requests, doesn't leave, hasn't asked
+// for a pause and its limit allows the request. A target that has got a cordon since is permitted only while no other endpoint can
 // take the request.
 func (s *Selector) Permits(now time.Duration, r *Request, t *Target) bool {
 	e := s.endpoints[t.Endpoint.ID]
@@ -28,6 +28,9 @@
 	if known := s.notices.of(e.record.ID, e.record.Incarnation); known != nil && known.pausedUntil > now {
 		return false
 	}
+	if a := s.attempts[r.ID]; a != nil && a.endpoint == e && !s.takeLimit(now, a) {
+		return false
+	}
 	if e.record.Weights[r.Model] != t.Weights || len(s.withoutReplaced(now, r.Model, []*endpoint{e})) == 0 {
 		return false
 	}
--- a/internal/decide/sycplace/request.go
+++ b/internal/decide/sycplace/request.go
@@ -65,6 +65,9 @@
 	Load Load
 	// Expected is the predicted time to the first byte of the answer.
 	Expected time.Duration
+	// Limit is the limit that the endpoint has named, in requests a second, 0 if there is none, and
+	// LimitLeft what is left of it on this VM, in requests.
+	Limit, LimitLeft float64
 }
 
 // FirstByteTimeout returns how long the caller waits for the first byte of an answer
@@ -80,6 +83,8 @@
 	NoEndpoint Reason = "no_endpoint"
 	// Paused means that all endpoints of the service have asked for a pause.
 	Paused Reason = "paused"
+	// Limited means that the limits of the service's endpoints allow no request of this VM now.
+	Limited Reason = "limited"
 	// Outdated means that no request may begin any more on the weights that the engines have.
 	Outdated Reason = "outdated"
 	// Full means that the endpoints can't start the request in time.
--- a/internal/decide/sycplace/select.go
+++ b/internal/decide/sycplace/select.go
@@ -55,6 +55,12 @@
 		expected:       bestEstimate.expected,
 		load:           load,
 	}
+	if !s.takeLimit(now, a) {
+		return nil, s.limitedRefusal(now, r, 0)
+	}
+	if a.throttle != nil {
+		target.Limit, target.LimitLeft = a.throttle.Rate(), a.throttle.Level()
+	}
 	best.sentRequests++
 	best.begin(a)
 	s.attempts[r.ID] = a
--- a/internal/decide/sycplace/select_test.go
+++ b/internal/decide/sycplace/select_test.go
@@ -18,6 +18,7 @@
 // time after newer ones were announced.
 func newSelectorWithin(engines int, within time.Duration) *sycplace.Selector {
 	s := sycplace.New(sycplace.Settings{
+		Address:         "a",
 		WeightsWithin:   within,
 		FailureDomain:   "z0",
 		Seed:            1,
--- a/internal/decide/sycplace/selector.go
+++ b/internal/decide/sycplace/selector.go
@@ -19,6 +19,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
 )
 
 // maxAnnouncements limits the announcements that are kept for each model.
@@ -26,6 +28,8 @@
 
 // Settings describes the deployment's engines and this VM.
 type Settings struct {
+	// Address identifies this VM among the VMs of the fleet.
+	Address string
 	// FailureDomain is the failure domain in which this VM runs.
 	FailureDomain string
 	// Seed makes the random parts of this VM's decisions differ from other VMs'.
@@ -65,6 +69,10 @@
 	split splitter
 	// notices holds what endpoints have said about themselves in answers.
 	notices notices
+	// vms holds the VMs that may share endpoints' limits.
+	vms []sycthrottle.VM
+	// returns holds, by service, when the next caller is asked back that endpoints' limits refuse.
+	returns map[string]time.Duration
 	// generation counts the changes after which an earlier selection may no longer hold.
 	generation atomic.Uint64
 }
@@ -85,7 +93,8 @@
 		cacheTokens: map[string]int{},
 		cordons:     map[string]time.Duration{},
 		announced:   map[string][]announcement{},
-		notices:     notices{byID: map[string]*noticed{}},
+		notices:     notices{byID: map[string]*noticed{}, throttled: map[string]*noticed{}},
+		returns:     map[string]time.Duration{},
 	}
 }
 
--- a/internal/decide/sycquota/quota.go
+++ b/internal/decide/sycquota/quota.go
@@ -31,6 +31,9 @@
 	Rate float64
 	// Burst is the most cost that may be saved up.
 	Burst float64
+	// Least is the cost that may be saved up however many members are silent. It lets requests
+	// pass whose cost can't be divided among the VMs.
+	Least float64
 }
 
 // Headroom is the usage beyond the limits that is tolerated in any window of a
@@ -350,7 +353,7 @@
 }
 
 // advance accrues a bucket up to now and charges it the parts of silent members.
-// The bucket holds at most the reachable VMs' fraction of the burst.
+// The bucket holds at most the reachable VMs' fraction of the burst, or the limit's Least.
 func (r *Limiter) advance(now time.Duration, b *bucket) {
 	elapsed := (now - b.accruedAt).Seconds()
 	if elapsed <= 0 {
@@ -368,7 +371,7 @@
 		}
 	}
 	reachable := float64(len(r.members)+1-len(r.silent)) / float64(len(r.members)+1)
-	b.level = min(b.level, b.limit.Burst*reachable)
+	b.level = min(b.level, max(b.limit.Burst*reachable, b.limit.Least))
 	b.accruedAt = now
 }
 
--- a/internal/peer/sycfleet/apply.go
+++ b/internal/peer/sycfleet/apply.go
@@ -137,6 +137,7 @@
 		}
 		f.selector.Drop(c.Key)
 		f.dropIdleLoads(c.Key)
+		f.dropLimits(c.Key)
 		return
 	}
 	e, err := f.options.Decoder.Endpoint(c.Key, c.Value)
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -37,6 +37,7 @@
 	evidenceChange
 	dutyChange
 	suspectChange
+	limitChange
 )
 
 // changeKey identifies what a change replaces.
@@ -167,6 +168,7 @@
 	f.publishEvidence()
 	f.publishDuty(now)
 	f.publishSuspects(now)
+	f.publishLimits(now)
 }
 
 // ownMember returns this VM as a member of the fleet.
@@ -219,6 +221,7 @@
 		}
 	}
 	f.receiveEvidence(source, address, p, o.Evidence)
+	f.receiveLimits(now, source, address, p, o.Limits)
 	for _, m := range o.Suspects {
 		if f.addChange(source, p, suspectChange, m.Version, m, now+suspectLifetime(m)) {
 			f.receiveSuspect(now, p, m)
--- a/internal/peer/sycfleet/encode.go
+++ b/internal/peer/sycfleet/encode.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
@@ -49,6 +50,17 @@
 	return out
 }
 
+func encodeLimit(r sycplace.LimitReport) *sycgossippb.EndpointLimit {
+	return &sycgossippb.EndpointLimit{Endpoint: r.Endpoint, Born: r.Incarnation, Rate: r.Rate, Number: r.Number, Sent: r.Sent}
+}
+
+func decodeLimit(m *sycgossippb.EndpointLimit) sycplace.LimitReport {
+	return sycplace.LimitReport{
+		Endpoint: m.Endpoint, Incarnation: m.Born,
+		Report: sycthrottle.Report{Rate: m.Rate, Number: m.Number, Sent: m.Sent},
+	}
+}
+
 // evidenceName returns a text that identifies the cell of a message of evidence.
 func evidenceName(e *sycgossippb.Evidence) string {
 	return fmt.Sprint(e.Service, "/", e.Counts.GetVersion(), "/", e.Counts.GetGeneration(), "/", e.Counts.GetRoute(), "/", e.Counts.GetLoad())
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -18,6 +18,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
 	"sycamorecart.example/sycamorecart/internal/decide/syctopology"
 	"sycamorecart.example/sycamorecart/internal/ground/sycloop"
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossip"
@@ -104,6 +105,10 @@
 	selector *sycplace.Selector
 	// quota limits customers' requests.
 	quota *sycquota.Limiter
+	// limited is set while an endpoint has a limit. All goroutines read it. LimitVMs holds the VMs that
+	// share the limits.
+	limited  atomic.Bool
+	limitVMs []sycthrottle.VM
 	// retries holds the retry budgets of services.
 	retries *sycattempt.Budgets
 	// lease is the lease of the duties: to order engines and to decide rollouts.
@@ -186,7 +191,7 @@
 		options:  o,
 		log:      logrus.WithField("part", "fleet"),
 		loop:     loop,
-		selector: sycplace.New(o.Selection),
+		selector: sycplace.New(selection(o)),
 		quota:    sycquota.New(o.FirstStart, o.Headroom),
 		retries:  sycattempt.NewBudgets(o.Retries),
 		lease: syclease.New(syclease.Options{
@@ -219,6 +224,12 @@
 	return f
 }
 
+// selection returns the settings by which this VM selects endpoints.
+func selection(o Options) sycplace.Settings {
+	o.Selection.Address = o.Address
+	return o.Selection
+}
+
 // observeEra records the era of an answer of the log.
 func (f *Fleet) observeEra(era int64) {
 	f.loop.PostControl(func(now time.Duration) { f.noteEra(now, era) })
@@ -299,6 +310,7 @@
 	}
 	f.releaseConfig(now)
 	f.selector.Tick(now)
+	f.updateLimits(now)
 	f.register(now)
 	f.expireChanges(now)
 	f.dutyTick(now)
--- /dev/null
+++ b/internal/peer/sycfleet/limit.go
@@ -0,0 +1,111 @@
+package sycfleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/decide/sycreplica"
+	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
+	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
+)
+
+// liftedLifetime is how long it is told that an endpoint's limit has been lifted.
+const liftedLifetime = 20 * time.Second
+
+// countLimitChange counts a change of an endpoint's limit. Source is "answer" or "vm".
+func countLimitChange(source string, change sycthrottle.Change) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_endpoint_limit_changes_total{source=%q,change=%q}`, source, change)).Inc()
+}
+
+// noteLimitNews logs news of an endpoint's limit from an answer, and tells the other VMs at once. Line has the
+// fields of the answer.
+func (f *Fleet) noteLimitNews(now time.Duration, line *logrus.Entry, news sycplace.Notice) {
+	if news.UnreadLimit != "" {
+		line.WithField("limit", fmt.Sprintf("%.40q", news.UnreadLimit)).Warn("fleet: endpoint's limit can't be read")
+	}
+	switch {
+	case news.Limit > 0:
+		countLimitChange("answer", sycthrottle.Named)
+		line.WithField("limit", news.Limit).Info("fleet: endpoint names a limit")
+	case news.Unlimited:
+		countLimitChange("answer", sycthrottle.Lifted)
+		line.Info("fleet: endpoint lifts its limit")
+	default:
+		return
+	}
+	f.updateLimits(now)
+	f.kick()
+}
+
+// updateLimits brings the VMs that share endpoints' limits up to date, if there are any limits.
+func (f *Fleet) updateLimits(now time.Duration) {
+	limited := f.selector.CountLimited() > 0
+	f.limited.Store(limited)
+	if !limited {
+		return
+	}
+	vms := []sycthrottle.VM{{
+		Address: f.options.Address, FailureDomain: f.options.FailureDomain, Capacity: f.options.Capacity, Runs: true,
+	}}
+	for address, vm := range f.peers.vms {
+		if !vm.leaving {
+			vms = append(vms, sycthrottle.VM{Address: address, FailureDomain: vm.domain, Capacity: vm.capacity, Runs: vm.runs(now)})
+		}
+	}
+	slices.SortFunc(vms, sycthrottle.CompareVMs)
+	if !slices.Equal(vms, f.limitVMs) {
+		f.limitVMs = vms
+		f.selector.SetVMs(now, vms)
+	}
+}
+
+// publishLimits records what this VM has learned of endpoints' limits and has sent under them.
+func (f *Fleet) publishLimits(now time.Duration) {
+	for _, r := range f.selector.TakeLimitReports() {
+		message := encodeLimit(r)
+		message.Version = f.changes.version()
+		f.changes.SetOwn(changeKey{process: f.changes.process, kind: limitChange, name: r.Endpoint}, message, limitExpiry(now, message))
+	}
+}
+
+// receiveLimits applies what another VM's process tells of endpoints' limits.
+func (f *Fleet) receiveLimits(now time.Duration, source, address string, p process, in []*sycgossippb.EndpointLimit) {
+	for _, m := range in {
+		if !f.applyChange(source, p, limitChange, m.Endpoint, m.Version, m, limitExpiry(now, m)) {
+			continue
+		}
+		change := f.selector.ReceiveLimit(now, address, f.peers.vms[address].incarnation, decodeLimit(m))
+		if change == sycthrottle.Unchanged {
+			continue
+		}
+		countLimitChange("vm", change)
+		f.log.WithFields(logrus.Fields{
+			"endpoint": m.Endpoint, "incarnation": m.Born, "limit": m.Rate, "number": m.Number, "vm": address, "change": string(change),
+		}).Info("fleet: endpoint's limit told by another VM")
+		f.updateLimits(now)
+	}
+}
+
+// limitExpiry returns until when a message of a limit is told, 0 for always.
+func limitExpiry(now time.Duration, m *sycgossippb.EndpointLimit) time.Duration {
+	if m.Rate > 0 {
+		return 0
+	}
+	return now + liftedLifetime
+}
+
+// dropLimits forgets what VMs tell of the limit of an endpoint that is gone.
+func (f *Fleet) dropLimits(endpoint string) {
+	f.changes.DropIf(func(e *sycreplica.Entry[changeKey, change]) bool {
+		return e.Key.kind == limitChange && e.Key.name == endpoint
+	})
+}
+
+// Withdraw cancels what an attempt was charged to its endpoint's limit, since it won't be sent.
+func (f *Fleet) Withdraw(id uint64) {
+	f.loop.Post(func(time.Duration) { f.selector.Withdraw(id) })
+}
--- a/internal/peer/sycfleet/metric.go
+++ b/internal/peer/sycfleet/metric.go
@@ -104,7 +104,7 @@
 	for _, state := range []string{"healthy", "suspect", "out", "probing"} {
 		out[fmt.Sprintf(`endpoints{state=%q}`, state)] = 0
 	}
-	out["endpoints_behind"] = 0
+	out["endpoints_behind"], out["endpoints_limited"] = 0, float64(f.selector.CountLimited())
 	queues := map[string]sycplace.Load{}
 	for _, e := range f.selector.Endpoints() {
 		out[fmt.Sprintf(`endpoints{state=%q}`, f.selector.State(e.ID))]++
--- a/internal/peer/sycfleet/notice.go
+++ b/internal/peer/sycfleet/notice.go
@@ -1,7 +1,6 @@
 package sycfleet
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,7 +19,7 @@
 // answered request by its ID, or the call to an engine by its path. Requests that are admitted
 // after ApplyNotice returns are selected by the notice.
 func (f *Fleet) ApplyNotice(source string, e sycplace.Endpoint, n sycplace.Notice) {
-	if !n.IsNews() {
+	if !n.IsNews() && !(n.Unlimited && f.limited.Load()) {
 		return
 	}
 	f.loop.Post(func(now time.Duration) {
@@ -36,17 +35,12 @@
 			noticesPause.Inc()
 			line.WithFields(logrus.Fields{"asked": n.Pause.String(), "pause": news.Pause.String()}).Info("fleet: endpoint asks for a pause")
 		}
-		if n.Limit > 0 {
-			line.WithField("limit", n.Limit).Info("fleet: endpoint names a limit")
-		}
-		if n.UnreadLimit != "" {
-			line.WithField("limit", fmt.Sprintf("%.40q", n.UnreadLimit)).Warn("fleet: endpoint's limit can't be read")
-		}
+		f.noteLimitNews(now, line, news)
 	})
 }
 
-// PauseLeft returns the time until the first endpoint that serves a request ends its pause, 0 if
-// one hasn't asked for a pause.
+// PauseLeft returns the time until the first endpoint that serves a request ends its pause and its
+// limit allows a request, 0 if there is one without either.
 func (f *Fleet) PauseLeft(r *sycplace.Request) time.Duration {
 	var left time.Duration
 	f.loop.Do(func(now time.Duration) { left = f.selector.PauseLeft(now, r) })
--- a/internal/peer/sycfleet/state.go
+++ b/internal/peer/sycfleet/state.go
@@ -213,6 +213,7 @@
 	}
 	vm.heardAt, vm.heard, vm.heardFrom = at, true, from
 	f.quota.Heard(now, at, address, vm.incarnation)
+	f.selector.HeardVM(now, at, address, vm.incarnation)
 }
 
 // receiveTopic applies another VM's records of a topic.
--- a/internal/peer/sycfleet/tell.go
+++ b/internal/peer/sycfleet/tell.go
@@ -82,7 +82,7 @@
 // few of these changes.
 func isUrgent(e *sycreplica.Entry[changeKey, change]) bool {
 	switch e.Key.kind {
-	case memberChange, usageChange, dutyChange:
+	case memberChange, usageChange, dutyChange, limitChange:
 		return true
 	}
 	return e.Key.kind == loadChange && e.Source == ""
@@ -167,6 +167,8 @@
 		o.Evidence = append(o.Evidence, v)
 	case *sycgossippb.Suspect:
 		o.Suspects = append(o.Suspects, v)
+	case *sycgossippb.EndpointLimit:
+		o.Limits = append(o.Limits, v)
 	case dutyNews:
 		o.Duty = v.encode(now, e.Version)
 	}
--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -163,6 +164,9 @@
 		fields["announced"], fields["announced_age"] = t.Announced, t.AnnouncedAge.Round(time.Millisecond).String()
 		fields["shared"], fields["held"], fields["fetched"] = t.SharedTokens, t.CachedTokens, t.FetchTokens
 	}
+	if t.Limit > 0 {
+		fields["limit"], fields["limit_left"] = t.Limit, math.Round(t.LimitLeft*100)/100
+	}
 	if x.lastEvent != "" {
 		fields["after_event"] = x.lastEvent
 	}
@@ -242,6 +246,9 @@
 
 // finishAttempt reports the outcome of the attempt that started at a time.
 func (x *exchange) finishAttempt(o sycplace.Outcome, started time.Time) {
+	if x.slot != nil && !x.slot.sent.Load() {
+		x.relay.fleet.Withdraw(x.request.ID)
+	}
 	x.slot = nil
 	x.relay.fleet.FinishAttempt(x.request.ID, o, x.route.Name, time.Since(started))
 }
--- a/internal/traffic/sycrelay/attempt_test.go
+++ b/internal/traffic/sycrelay/attempt_test.go
@@ -41,6 +41,8 @@
 	return f.target, nil
 }
 
+func (*fakeFleet) Withdraw(uint64) {}
+
 func (f *fakeFleet) FinishAttempt(_ uint64, o sycplace.Outcome, _ string, _ time.Duration) {
 	f.outcomes = append(f.outcomes, o)
 }
--- a/internal/traffic/sycrelay/call.go
+++ b/internal/traffic/sycrelay/call.go
@@ -153,8 +153,10 @@
 	// ApplyNotice records what an endpoint has said about itself. Source is the ID of the
 	// request whose answer said it.
 	ApplyNotice(source string, e sycplace.Endpoint, n sycplace.Notice)
-	// PauseLeft returns the time until the first endpoint that serves a request ends its pause,
-	// 0 if one hasn't asked for a pause.
+	// Withdraw records that an attempt won't be sent. FinishAttempt follows.
+	Withdraw(id uint64)
+	// PauseLeft returns the time until the first endpoint that serves a request ends its pause and
+	// its limit allows a request, 0 if there is one without either.
 	PauseLeft(r *sycplace.Request) time.Duration
 	// Refund cancels the charge of a request that hasn't run.
 	Refund(customer string, cost float64)
--- a/internal/traffic/sycrelay/ending_test.go
+++ b/internal/traffic/sycrelay/ending_test.go
@@ -257,6 +257,8 @@
 // panickingFleet is a fleet that panics when an attempt is finished.
 type panickingFleet struct{ rigFleet }
 
+func (*panickingFleet) Withdraw(uint64) {}
+
 func (*panickingFleet) FinishAttempt(uint64, sycplace.Outcome, string, time.Duration) {
 	panic("finish")
 }
--- a/internal/traffic/sycrelay/rig_test.go
+++ b/internal/traffic/sycrelay/rig_test.go
@@ -137,6 +137,8 @@
 	f.told = append(f.told, e.ID+" leaves")
 }
 
+func (*rigFleet) Withdraw(uint64) {}
+
 func (*rigFleet) PauseLeft(*sycplace.Request) time.Duration { return 0 }
 
 func (*rigFleet) ConfigAge() time.Duration { return time.Second }
