--- a/internal/traffic/sycrelay/suspects.go
+++ b/internal/traffic/sycrelay/suspects.go
@@ -1,6 +1,8 @@
 package sycrelay
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -42,11 +44,29 @@
 		hashes = append(hashes, sycfleet.BlockID(hash))
 	}
 	x.relay.log.WithError(err).WithFields(logrus.Fields{
-		"id": x.call.ID, "endpoint": e.ID, "incarnation": e.Incarnation, "attempt": x.attempts, "blocks": blocks, "hashes": hashes,
+		"id": x.call.ID, "request": sycfleet.BlockID(x.identity()), "endpoint": e.ID, "incarnation": e.Incarnation, "attempt": x.attempts,
+		"blocks": blocks, "hashes": hashes,
 		"begun": begun, "events": x.eventCount, "took": time.Since(started).Round(time.Millisecond).String(),
 	}).Warn("relay: endpoint ended under a request")
 }
 
+// identity identifies the request by its customer, method, host, path, query, model, blocks and body. Callers can choose
+// their requests, so that a hash of a cryptographic kind is needed: none can be made to look like another's.
+func (x *exchange) identity() uint64 {
+	digest := sha256.New()
+	parts := []string{x.customer, x.call.Method, x.call.Host, x.call.Target, x.call.Model}
+	for _, b := range x.call.Blocks {
+		parts = append(parts, b.Name)
+	}
+	for _, part := range append(parts, string(x.body)) {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = digest.Write(length[:])
+		_, _ = io.WriteString(digest, part)
+	}
+	return binary.BigEndian.Uint64(digest.Sum(nil))
+}
+
 // prompt returns the prompt's identity and those of its blocks, except the last, by their
 // content and the model.
 func (x *exchange) prompt() sycsuspect.Prompt {
