A request under which three endpoints ended isn't sent any more

Callers saw the workers of a service end all at once, again each time they were back: one request ended each that ran it, 24 in all. Cause: only shared blocks of prompts were evidence. Plain requests gave none (hypothesis 1: prompt() was empty without blocks), and a repeated prompt convicted nothing, since its blocks are cleared by sound requests (hypothesis 2, for streams). Ruled out: ends that aren't noticed (3), the line was there for each. The class: the unit of suspicion was narrower than what can be at fault.

Its conviction explains the ends for others, not for its own blocks.

TestDeadlyBlockIsKeptFromEngines plays one repeated request at 8, 60 and 200 VMs, and all its other loads with whole requests as blocks; the convictions that it counts as wrong no longer include those of requests that do end engines.

--- a/internal/decide/sycsuspect/block.go
+++ b/internal/decide/sycsuspect/block.go
@@ -42,6 +42,8 @@
 	state State
 	// touched is when the block was last in an incident or a conviction.
 	touched time.Duration
+	// whole is set if the block is a whole request that was in an incident.
+	whole bool
 	// known is set if a VM has had the block answered in the last minutes.
 	known bool
 	// incidents are in the order of their reports.
@@ -64,12 +66,12 @@
 
 // evidence returns what speaks against the block.
 func (b *block) evidence(now time.Duration) Evidence {
-	e := Evidence{Known: b.known}
+	e := Evidence{Known: b.known, Whole: b.whole}
 	requests := map[uint64]bool{}
 	ends, begun := map[*ending]bool{}, map[*ending]bool{}
 	var last *incident
 	for _, i := range b.incidents {
-		if !i.ending.counts() || now-i.at > evidenceAge || !i.ending.explainedBy(b.hash) {
+		if !i.ending.countsFor(i.request) || now-i.at > evidenceAge || !i.ending.mayBeBy(b.hash) {
 			continue
 		}
 		requests[i.request] = true
@@ -93,11 +95,11 @@
 }
 
 // endsUnder returns at how many endpoints that have ended, or may have, the answer of a prompt
-// broke off.
+// broke off, without those that ended for another reason that is known.
 func (b *block) endsUnder(now time.Duration, request uint64) int {
 	ends := map[*ending]bool{}
 	for _, i := range b.incidents {
-		if i.request == request && (i.ending.counts() || i.ending.open(now)) {
+		if i.request == request && (i.ending.countsFor(request) && i.ending.mayBeBy(b.hash) || i.ending.open(now)) {
 			ends[i.ending] = true
 		}
 	}
--- a/internal/decide/sycsuspect/conviction.go
+++ b/internal/decide/sycsuspect/conviction.go
@@ -11,6 +11,8 @@
 	// with each check.
 	firstCheck = 30 * time.Second
 	maxCheck   = 10 * time.Minute
+	// maxWholeChecks limits the checks of a whole request: each may end an endpoint.
+	maxWholeChecks = 2
 	// repeatAfter is the time after which a conviction is told again that no VM has told
 	// since, so that VMs learn of it that have just started or were cut off. Up to
 	// repeatSpread is added, which differs between VMs, so that few tell it at once.
@@ -32,7 +34,7 @@
 // explainAll marks the ends of endpoints that a convicted block explains.
 func (t *Tracker) explainAll(now time.Duration, b *block) {
 	for _, i := range b.incidents {
-		t.explain(now, i.ending)
+		t.explain(now, b, i.ending)
 	}
 }
 
--- a/internal/decide/sycsuspect/ending.go
+++ b/internal/decide/sycsuspect/ending.go
@@ -33,6 +33,8 @@
 	certain, refuted bool
 	// explained is set if a convicted block was in flight.
 	explained bool
+	// explainedBy is the convicted whole request that was in flight, 0 for none.
+	explainedBy uint64
 	// broken counts the broken answers, and begun those that had just begun.
 	broken, begun int
 	// nearby holds the ends of other endpoints at about the same time.
@@ -44,6 +46,11 @@
 // counts reports whether the end is evidence.
 func (e *ending) counts() bool { return e.certain && !e.refuted && !e.explained }
 
+// countsFor reports whether the end is evidence against the blocks of a request that was in flight.
+func (e *ending) countsFor(request uint64) bool {
+	return e.counts() && (e.explainedBy == 0 || e.explainedBy == request)
+}
+
 // tellsBegun reports whether it means something that an answer had just begun. It doesn't if
 // many had, since answers then begin long before their content.
 func (e *ending) tellsBegun() bool { return e.begun <= 1+e.broken/8 }
@@ -69,8 +76,8 @@
 	return all, with
 }
 
-// explainedBy reports whether a block that was in flight may explain the end.
-func (e *ending) explainedBy(hash uint64) bool {
+// mayBeBy reports whether a block that was in flight may explain the end.
+func (e *ending) mayBeBy(hash uint64) bool {
 	all, with := e.nearbyCount(hash)
 	return all < burst || 2*with >= all
 }
@@ -127,7 +134,7 @@
 		return
 	}
 	b := t.getOrAdd(now, hash)
-	b.touched = now
+	b.touched, b.whole = now, hash == i.request
 	known, tell = t.known.has(now, hash)
 	b.known = b.known || known
 	if tell {
@@ -138,7 +145,7 @@
 	if !b.convicted() {
 		return
 	}
-	t.explain(now, i.ending)
+	t.explain(now, b, i.ending)
 	if b.checkRequest == i.request {
 		t.fire(now, b, eventBroken, false)
 	}
@@ -161,12 +168,18 @@
 	t.reconsider(now, e)
 }
 
-// explain makes an end no evidence against other blocks, since a convicted one was in flight.
-func (t *Tracker) explain(now time.Duration, e *ending) {
-	if !e.explained {
+// explain makes an end no evidence against other blocks, since a convicted one was in flight. If that is a whole
+// request, the end still counts against the request's own blocks.
+func (t *Tracker) explain(now time.Duration, b *block, e *ending) {
+	switch {
+	case b.whole && e.explainedBy == 0:
+		e.explainedBy = b.hash
+	case !b.whole && !e.explained:
 		e.explained = true
-		t.reconsider(now, e)
+	default:
+		return
 	}
+	t.reconsider(now, e)
 }
 
 // reconsider applies that an end is no evidence any more.
--- a/internal/decide/sycsuspect/fleet_test.go
+++ b/internal/decide/sycsuspect/fleet_test.go
@@ -45,6 +45,13 @@
 		{"answers begin unseen", with(func(l *load) { l.begunCause, l.begunOther = 0, 0 })},
 		{"always with one subject", with(func(l *load) { l.subject = firstSubject + 7 })},
 		{"two deadly blocks", with(func(l *load) { l.deadlyBlocks, l.deadly = 2, 2 })},
+		{"one request", with(func(l *load) { l.same = true })},
+		{"one request, often", with(func(l *load) { l.same, l.deadly = true, 6 })},
+		{"one request, answers begin unseen", with(func(l *load) { l.same, l.begunCause, l.begunOther = true, 0, 0 })},
+		{"one plain request", with(func(l *load) { l.same, l.plain = true, true })},
+		{"one plain request, many VMs", with(func(l *load) { l.same, l.plain, l.vms, l.engines, l.sound, l.deadly = true, true, 60, 60, 600, 4 })},
+		{"one plain request, 200 VMs", with(func(l *load) { l.same, l.plain, l.vms, l.deadly, l.length = true, true, 200, 4, 30*time.Second })},
+		{"one plain request, other losses", with(func(l *load) { l.same, l.plain, l.kill, l.killed = true, true, 2*time.Second, 3 })},
 		{"other losses", with(func(l *load) { l.kill, l.killed = 2*time.Second, 3 })},
 		{"half of the VMs restart", with(func(l *load) { l.restart = 25 * time.Second })},
 		{"a VM is cut off before", with(func(l *load) { l.cutFrom, l.cutUntil = 9*time.Second, 12*time.Second })},
@@ -74,6 +81,8 @@
 		{"all engines", with(func(l *load) { l.kill, l.killed = 8*time.Second, 40 })},
 		{"one after the other, few subjects", with(func(l *load) { l.kill, l.killed, l.subjects = 400*time.Millisecond, 1, 3 })},
 		{"answers begin early", with(func(l *load) { l.kill, l.killed, l.begunOther = time.Second, 1, 0.7 })},
+		{"plain, one engine at a time", with(func(l *load) { l.plain, l.kill, l.killed = true, time.Second, 1 })},
+		{"plain, racks", with(func(l *load) { l.plain, l.kill, l.killed = true, 5*time.Second, 6 })},
 		{"few requests", with(func(l *load) { l.kill, l.killed, l.sound = time.Second, 2, 10 })},
 	}
 	for _, tt := range tests {
--- a/internal/decide/sycsuspect/record.go
+++ b/internal/decide/sycsuspect/record.go
@@ -2,12 +2,13 @@
 
 import "time"
 
-// Prompt is what a Tracker needs to know of a request's prompt.
+// Prompt is what a Tracker needs to know of a request.
 type Prompt struct {
-	// Request identifies the whole prompt. A request that is repeated has the same.
+	// Request identifies the whole request. One that is repeated has the same.
 	Request uint64
-	// Blocks are the hashes of the prompt's blocks, in their order and without the last,
-	// which is the request's own.
+	// Blocks are the hashes of the prompt's blocks, in their order and without the last, which
+	// is the request's own. Behind them comes Request itself: the whole request counts as a
+	// block, the narrowest.
 	Blocks []uint64
 }
 
@@ -68,6 +69,8 @@
 	Ends int
 	// Requests counts the different prompts that were in flight.
 	Requests int
+	// Whole is set if the block is a whole request.
+	Whole bool
 	// Begun counts the ends of endpoints at which an answer broke off just when it had begun.
 	Begun int
 	// Depth is the block's position in its prompt, from 0.
@@ -90,6 +93,9 @@
 	// requestsToConvict is the number of different prompts that a conviction needs. A sound
 	// request that is repeated may meet a harmful one each time.
 	requestsToConvict = 2
+	// endsToConvict is the number of ends from which on wavesToHold waves suffice for the conviction of a
+	// whole request, which is one prompt by itself. From there on it isn't sent, convicted or not.
+	endsToConvict = 3
 	// settleTime is the least age of the evidence for a conviction. Until then other VMs may
 	// tell that they have had the block answered. For newestTime after an end they may tell
 	// what else was in flight there.
@@ -107,8 +113,8 @@
 	if e.Known {
 		waves -= knownWaves
 	}
-	enough := waves >= wavesToConvict || waves >= wavesToHold && e.Begun >= begunToConvict
-	return enough && e.Requests >= requestsToConvict && e.Age >= settleTime && e.Newest >= newestTime
+	enough := waves >= wavesToConvict || waves >= wavesToHold && (e.Begun >= begunToConvict || e.Whole && e.Ends >= endsToConvict)
+	return enough && (e.Whole || e.Requests >= requestsToConvict) && e.Age >= settleTime && e.Newest >= newestTime
 }
 
 // holds reports whether the evidence suffices to hold a block.
--- a/internal/decide/sycsuspect/rig_test.go
+++ b/internal/decide/sycsuspect/rig_test.go
@@ -21,6 +21,11 @@
 	subjects int
 	// subject is the one with which deadly requests come only, 0 for any.
 	subject uint64
+	// same is set if the deadly requests are one that is repeated, and none of its blocks ends engines. All of its blocks
+	// are then sound ones.
+	same bool
+	// plain is set if requests have no blocks but themselves.
+	plain bool
 	// attempts limits the attempts of a request, and repeats the caller's repeats of it.
 	attempts, repeats int
 	// prefill and answer are the mean times to the answer's begin and from there to its end.
@@ -48,6 +53,8 @@
 	// firstDeadly and firstSubject are the lowest hashes of deadly blocks and of subjects.
 	firstDeadly  = 500
 	firstSubject = 1000
+	// sameRequest is the request that is repeated, if all deadly requests are one.
+	sameRequest = 999
 )
 
 // task is something that happens at a time.
@@ -118,7 +125,9 @@
 	soundSent, soundRefused int
 	// unique counts the requests.
 	unique uint64
-	// convictedSound counts the convictions of blocks that end no engine.
+	// deadlyRequests holds the requests with a deadly block.
+	deadlyRequests map[uint64]bool
+	// convictedSound counts the convictions of blocks that end no engine, and of requests without such blocks.
 	convictedSound int
 	// served is when a request with a deadly block was last served.
 	served time.Duration
@@ -127,7 +136,7 @@
 func newRig(l load, seed uint64) *rig {
 	r := &rig{
 		load: l, random: rand.New(rand.NewPCG(seed, 1)),
-		crashes: map[uint64][]time.Duration{}, deadlySends: map[uint64][]time.Duration{},
+		deadlyRequests: map[uint64]bool{}, crashes: map[uint64][]time.Duration{}, deadlySends: map[uint64][]time.Duration{},
 	}
 	for i := range l.vms {
 		r.trackers = append(r.trackers, sycsuspect.New(uint64(i)*977_000_001))
@@ -208,9 +217,19 @@
 		if r.subject != 0 {
 			blocks = []uint64{1, r.subject}
 		}
-		blocks = slices.Insert(blocks, 1+r.random.IntN(2), q.deadly)
+		if !r.same {
+			blocks = slices.Insert(blocks, 1+r.random.IntN(2), q.deadly)
+		}
+	}
+	if r.plain {
+		blocks = nil
 	}
-	q.prompt = sycsuspect.Prompt{Request: 1_000_000 + r.unique, Blocks: blocks}
+	request := 1_000_000 + r.unique
+	if deadly && r.same {
+		request, q.deadly = sameRequest, sameRequest
+	}
+	r.deadlyRequests[request] = deadly
+	q.prompt = sycsuspect.Prompt{Request: request, Blocks: append(blocks, request)}
 	r.ask(q)
 }
 
@@ -336,7 +355,7 @@
 // exchange tells all other VMs what one has recorded.
 func (r *rig) exchange(vm int) {
 	for _, c := range r.trackers[vm].TakeChanges() {
-		if c.To == sycsuspect.Convicted && (c.Block < firstDeadly || c.Block >= firstSubject) {
+		if c.To == sycsuspect.Convicted && (c.Block < firstDeadly || c.Block >= firstSubject) && !r.deadlyRequests[c.Block] {
 			r.convictedSound++
 		}
 	}
@@ -363,16 +382,19 @@
 }
 
 // lateSends counts the sends with a deadly block later than a window after the fifth end of an
-// engine by it, and returns the most of any block.
+// engine by it, or the third by a request that is repeated, and returns the most of any block.
 func (r *rig) lateSends() int {
-	most := 0
+	most, allowed := 0, 5
+	if r.same {
+		allowed = 3
+	}
 	for block, ends := range r.crashes {
-		if len(ends) < 5 {
+		if len(ends) < allowed {
 			continue
 		}
 		n := 0
 		for _, at := range r.deadlySends[block] {
-			if at > ends[4]+window {
+			if at > ends[allowed-1]+window {
 				n++
 			}
 		}
--- a/internal/decide/sycsuspect/tracker.go
+++ b/internal/decide/sycsuspect/tracker.go
@@ -72,11 +72,13 @@
 func (b *block) judge(now time.Duration, p Prompt, mayCheck, again bool) Verdict {
 	v := Verdict{Block: b.hash}
 	switch {
-	case b.state == Convicted && mayCheck && now >= b.checkAt:
+	case b.state == Convicted && mayCheck && now >= b.checkAt && (b.hash != p.Request || b.checks < maxWholeChecks):
 		return Verdict{}
 	case b.convicted():
 		v.Reason, v.After, v.Evidence = BlockConvicted, max(b.checkAt-now, firstCheck), b.convictedBy
 		return v
+	case b.hash == p.Request:
+		return b.judgeWhole(now, again)
 	case b.endsUnder(now, p.Request) >= wavesToHold:
 		v.Reason, v.After = RequestRepeated, repeatedRetry
 	case b.state == Held && (again && b.evidence(now).Waves >= wavesToHold || now < b.trialUntil):
@@ -88,13 +90,29 @@
 	return v
 }
 
+// judgeWhole is judge for a whole request that isn't convicted. After two ends it is sent to one endpoint at a time,
+// once for each time that a caller sends it, and after three not at all.
+func (b *block) judgeWhole(now time.Duration, again bool) Verdict {
+	v := Verdict{Block: b.hash}
+	switch ends := b.endsUnder(now, b.hash); {
+	case ends >= endsToConvict || again && ends >= wavesToHold:
+		v.Reason, v.After = RequestRepeated, repeatedRetry
+	case ends >= wavesToHold && now < b.trialUntil:
+		v.Reason, v.After = BlockOnTrial, max(b.trialUntil-now, time.Second)
+	default:
+		return Verdict{}
+	}
+	v.Evidence = b.evidence(now)
+	return v
+}
+
 // Begin records that a request that may be sent is sent.
 func (t *Tracker) Begin(now time.Duration, p Prompt) {
 	for _, hash := range p.Blocks {
 		b := t.blocks[hash]
 		switch {
 		case b == nil:
-		case b.state == Held:
+		case b.state == Held || hash == p.Request && !b.convicted() && b.endsUnder(now, hash) >= wavesToHold:
 			b.trialUntil = now + trialTime
 			t.tell(Record{Trial: hash})
 		case b.state == Convicted:
--- a/internal/traffic/sycrelay/suspects.go
+++ b/internal/traffic/sycrelay/suspects.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsuspect"
@@ -44,7 +43,7 @@
 		hashes = append(hashes, sycfleet.BlockID(hash))
 	}
 	x.relay.log.WithError(err).WithFields(logrus.Fields{
-		"id": x.call.ID, "request": sycfleet.BlockID(x.identity()), "endpoint": e.ID, "incarnation": e.Incarnation, "attempt": x.attempts,
+		"id": x.call.ID, "request": sycfleet.BlockID(x.request.Prompt.Request), "endpoint": e.ID, "incarnation": e.Incarnation, "attempt": x.attempts,
 		"blocks": blocks, "hashes": hashes,
 		"begun": begun, "events": x.eventCount, "took": time.Since(started).Round(time.Millisecond).String(),
 	}).Warn("relay: endpoint ended under a request")
@@ -67,22 +66,17 @@
 	return binary.BigEndian.Uint64(digest.Sum(nil))
 }
 
-// prompt returns the prompt's identity and those of its blocks, except the last, by their
-// content and the model.
+// prompt returns what identifies the request and, by their content and the model, the prompt's blocks without the last.
 func (x *exchange) prompt() sycsuspect.Prompt {
-	var out sycsuspect.Prompt
-	if len(x.call.Blocks) == 0 {
-		return out
+	if x.request != nil {
+		return x.request.Prompt
 	}
+	out := sycsuspect.Prompt{Request: x.identity()}
 	scope := sycplace.CacheScope("", false, x.call.Model)
-	digest := xxhash.New()
-	for i, b := range x.call.Blocks {
-		_, _ = digest.WriteString(b.Name + "/")
-		if i < len(x.call.Blocks)-1 {
-			out.Blocks = append(out.Blocks, sycplace.BlockHash(scope, b.Name))
-		}
+	for _, b := range x.call.Blocks[:max(len(x.call.Blocks)-1, 0)] {
+		out.Blocks = append(out.Blocks, sycplace.BlockHash(scope, b.Name))
 	}
-	out.Request = digest.Sum64()
+	out.Blocks = append(out.Blocks, out.Request)
 	return out
 }
 
@@ -90,7 +84,9 @@
 // its hash, and what speaks against it.
 func (x *exchange) verdictFields(v *sycsuspect.Verdict) logrus.Fields {
 	fields := sycfleet.EvidenceFields(v.Block, v.Evidence)
-	if i := slices.Index(x.request.Prompt.Blocks, v.Block); i >= 0 {
+	if v.Block == x.request.Prompt.Request {
+		fields["request"] = sycfleet.BlockID(v.Block)
+	} else if i := slices.Index(x.request.Prompt.Blocks, v.Block); i >= 0 {
 		fields["name"] = x.call.Blocks[i].Name
 	}
 	fields["retry_after"] = v.After.Round(time.Millisecond).String()
