--- a/internal/decide/sycplace/throttle.go
+++ b/internal/decide/sycplace/throttle.go
@@ -35,11 +35,10 @@
 func (s *Selector) keepThrottle(now time.Duration, id string, incarnation int64) *sycthrottle.Throttle {
 	known := s.notices.keep(id, incarnation)
 	if known.throttle == nil {
-		domain := ""
+		known.throttle = sycthrottle.New(now, s.settings.Address, id, s.vms)
 		if e := s.endpoints[id]; e != nil {
-			domain = e.record.FailureDomain
+			known.throttle.SetFailureDomain(now, e.record.FailureDomain)
 		}
-		known.throttle = sycthrottle.New(now, s.settings.Address, id, domain, s.vms)
 		s.notices.throttled[id] = known
 	}
 	return known.throttle
@@ -48,7 +47,7 @@
 // observeLimit applies what an answer says of its endpoint's limit, and returns what of it is news.
 func (s *Selector) observeLimit(now time.Duration, id string, incarnation int64, n Notice) Notice {
 	known := s.notices.of(id, incarnation)
-	throttle := (*sycthrottle.Throttle)(nil)
+	var throttle *sycthrottle.Throttle
 	if known != nil {
 		throttle = known.throttle
 	}
@@ -135,6 +134,7 @@
 	if throttle == nil {
 		return 0, true
 	}
+	throttle.SetFailureDomain(now, e.record.FailureDomain)
 	return throttle.Wait(now)
 }
 
--- a/internal/decide/sycplace/throttle_test.go
+++ b/internal/decide/sycplace/throttle_test.go
@@ -113,3 +113,17 @@
 	must.Eq(t, sycplace.Notice{}, s.ApplyNotice(0, "e0", 0, unread))
 	must.Eq(t, 1, s.CountLimited())
 }
+
+// TestLimitThatIsToldBeforeTheRecord guards against a VM that ranks the senders of an endpoint by another failure domain than the
+// others, since it learned of the limit first.
+func TestLimitThatIsToldBeforeTheRecord(t *testing.T) {
+	vms := []sycthrottle.VM{{Address: "a", FailureDomain: "z0", Runs: true}}
+	for i := range 5 {
+		vms = append(vms, sycthrottle.VM{Address: string(rune('b' + i)), FailureDomain: string(rune('p' + i)), Runs: true})
+	}
+	s := newSelector(0)
+	s.SetVMs(0, vms)
+	s.ReceiveLimit(0, "b", "1", sycplace.LimitReport{Endpoint: "e0", Report: sycthrottle.Report{Rate: 1, Number: 1}})
+	s.Put(engine(0, 1))
+	selectTarget(t, s, 10*time.Second, request(1, 1))
+}
--- a/internal/decide/sycthrottle/fleet_test.go
+++ b/internal/decide/sycthrottle/fleet_test.go
@@ -74,7 +74,8 @@
 	vm.starts++
 	vm.heard = slices.Repeat([]time.Duration{now}, len(s.vms))
 	vm.runs = slices.Repeat([]bool{true}, len(s.vms))
-	vm.throttle = sycthrottle.New(now, vm.address, "e", "d0", s.view(i))
+	vm.throttle = sycthrottle.New(now, vm.address, "e", s.view(i))
+	vm.throttle.SetFailureDomain(now, "d0")
 }
 
 // view returns the VMs as one of them sees them.
--- a/internal/decide/sycthrottle/throttle.go
+++ b/internal/decide/sycthrottle/throttle.go
@@ -87,12 +87,9 @@
 	limiter *sycquota.Limiter
 }
 
-// New returns a throttle without a limit, for an endpoint with an ID in a failure domain. Self is this VM's
-// address.
-func New(now time.Duration, self, endpoint, failureDomain string, vms []VM) *Throttle {
-	return &Throttle{
-		self: self, endpoint: endpoint, failureDomain: failureDomain, knownAt: now, vms: vms, reporters: map[string]*reporter{},
-	}
+// New returns a throttle without a limit, for an endpoint with an ID. Self is this VM's address.
+func New(now time.Duration, self, endpoint string, vms []VM) *Throttle {
+	return &Throttle{self: self, endpoint: endpoint, knownAt: now, vms: vms, reporters: map[string]*reporter{}}
 }
 
 // Rate returns the limit in requests a second, 0 if there is none now.
@@ -184,6 +181,17 @@
 	}
 }
 
+// SetFailureDomain sets the endpoint's failure domain, which isn't known before its record is.
+func (t *Throttle) SetFailureDomain(now time.Duration, failureDomain string) {
+	if t.failureDomain == failureDomain {
+		return
+	}
+	t.failureDomain = failureDomain
+	if t.limiter != nil {
+		t.applySenders(now)
+	}
+}
+
 // applySenders decides which VMs send, and which ones have a part of the limit.
 func (t *Throttle) applySenders(now time.Duration) {
 	var senders []string
--- a/internal/decide/sycthrottle/throttle_test.go
+++ b/internal/decide/sycthrottle/throttle_test.go
@@ -37,7 +37,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			throttle := sycthrottle.New(0, "a", "e", "z", []sycthrottle.VM{{Address: "a", FailureDomain: "z", Runs: true}})
+			throttle := sycthrottle.New(0, "a", "e", []sycthrottle.VM{{Address: "a", FailureDomain: "z", Runs: true}})
 			var got sycthrottle.Change
 			for _, a := range tt.answers {
 				got = throttle.Observe(a.at, a.sentAt, a.rate)
@@ -52,7 +52,7 @@
 func TestLimitsWithTheSameNumber(t *testing.T) {
 	reports := []sycthrottle.Report{{Rate: 3, Number: 1}, {Rate: 2, Number: 1}, {Rate: 0, Number: 1}, {Rate: 9, Number: 0}}
 	for seed := range uint64(20) {
-		throttle := sycthrottle.New(0, "a", "e", "z", nil)
+		throttle := sycthrottle.New(0, "a", "e", nil)
 		for _, i := range rand.New(rand.NewPCG(seed, 1)).Perm(len(reports)) {
 			throttle.Receive(0, fmt.Sprint("vm", i), "1", reports[i])
 		}
@@ -62,7 +62,7 @@
 
 // TestReturnedRequestMayBeSent guards against a limit that is used up by requests that weren't sent.
 func TestReturnedRequestMayBeSent(t *testing.T) {
-	throttle := sycthrottle.New(0, "a", "e", "z", []sycthrottle.VM{{Address: "a", FailureDomain: "z", Runs: true}})
+	throttle := sycthrottle.New(0, "a", "e", []sycthrottle.VM{{Address: "a", FailureDomain: "z", Runs: true}})
 	throttle.Observe(0, 0, 1)
 	must.False(t, throttle.Take(0))
 	must.True(t, throttle.Take(time.Second))
@@ -77,7 +77,7 @@
 // reports all that it has ever sent.
 func TestReportOfManyRequestsDoesNotStarve(t *testing.T) {
 	vms := []sycthrottle.VM{{Address: "a", FailureDomain: "z", Runs: true}, {Address: "b", FailureDomain: "z", Runs: true}}
-	throttle := sycthrottle.New(0, "a", "e", "z", vms)
+	throttle := sycthrottle.New(0, "a", "e", vms)
 	throttle.Observe(0, 0, 1)
 	throttle.Heard(0, 0, "b", "1")
 	throttle.Receive(10*time.Second, "b", "1", sycthrottle.Report{Rate: 1, Number: 1, Sent: 1000})
--- a/internal/peer/sycfleet/limit.go
+++ b/internal/peer/sycfleet/limit.go
@@ -48,9 +48,12 @@
 	if !limited {
 		return
 	}
-	vms := []sycthrottle.VM{{
-		Address: f.options.Address, FailureDomain: f.options.FailureDomain, Capacity: f.options.Capacity, Runs: true,
-	}}
+	var vms []sycthrottle.VM
+	if !f.leaving.Load() {
+		vms = append(vms, sycthrottle.VM{
+			Address: f.options.Address, FailureDomain: f.options.FailureDomain, Capacity: f.options.Capacity, Runs: true,
+		})
+	}
 	for address, vm := range f.peers.vms {
 		if !vm.leaving {
 			vms = append(vms, sycthrottle.VM{Address: address, FailureDomain: vm.domain, Capacity: vm.capacity, Runs: vm.runs(now)})
