--- a/internal/decide/sycsuspect/fleet_test.go
+++ b/internal/decide/sycsuspect/fleet_test.go
@@ -83,6 +83,10 @@
 		{"answers begin early", with(func(l *load) { l.kill, l.killed, l.begunOther = time.Second, 1, 0.7 })},
 		{"plain, one engine at a time", with(func(l *load) { l.plain, l.kill, l.killed = true, time.Second, 1 })},
 		{"plain, racks", with(func(l *load) { l.plain, l.kill, l.killed = true, 5*time.Second, 6 })},
+		{"plain, racks, 60 VMs", with(func(l *load) {
+			l.plain, l.vms, l.engines, l.sound, l.kill, l.killed = true, 60, 60, 600, 5*time.Second, 20
+		})},
+		{"plain, one engine at a time, 200 VMs", with(func(l *load) { l.plain, l.vms, l.kill, l.killed, l.length = true, 200, time.Second, 1, 30*time.Second })},
 		{"few requests", with(func(l *load) { l.kill, l.killed, l.sound = time.Second, 2, 10 })},
 	}
 	for _, tt := range tests {
--- a/internal/traffic/sycrelay/suspects.go
+++ b/internal/traffic/sycrelay/suspects.go
@@ -49,20 +49,21 @@
 	}).Warn("relay: endpoint ended under a request")
 }
 
-// identity identifies the request by its customer, method, host, path, query, model, blocks and body. Callers can choose
-// their requests, so that a hash of a cryptographic kind is needed: none can be made to look like another's.
+// identity identifies the request by its customer, method, host, path, query, model, blocks and body. The hash is a
+// cryptographic one, since callers choose their requests: none can be made to look like another's.
 func (x *exchange) identity() uint64 {
 	digest := sha256.New()
-	parts := []string{x.customer, x.call.Method, x.call.Host, x.call.Target, x.call.Model}
-	for _, b := range x.call.Blocks {
-		parts = append(parts, b.Name)
+	add := func(part []byte) {
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		_, _ = digest.Write(part)
+	}
+	for _, part := range []string{x.customer, x.call.Method, x.call.Host, x.call.Target, x.call.Model} {
+		add([]byte(part))
 	}
-	for _, part := range append(parts, string(x.body)) {
-		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = io.WriteString(digest, part)
+	for _, b := range x.call.Blocks {
+		add([]byte(b.Name))
 	}
+	add(x.body)
 	return binary.BigEndian.Uint64(digest.Sum(nil))
 }
 
