That a limit was lifted is told as long as the endpoint is known

A VM that started later, or had been cut off, learned only that the limit was named; if it was none of its senders, it kept to it until the endpoint started again. VMs that have told of a limit now tell what they learn of it, and none of it expires. checkLiftedForLong fails without the change.

--- a/internal/decide/sycthrottle/throttle.go
+++ b/internal/decide/sycthrottle/throttle.go
@@ -74,8 +74,8 @@
 	knownAt time.Duration
 	// sent counts the requests that this VM has sent.
 	sent int64
-	// changed is set if Report has news.
-	changed bool
+	// told is set once this VM has told the others of the limit, and changed if there is news to tell.
+	told, changed bool
 	// vms holds the VMs of the fleet.
 	vms []VM
 	// sends is set if this VM is a sender, and sharers holds the VMs that have a part of the limit.
@@ -102,6 +102,7 @@
 	looser := rate == 0 || rate > t.rate
 	switch {
 	case rate == t.rate:
+		// Without a limit nothing reads the time.
 		t.namedAt = now
 		return Unchanged
 	case t.rate > 0 && looser && sentAt <= t.namedAt:
@@ -118,6 +119,8 @@
 	isLower := t.rate == 0 && r.Rate > 0 || r.Rate > 0 && r.Rate < t.rate
 	if r.Number > t.number || r.Number == t.number && isLower {
 		change = t.set(now, r.Rate, r.Number)
+		// What this VM has told before must not outlast the limit.
+		t.changed = t.changed || t.told
 	}
 	known := t.reporters[address]
 	isNew := known == nil
@@ -276,6 +279,6 @@
 // TakeReport returns this VM's report, and whether it has changed since the last call.
 func (t *Throttle) TakeReport() (Report, bool) {
 	changed := t.changed
-	t.changed = false
+	t.told, t.changed = t.told || changed, false
 	return Report{Rate: t.rate, Number: t.number, Sent: t.sent}, changed
 }
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -168,7 +168,7 @@
 	f.publishEvidence()
 	f.publishDuty(now)
 	f.publishSuspects(now)
-	f.publishLimits(now)
+	f.publishLimits()
 }
 
 // ownMember returns this VM as a member of the fleet.
--- a/internal/peer/sycfleet/limit.go
+++ b/internal/peer/sycfleet/limit.go
@@ -13,9 +13,6 @@
 	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
-// liftedLifetime is how long it is told that an endpoint's limit has been lifted.
-const liftedLifetime = 20 * time.Second
-
 // countLimitChange counts a change of an endpoint's limit. Source is "answer" or "vm".
 func countLimitChange(source string, change sycthrottle.Change) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_endpoint_limit_changes_total{source=%q,change=%q}`, source, change)).Inc()
@@ -66,19 +63,20 @@
 	}
 }
 
-// publishLimits records what this VM has learned of endpoints' limits and has sent under them.
-func (f *Fleet) publishLimits(now time.Duration) {
+// publishLimits records what this VM has learned of endpoints' limits and has sent under them. It is told until the
+// endpoint is gone, also that a limit has been lifted: a VM that was cut off may still believe in it.
+func (f *Fleet) publishLimits() {
 	for _, r := range f.selector.TakeLimitReports() {
 		message := encodeLimit(r)
 		message.Version = f.changes.version()
-		f.changes.SetOwn(changeKey{process: f.changes.process, kind: limitChange, name: r.Endpoint}, message, limitExpiry(now, message))
+		f.changes.SetOwn(changeKey{process: f.changes.process, kind: limitChange, name: r.Endpoint}, message, 0)
 	}
 }
 
 // receiveLimits applies what another VM's process tells of endpoints' limits.
 func (f *Fleet) receiveLimits(now time.Duration, source, address string, p process, in []*sycgossippb.EndpointLimit) {
 	for _, m := range in {
-		if !f.applyChange(source, p, limitChange, m.Endpoint, m.Version, m, limitExpiry(now, m)) {
+		if !f.applyChange(source, p, limitChange, m.Endpoint, m.Version, m, 0) {
 			continue
 		}
 		change := f.selector.ReceiveLimit(now, address, f.peers.vms[address].incarnation, decodeLimit(m))
@@ -93,14 +91,6 @@
 	}
 }
 
-// limitExpiry returns until when a message of a limit is told, 0 for always.
-func limitExpiry(now time.Duration, m *sycgossippb.EndpointLimit) time.Duration {
-	if m.Rate > 0 {
-		return 0
-	}
-	return now + liftedLifetime
-}
-
 // dropLimits forgets what VMs tell of the limit of an endpoint that is gone.
 func (f *Fleet) dropLimits(endpoint string) {
 	f.changes.DropIf(func(e *sycreplica.Entry[changeKey, change]) bool {
--- a/internal/peer/sycfleet/limit_test.go
+++ b/internal/peer/sycfleet/limit_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
+	"sycamorecart.example/sycamorecart/internal/peer/sycgossippb"
 )
 
 // sendAll lets each VM send the endpoint as many requests as it may for a time. Each answer names a limit. It returns
@@ -70,5 +71,23 @@
 		n.vms[2].selector.ApplyNotice(n.now, "e", 0, sycplace.Notice{Unlimited: true, Waited: time.Millisecond})
 		n.run(maxHops*directPeriod + 10*time.Millisecond)
 		must.Eq(t, 0, n.knowLimit(), must.Sprintf("%d VMs", count))
+		n.checkLiftedForLong(t)
+	}
+}
+
+// checkLiftedForLong guards against a VM that starts long after a limit was lifted and learns only that it was named.
+func (n *network) checkLiftedForLong(t *testing.T) {
+	t.Helper()
+	n.run(2 * time.Second)
+	f := n.restart(3)
+	f.selector.Put(sycplace.Endpoint{ID: "e", Service: "s", Slots: 64, Weights: map[string]int64{"m": 1}})
+	n.run(time.Second)
+	must.Eq(t, 0, f.selector.CountLimited())
+	for _, vm := range n.vms {
+		for _, e := range vm.changes.Since(0) {
+			if m, ok := e.Value.(*sycgossippb.EndpointLimit); ok {
+				must.Eq(t, 0, m.Rate)
+			}
+		}
 	}
 }
