--- /dev/null
+++ b/review/standins2/main.go
@@ -0,0 +1,154 @@
+//go:build review
+
+// Command case plays one of the cases 6 to 10 of the review: a small deployment of the project's own program, with
+// stand-ins for the platform's store, the workers and the clients. All addresses are loopback addresses.
+//
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. With TROUBLE=0 in the
+// environment it does the same without the disruption.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Exit codes.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+// cases holds the cases by number. Each returns whether the rule was broken, and says so in the record.
+var cases = map[int]func(d *deployment, trouble bool) (bool, error){
+	6: foreignEntry,
+	7: foreignService,
+}
+
+func main() {
+	number := flag.Int("n", 0, "the case's `number`")
+	program := flag.String("vm", "target/sycamorecart", "the `program` of a VM")
+	path := flag.String("record", "record.txt", "the `file` of the record")
+	flag.Parse()
+	code, err := play(*number, *program, *path, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(failed)
+	}
+	os.Exit(code)
+}
+
+// play plays a case and returns the exit code.
+func play(number int, program, path string, trouble bool) (int, error) {
+	run := cases[number]
+	if run == nil {
+		return failed, fmt.Errorf("there is no case %d", number)
+	}
+	out, err := os.Create(path)
+	if err != nil {
+		return failed, err
+	}
+	defer func() { _ = out.Close() }()
+	dir, err := os.MkdirTemp("", "case")
+	if err != nil {
+		return failed, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	r := newRecord(out)
+	r.write("case %d, trouble %t", number, trouble)
+	d, err := newDeployment(r, program, dir)
+	if d != nil {
+		defer d.kill()
+	}
+	if err != nil {
+		return failed, err
+	}
+	isBroken, err := run(d, trouble)
+	if err != nil {
+		return failed, err
+	}
+	if isBroken {
+		r.write("the rule was BROKEN")
+		fmt.Println("broken")
+		return broken, nil
+	}
+	r.write("the rule held")
+	fmt.Println("held")
+	return held, nil
+}
+
+// errCalm means that the deployment doesn't serve without a disruption.
+var errCalm = errors.New("requests fail before the disruption")
+
+// calm plays traffic for a time and fails unless all requests are served.
+func (d *deployment) calm(length time.Duration) (stop func(), err error) {
+	from := time.Now()
+	stop = d.clients()
+	time.Sleep(length)
+	now := time.Now()
+	notServed := d.record.count(from, func(o *outcome) bool { return now.Sub(o.sentAt) > deadline && (o.status != 200 || !o.stamped) })
+	if notServed > 0 {
+		stop()
+		return nil, errCalm
+	}
+	return stop, nil
+}
+
+// foreignEntry is case 6: another writer's entry with missing fields names a server of another system.
+func foreignEntry(d *deployment, trouble bool) (bool, error) {
+	f, err := newForeign(d.record)
+	if err != nil {
+		return false, err
+	}
+	stop, err := d.calm(5 * time.Second)
+	if err != nil {
+		return false, err
+	}
+	from := time.Now()
+	if trouble {
+		entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":6,"state":"ready"}`, appName, f.address, d.machines[0].zone)
+		d.record.write("another writer writes servers/x-1: %s", entry)
+		go keepEntry(d.store, "x-1", func() string { return entry })
+	}
+	time.Sleep(20 * time.Second)
+	stop()
+	all := d.record.count(from, func(*outcome) bool { return true })
+	foreign := d.record.count(from, func(o *outcome) bool { return o.foreignRuns > 0 })
+	lost := d.record.count(from, func(o *outcome) bool { return o.foreignRuns > 0 && o.runs == 0 })
+	d.record.write("%d requests; the other system's server ran %d of them, %d of which no worker ran", all, foreign, lost)
+	return foreign > 0, nil
+}
+
+// foreignService is case 7: entries of a service that isn't named, with the addresses of workers, from another writer.
+func foreignService(d *deployment, trouble bool) (bool, error) {
+	const recover = 12 * time.Second
+	stop, err := d.calm(5 * time.Second)
+	if err != nil {
+		return false, err
+	}
+	d.record.write("final fault: all processes are killed")
+	d.kill()
+	if trouble {
+		for i, w := range d.workers {
+			entry := fmt.Sprintf(`{"service":"fleet-metrics","address":%q,"zone":%q,"version":"v1","slots":1,"state":"ready","coldRemainingMs":0,"seq":1,"born":%d}`,
+				w.address, w.zone, time.Now().UnixMilli())
+			d.record.write("another writer writes servers/x-%d: %s", i, entry)
+			go keepEntry(d.store, fmt.Sprint("x-", i), func() string { return entry })
+		}
+	}
+	time.Sleep(time.Second)
+	if err := d.start(false); err != nil {
+		return false, err
+	}
+	time.Sleep(recover)
+	from := time.Now()
+	time.Sleep(15 * time.Second)
+	stop()
+	all := d.record.count(from, func(*outcome) bool { return true })
+	served := d.record.count(from, func(o *outcome) bool { return o.status == 200 && o.stamped })
+	d.record.write("of %d requests sent later than %s after the machines were back, %d were served; a quarter is the least", all, recover, served)
+	return all == 0 || 4*served < all, nil
+}
