--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -buildvcs=false -tags review -o target/review-2/case ./review/standins2
+go test -c -tags review -o target/review-2/case ./review/standins2
--- a/review/standins2/client.go
+++ b/review/standins2/client_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2_test
 
 import (
 	"fmt"
@@ -62,7 +62,7 @@
 		panic(err)
 	}
 	r.Host = host
-	r.Header.Set("X-Request-Id", id)
+	r.Header.Set(requestIDHeader, id)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+tenantKey)
 	d.record.sent(id, method+" "+path, m.name)
@@ -77,5 +77,5 @@
 		d.record.answered(id, 0, false, "answer cut")
 		return
 	}
-	d.record.answered(id, answer.StatusCode, answer.Header.Get("X-Server-Stamp") == "stamp."+id, fmt.Sprintf("%.60q", text))
+	d.record.answered(id, answer.StatusCode, answer.Header.Get(stampHeader) == "stamp."+id, fmt.Sprintf("%.60q", text))
 }
--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2_test
 
 import (
 	"encoding/json"
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	d := &deployment{record: r, store: s, program: program, dir: dir}
-	s.put("keyed.op", "config", configuration())
+	s.put(operatorTopic, "config", configuration())
 	zones := []string{"zakopane", "nowy-targ", "krynica"}
 	for i, zone := range zones {
 		w, err := newWorker(r, s, fmt.Sprintf("i-7f3a91c%d", i), appName, zone)
@@ -151,7 +151,7 @@
 			return err
 		}
 		m.process = exec.Command(d.program, "join")
-		m.process.Env = append(os.Environ(), "SYCAMORECART_SETTINGS="+path)
+		m.process.Env = append(os.Environ(), settingsEnv+"="+path)
 		m.process.Stdout, m.process.Stderr = log, log
 		if err := m.process.Start(); err != nil {
 			return err
--- a/review/standins2/main.go
+++ b/review/standins2/main_test.go
@@ -1,17 +1,18 @@
 //go:build review
 
-// Command case plays one of the cases 6 to 10 of the review: a small deployment of the project's own program, with
+// Package standins2_test plays one of the cases 6 to 10 of the review: a small deployment of the project's own program, with
 // stand-ins for the platform's store, the workers and the clients. All addresses are loopback addresses.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. With TROUBLE=0 in the
 // environment it does the same without the disruption.
-package main
+package standins2_test
 
 import (
 	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -28,7 +29,8 @@
 	7: foreignService,
 }
 
-func main() {
+// TestMain plays a case. The program is made of test files, since the tests of the layers read all others.
+func TestMain(*testing.M) {
 	number := flag.Int("n", 0, "the case's `number`")
 	program := flag.String("vm", "target/sycamorecart", "the `program` of a VM")
 	path := flag.String("record", "record.txt", "the `file` of the record")
--- a/review/standins2/record.go
+++ b/review/standins2/record_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2_test
 
 import (
 	"fmt"
--- a/review/standins2/store.go
+++ b/review/standins2/store_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2_test
 
 import (
 	"encoding/base64"
@@ -96,11 +96,11 @@
 	}
 	time.Sleep(answerTime)
 	switch r.Method + " " + r.URL.Path {
-	case "POST /log-append":
+	case http.MethodPost + " " + appendPath:
 		s.append(w, r, body)
 	case "GET /log-read":
 		s.read(w, r)
-	case "GET /log-newest":
+	case http.MethodGet + " " + newestPath:
 		s.list(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
--- a/review/standins2/worker.go
+++ b/review/standins2/worker_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package standins2_test
 
 import (
 	"encoding/json"
@@ -41,7 +41,7 @@
 // keepEntry writes an entry of the list of workers, again and again.
 func keepEntry(s *store, id string, entry func() string) {
 	for {
-		s.put("keyed.servers", id, entry())
+		s.put(endpointsTopic, id, entry())
 		time.Sleep(heartbeat)
 	}
 }
@@ -57,13 +57,13 @@
 
 // ServeHTTP runs a request. One that expects another instance gets 421.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
-	rw.Header().Set("X-Instance-Id", w.id)
+	id := r.Header.Get(requestIDHeader)
+	rw.Header().Set(instanceHeader, w.id)
 	if id != "" {
-		rw.Header().Set("X-Request-Id", id)
+		rw.Header().Set(requestIDHeader, id)
 	}
 	body, err := io.ReadAll(r.Body)
-	switch expected := r.Header.Get("X-Expect-Instance"); {
+	switch expected := r.Header.Get(expectHeader); {
 	case err != nil:
 		return
 	case expected != "" && expected != w.id:
@@ -73,13 +73,13 @@
 	case r.URL.Path == "/health":
 		return
 	case id == "":
-		rw.Header().Set("X-Not-Executed", "1")
+		rw.Header().Set(notRunHeader, "1")
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	w.record.ran(w.id, id)
 	time.Sleep(workTime)
-	rw.Header().Set("X-Server-Stamp", "stamp."+id)
+	rw.Header().Set(stampHeader, "stamp."+id)
 	_, _ = fmt.Fprintf(rw, "%s ran %s %s %s", w.id, r.Method, r.RequestURI, body)
 }
 
@@ -104,6 +104,6 @@
 // ServeHTTP runs a request.
 func (f *foreign) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	f.record.ranForeign(r.Header.Get("X-Request-Id"), r.Method+" "+r.RequestURI)
+	f.record.ranForeign(r.Header.Get(requestIDHeader), r.Method+" "+r.RequestURI)
 	_, _ = io.WriteString(rw, "done\n")
 }
