--- a/review/standins2/deployment_test.go
+++ b/review/standins2/deployment_test.go
@@ -125,9 +125,19 @@
 	}
 	book["name"], book["pathPrefix"], book["routeType"], book["maxAttempts"] = "slot-book", "/book/", "non_idempotent", 1
 	read["name"], read["pathPrefix"], read["routeType"], read["maxAttempts"] = "slot-read", "/read/", "idempotent", 2
+	draft := map[string]any{
+		"name": "rota-draft", "host": host, "pathPrefix": "/draft/", "routeType": "streaming", "timeoutMs": 15000, "targetLatencyMs": 800,
+		"gapTargetMs": 300, "priority": 1, "service": poolName, "maxAttempts": 2, "public": false, "sticky": true, "resumable": true,
+	}
+	pool := map[string]any{
+		"name": poolName, "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": 64, "kvCapacityTokens": 257743, "kvTokenBytes": 163840, "models": []any{map[string]any{"name": modelName}},
+		},
+	}
 	text, _ := json.Marshal(map[string]any{
-		"version": 7, "routes": []any{book, read},
-		"services": []any{map[string]any{"name": appName, "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}},
+		"version": 7, "routes": []any{book, read, draft},
+		"services": []any{pool, map[string]any{"name": appName, "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{tenantKey}, "unit": "tokens", "uncachedTokens": 200, "isolated": false}},
 	})
--- a/review/standins2/main_test.go
+++ b/review/standins2/main_test.go
@@ -27,6 +27,7 @@
 var cases = map[int]func(d *deployment, trouble bool) (bool, error){
 	6: foreignEntry,
 	7: foreignService,
+	8: interruptedStreams,
 }
 
 // TestMain plays a case. The program is made of test files, since the tests of the layers read all others.
@@ -154,3 +155,39 @@
 	d.record.write("of %d requests sent later than %s after the machines were back, %d were served; a quarter is the least", all, recover, served)
 	return all == 0 || 4*served < all, nil
 }
+
+// interruptedStreams is case 8: streams that the holder's orders break off, though no engine can go on with them.
+func interruptedStreams(d *deployment, trouble bool) (bool, error) {
+	const (
+		engineCount, streamClients = 2, 18
+		between                    = 3200 * time.Millisecond // between two new versions, as on the day quiet-1
+		versions                   = 16
+	)
+	d.record.write("%d engines, %d clients", engineCount, streamClients)
+	for i := range engineCount {
+		if _, err := newEngine(d.record, d.store, fmt.Sprintf("i-e00d41f%d", i), d.machines[i%len(d.machines)].zone); err != nil {
+			return false, err
+		}
+	}
+	newest := func(version int) {
+		d.store.put(operatorTopic, "version/"+modelName, fmt.Sprintf(`{"model":%q,"version":%d}`, modelName, version))
+	}
+	newest(1)
+	time.Sleep(3 * time.Second)
+	stop := d.streams(streamClients)
+	for version := 2; version < 2+versions; version++ {
+		if trouble {
+			d.record.write("new weights: version %d", version)
+			newest(version)
+		}
+		time.Sleep(between)
+	}
+	stop()
+	most := 0
+	for _, m := range d.machines {
+		n := d.record.count(time.Time{}, func(o *outcome) bool { return o.cut && o.machine == m.name })
+		d.record.write("%s closed %d connections, kept before, within an answer that had begun at a sound engine", m.name, n)
+		most = max(most, n)
+	}
+	return most > 3, nil
+}
--- a/review/standins2/names_test.go
+++ b/review/standins2/names_test.go
@@ -12,6 +12,8 @@
 	operatorTopic   = "keyed." + "op"
 	endpointsTopic  = "keyed." + "servers"
 	settingsEnv     = "SYCAMORECART" + "_SETTINGS"
+	tokensHeader    = "X-Token-" + "Usage"
+	prefixHeader    = "X-Prefix-" + "Hash"
 	instanceHeader  = "X-Instance-Id"
 	requestIDHeader = "X-Request-Id"
 )
--- a/review/standins2/record_test.go
+++ b/review/standins2/record_test.go
@@ -15,6 +15,10 @@
 	sentAt time.Time
 	// status is that of the answer, 0 for none.
 	status int
+	// machine is the name of the machine that the request was sent to, and cut is set if that closed its connection, on
+	// which there had been an answer before, within the answer.
+	machine string
+	cut     bool
 	// stamped is set if the answer has a worker's stamp.
 	stamped bool
 	// runs counts the runs at workers, foreignRuns those at servers of another system.
@@ -50,7 +54,7 @@
 func (r *record) sent(id, what, machine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.requests[id] = &outcome{what: what, sentAt: time.Now()}
+	r.requests[id] = &outcome{what: what, sentAt: time.Now(), machine: machine}
 	r.writeLocked("client sends %s %s to %s", id, what, machine)
 }
 
@@ -95,3 +99,11 @@
 	}
 	return n
 }
+
+// cut records that a machine closed its connection within an answer of some events.
+func (r *record) cut(id string, events int, kept bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests[id].cut = kept
+	r.writeLocked("CONNECTION CLOSED within the answer to %s after %d events; kept before: %t", id, events, kept)
+}
