--- a/review/standins2/main_test.go
+++ b/review/standins2/main_test.go
@@ -12,6 +12,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -65,6 +67,7 @@
 	d, err := newDeployment(r, program, dir)
 	if d != nil {
 		defer d.kill()
+		endOnSignal(d)
 	}
 	if err != nil {
 		return failed, err
@@ -83,6 +86,21 @@
 	return held, nil
 }
 
+// endOnSignal ends the machines' processes, and this one with the code failed, if this one is told to end.
+func endOnSignal(d *deployment) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		for _, m := range d.machines {
+			if m.process != nil && m.process.Process != nil {
+				_ = m.process.Process.Kill()
+			}
+		}
+		os.Exit(failed)
+	}()
+}
+
 // errCalm means that the deployment doesn't serve without a disruption.
 var errCalm = errors.New("requests fail before the disruption")
 
@@ -159,9 +177,8 @@
 // interruptedStreams is case 8: streams that the holder's orders break off, though no engine can go on with them.
 func interruptedStreams(d *deployment, trouble bool) (bool, error) {
 	const (
-		engineCount, streamClients = 2, 18
-		between                    = 3200 * time.Millisecond // between two new versions, as on the day quiet-1
-		versions                   = 16
+		engineCount, streamClients = 2, 30
+		length                     = 30 * time.Second
 	)
 	d.record.write("%d engines, %d clients", engineCount, streamClients)
 	for i := range engineCount {
@@ -170,18 +187,21 @@
 		}
 	}
 	newest := func(version int) {
+		d.record.write("new weights: version %d", version)
 		d.store.put(operatorTopic, "version/"+modelName, fmt.Sprintf(`{"model":%q,"version":%d}`, modelName, version))
 	}
 	newest(1)
 	time.Sleep(3 * time.Second)
+	began := time.Now()
 	stop := d.streams(streamClients)
-	for version := 2; version < 2+versions; version++ {
+	// The site's day quiet-1 names new weights at these times.
+	for i, at := range []time.Duration{2000, 5200, 8400, 11600, 20500, 24500} {
+		time.Sleep(time.Until(began.Add(at * time.Millisecond)))
 		if trouble {
-			d.record.write("new weights: version %d", version)
-			newest(version)
+			newest(2 + i)
 		}
-		time.Sleep(between)
 	}
+	time.Sleep(time.Until(began.Add(length)))
 	stop()
 	most := 0
 	for _, m := range d.machines {
