--- a/review/standins2/client_test.go
+++ b/review/standins2/client_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// send sends one request: a booking, which isn't idempotent, or a look-up.
-func (d *deployment) send(client *http.Client, m *machine, books bool) {
+// send sends one request: a booking, which isn't idempotent, or a look-up. It returns the answer's status, 0 for none.
+func (d *deployment) send(client *http.Client, m *machine, books bool) (status int) {
 	id := fmt.Sprintf("9c41d07b%08x", requestCount.Add(1))
 	method, path, body := http.MethodGet, "/read/"+id, ""
 	if books {
@@ -69,13 +69,14 @@
 	answer, err := client.Do(r)
 	if err != nil {
 		d.record.answered(id, 0, false, "no answer: "+strings.ReplaceAll(err.Error(), "\n", " "))
-		return
+		return 0
 	}
 	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
 	if err != nil {
 		d.record.answered(id, 0, false, "answer cut")
-		return
+		return 0
 	}
 	d.record.answered(id, answer.StatusCode, answer.Header.Get(stampHeader) == "stamp."+id, fmt.Sprintf("%.60q", text))
+	return answer.StatusCode
 }
