A record of a service that isn't named ends no endpoint; the address says who is there

Cause: an endpoint counted as ended once any record named its address with a later start (hasSuccessor, used by admits and Runs), whatever service the record was of and whoever wrote it.

Ruled out: full, paused or limited workers, whose refusals have other names.

Why it works: sycregistry keeps records of services that no known configuration names aside, out of the selection and all that follows from it (polls, orders, sums, metrics' labels), until a configuration names the service. Of the others, a later start at an address still ends the former endpoint, since addresses pass between services, but an answer from there that it isn't the later one overrules the record until that one's next start.

New lines say which record was passed over or changed whose successor, and why, with counters.

--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -111,6 +111,10 @@
 	// avoidUntil is the end of the pause after the endpoint was at capacity, and faultUntil of that after it had a
 	// fault.
 	avoidUntil, faultUntil time.Duration
+	// misplaced is set once something else has answered at the address.
+	misplaced bool
+	// successor is the endpoint that has ended this one as of the last succession, nil if there is none.
+	successor *endpoint
 	// reportedFault is when this VM last told the others of a fault of the endpoint, or was told of one.
 	reportedFault time.Duration
 }
--- a/internal/decide/sycplace/fault.go
+++ b/internal/decide/sycplace/fault.go
@@ -58,27 +58,8 @@
 	pause := faultPause
 	if moved {
 		pause = movedPause
+		s.misplace(e)
 	}
 	jitter := time.Duration(float64(pause) / 2 * float64((s.hash^e.hash)%1024) / 1024)
 	e.faultUntil = max(e.faultUntil, now+pause/2+jitter)
 }
-
-// indexAddresses finds the endpoint that has started last at each address.
-func (s *Selector) indexAddresses() {
-	clear(s.latest)
-	for _, e := range s.order {
-		if known := s.latest[e.record.Address]; known == nil || known.record.Incarnation < e.record.Incarnation {
-			s.latest[e.record.Address] = e
-		}
-	}
-}
-
-// hasSuccessor reports whether another endpoint has started later at an endpoint's address, so that this one has ended. Its
-// record may have been written late.
-func (s *Selector) hasSuccessor(e *endpoint) bool {
-	if e.record.Address == "" {
-		return false
-	}
-	latest := s.latest[e.record.Address]
-	return latest != nil && latest.record.Incarnation > e.record.Incarnation
-}
--- a/internal/decide/sycplace/fault_test.go
+++ b/internal/decide/sycplace/fault_test.go
@@ -100,3 +100,26 @@
 	s.Finish(time.Minute, 1, sycplace.Unreachable)
 	must.SliceEmpty(t, s.TakeFaults())
 }
+
+// TestAddressSaysWhoIsThere guards against a record with a later start that keeps an endpoint out of use, though the endpoint
+// answers at its address that it isn't the one that the record names.
+func TestAddressSaysWhoIsThere(t *testing.T) {
+	s := sycplace.New(sycplace.Settings{FailureDomain: "z0", TokensPerSecond: 60000})
+	s.Put(sycplace.Endpoint{ID: "there", Service: "app", Address: "10.0.0.1:80", Slots: 6, Incarnation: 1})
+	s.Put(sycplace.Endpoint{ID: "claims", Service: "app", Address: "10.0.0.1:80", Slots: 6, Incarnation: 2})
+	must.False(t, s.Runs("there"))
+	target, _ := s.Select(time.Minute, &sycplace.Request{ID: 1, Service: "app", Remaining: time.Minute})
+	must.Eq(t, "claims", target.Endpoint.ID)
+	s.Finish(time.Minute, 1, sycplace.Moved)
+	must.True(t, s.Runs("there"))
+	target, _ = s.Select(time.Minute, &sycplace.Request{ID: 2, Service: "app", Remaining: time.Minute})
+	must.Eq(t, "there", target.Endpoint.ID)
+	var changes []sycplace.SuccessionChange
+	for _, succession := range s.TakeSuccessions() {
+		changes = append(changes, succession.Change)
+	}
+	must.Eq(t, []sycplace.SuccessionChange{sycplace.LaterStarted, sycplace.LaterElsewhere}, changes)
+	// Its next start is believed again.
+	s.Put(sycplace.Endpoint{ID: "claims", Service: "app", Address: "10.0.0.1:80", Slots: 6, Incarnation: 3})
+	must.False(t, s.Runs("there"))
+}
--- a/internal/decide/sycplace/selector.go
+++ b/internal/decide/sycplace/selector.go
@@ -89,8 +89,10 @@
 	punctuality map[string]*syccapacity.Punctuality
 	// models holds what is known of the engines of each service, by service.
 	models map[string]*syccapacity.Model
-	// latest holds the endpoint that has started last at each address.
+	// latest holds the endpoint that has started last at each address, none that is misplaced.
 	latest map[string]*endpoint
+	// successions holds the successions since the last call of TakeSuccessions.
+	successions []Succession
 	// faults holds the faults that this VM's attempts have found since the last call of TakeFaults.
 	faults []Fault
 	// returns holds, by service, when the next caller is asked back that endpoints' limits refuse.
--- a/internal/decide/sycsite/site.go
+++ b/internal/decide/sycsite/site.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -223,6 +224,20 @@
 // Services returns all services.
 func (c *Config) Services() []Service { return c.fields.Services }
 
+// ServiceNames returns the names of all services that the configuration lists or that a route sends requests to, ordered.
+func (c *Config) ServiceNames() []string {
+	names := map[string]bool{}
+	for _, s := range c.fields.Services {
+		names[s.Name] = true
+	}
+	for _, r := range c.fields.Routes {
+		for _, s := range r.Split {
+			names[s.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // Match returns the host's route with the longest prefix of the path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	for _, r := range c.routes[strings.ToLower(host)] {
--- a/internal/peer/sycfleet/apply.go
+++ b/internal/peer/sycfleet/apply.go
@@ -1,7 +1,6 @@
 package sycfleet
 
 import (
-	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -89,6 +88,9 @@
 	if f.heldConfig == nil || f.heldConfig.Version() < c.Version() {
 		f.heldConfig = c
 	}
+	if inForce := f.Config(); inForce == nil || inForce.Version() < f.heldConfig.Version() {
+		f.nameServices(now, f.heldConfig)
+	}
 	f.releaseConfig(now)
 }
 
@@ -138,41 +140,3 @@
 	}
 	f.quota.Configure(now, limits)
 }
-
-// applyEndpointChange applies a new or dropped record of an endpoint. An endpoint whose record
-// can't be decoded is dropped.
-func (f *Fleet) applyEndpointChange(now time.Duration, c sycfeed.Change) {
-	defer f.noteEnd(now, c.Key)()
-	if c.Deleted {
-		if _, known := f.selector.Endpoint(c.Key); known {
-			f.log.WithField("endpoint", c.Key).Info("fleet: endpoint dropped")
-		}
-		f.selector.Drop(c.Key)
-		f.dropIdleLoads(c.Key)
-		f.dropLimits(c.Key)
-		return
-	}
-	e, err := f.options.Decoder.Endpoint(c.Key, c.Value)
-	if err != nil {
-		f.log.WithError(err).WithFields(logrus.Fields{"endpoint": c.Key, "position": c.Position}).Warn("fleet: decoding an endpoint's record failed")
-		f.selector.Drop(c.Key)
-		return
-	}
-	if !f.admitEndpoint(c, e) {
-		return
-	}
-	old, known := f.selector.Endpoint(c.Key)
-	e = f.selector.Put(e)
-	isNew := !known || old.Incarnation != e.Incarnation || old.Address != e.Address
-	if isNew {
-		f.resetPeerLoads(e.ID)
-	}
-	f.selector.ObserveCold(now, e.ID, isNew)
-	f.logColdChanges(now)
-	if !known || old.Leaving != e.Leaving || old.Incarnation != e.Incarnation || !maps.Equal(old.Weights, e.Weights) {
-		f.log.WithFields(logrus.Fields{
-			"endpoint": e.ID, "service": e.Service, "address": e.Address, "leaving": e.Leaving,
-			"release": e.Release, "weights": e.Weights, "position": c.Position,
-		}).Info("fleet: endpoint changed")
-	}
-}
--- a/internal/peer/sycfleet/fault.go
+++ b/internal/peer/sycfleet/fault.go
@@ -15,6 +15,7 @@
 
 // publishFaults tells the other VMs at once of endpoints that take no requests.
 func (f *Fleet) publishFaults(now time.Duration) {
+	f.logSuccessions()
 	faults := f.selector.TakeFaults()
 	for _, fault := range faults {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`sycamorecart_endpoint_faults_total{source="attempt",moved="%t"}`, fault.Moved)).Inc()
--- a/internal/peer/sycfleet/fleet.go
+++ b/internal/peer/sycfleet/fleet.go
@@ -16,6 +16,7 @@
 	"sycamorecart.example/sycamorecart/internal/decide/syclease"
 	"sycamorecart.example/sycamorecart/internal/decide/sycplace"
 	"sycamorecart.example/sycamorecart/internal/decide/sycquota"
+	"sycamorecart.example/sycamorecart/internal/decide/sycregistry"
 	"sycamorecart.example/sycamorecart/internal/decide/sycreload"
 	"sycamorecart.example/sycamorecart/internal/decide/sycsite"
 	"sycamorecart.example/sycamorecart/internal/decide/sycthrottle"
@@ -150,6 +151,8 @@
 	// measuredAt is when the gauges were last updated, and loggedAt when their values were
 	// last logged.
 	measuredAt, loggedAt time.Duration
+	// registry decides which records of endpoints are in use.
+	registry *sycregistry.Registry
 	// endpointOrders remembers the newest records of endpoints.
 	endpointOrders *endpointOrders
 	// suspects tracks the blocks of prompts that may end endpoints.
@@ -213,6 +216,7 @@
 		statuses:         map[string]publishedStatus{},
 		suspects:         newSuspects(o.Incarnation),
 		evacuationsEnded: map[string]bool{},
+		registry:         sycregistry.New(),
 		endpointOrders:   &endpointOrders{byID: map[string]endpointOrder{}},
 	}
 	f.orderContents()
--- a/internal/peer/sycfleet/metric.go
+++ b/internal/peer/sycfleet/metric.go
@@ -106,6 +106,7 @@
 	}
 	out["endpoints_behind"], out["endpoints_limited"] = 0, float64(f.selector.CountLimited())
 	out["endpoints_cold"] = float64(f.selector.CountCold())
+	out["endpoint_records_unnamed"] = float64(f.registry.AsideCount())
 	out["failure_domains_evacuated"] = float64(f.selector.CountEvacuated())
 	f.measureSpill(out)
 	queues := map[string]sycplace.Load{}
