Records that come before the first configuration aren't logged as passed over

Cause: before the first configuration no service is named, so that the reason was unnamed_service for all.

Why it works: nothing is logged or counted until a configuration is known; then those whose service it doesn't name are.

--- a/internal/decide/sycregistry/registry.go
+++ b/internal/decide/sycregistry/registry.go
@@ -69,7 +69,7 @@
 	order      []string
 }
 
-// New returns a registry before the first configuration, which passes over all records.
+// New returns a registry before the first configuration, which keeps all records aside.
 func New() *Registry {
 	return &Registry{aside: map[string]sycplace.Endpoint{}, passedOver: map[string]Reason{}}
 }
@@ -102,9 +102,14 @@
 	return before != reason
 }
 
+// Configured reports whether a configuration is known. Before that no record is passed over, and none is in use.
+func (r *Registry) Configured() bool { return r.services != nil }
+
 // SetServices sets the services that the newest configuration names. InUse lists the endpoints in use. It returns the
-// records that name an endpoint from now on, and those in use that no longer do; it keeps the latter.
+// records that name an endpoint from now on, and those of which it is known from now on that they name none; it keeps
+// the latter.
 func (r *Registry) SetServices(names []string, inUse []sycplace.Endpoint) (named, unnamed []sycplace.Endpoint) {
+	isFirst := !r.Configured()
 	r.services = make(map[string]bool, len(names))
 	for _, name := range names {
 		r.services[name] = true
@@ -112,6 +117,8 @@
 	for _, id := range slices.Sorted(maps.Keys(r.aside)) {
 		if e := r.aside[id]; r.Admit(e) {
 			named = append(named, e)
+		} else if isFirst {
+			unnamed = append(unnamed, e)
 		}
 	}
 	for _, e := range inUse {
--- a/internal/decide/sycregistry/registry_test.go
+++ b/internal/decide/sycregistry/registry_test.go
@@ -21,7 +21,7 @@
 		inUse          []sycplace.Endpoint
 		named, unnamed []sycplace.Endpoint
 	}{
-		{"first", []string{"app"}, nil, []sycplace.Endpoint{app}, nil},
+		{"first", []string{"app"}, nil, []sycplace.Endpoint{app}, []sycplace.Endpoint{other}},
 		{"added", []string{"app", "other"}, []sycplace.Endpoint{app}, []sycplace.Endpoint{other}, nil},
 		{"removed", []string{"other"}, []sycplace.Endpoint{app, other}, nil, []sycplace.Endpoint{app}},
 		{"added again", []string{"app"}, []sycplace.Endpoint{other}, []sycplace.Endpoint{app}, []sycplace.Endpoint{other}},
--- a/internal/peer/sycfleet/registry.go
+++ b/internal/peer/sycfleet/registry.go
@@ -35,9 +35,9 @@
 		return
 	}
 	if !f.registry.Admit(e) {
-		f.passOver(c.Key, sycregistry.UnnamedService, logrus.Fields{
-			"service": e.Service, "address": e.Address, "incarnation": e.Incarnation, "position": c.Position,
-		})
+		if f.registry.Configured() {
+			f.passOverUnnamed(e, logrus.Fields{"position": c.Position})
+		}
 		f.dropEndpoint(c.Key)
 		return
 	}
@@ -91,11 +91,17 @@
 	f.log.WithFields(fields).WithFields(logrus.Fields{"endpoint": key, "reason": string(reason)}).Warn("fleet: endpoint's record passed over")
 }
 
+// passOverUnnamed is passOver for a record whose service no known configuration names.
+func (f *Fleet) passOverUnnamed(e sycplace.Endpoint, fields logrus.Fields) {
+	fields["service"], fields["address"], fields["incarnation"] = e.Service, e.Address, e.Incarnation
+	f.passOver(e.ID, sycregistry.UnnamedService, fields)
+}
+
 // nameServices puts the endpoints of the services that the newest configuration names into use, and takes the others out.
 func (f *Fleet) nameServices(now time.Duration, c *sycsite.Config) {
 	named, unnamed := f.registry.SetServices(c.ServiceNames(), f.selector.Endpoints())
 	for _, e := range unnamed {
-		f.passOver(e.ID, sycregistry.UnnamedService, logrus.Fields{"service": e.Service, "address": e.Address, "config": c.Version()})
+		f.passOverUnnamed(e, logrus.Fields{"config": c.Version()})
 		f.dropEndpoint(e.ID)
 	}
 	for _, e := range named {
