No engine is interrupted unless another one can go on with its streams

Cause: the plan let two engines load at the same time however few there are, with the engines of all services in one list; a stream counted as resumable by its attempts alone, whether or not an engine was left.

Why it works: limits hold in each group of engines that can go on with each other's requests, a third of it loads at a time or one, and one of two or more stays without a cordon. Requests are broken off only while another engine of the group is available without a cordon; the holder asks that again right before the order, and VMs tell their requests as not resumable while no other engine is available to them. The limits over all engines stay, so that with six engines or more of one kind nothing changes.

--- a/internal/decide/sycplace/cold.go
+++ b/internal/decide/sycplace/cold.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// isCold reports whether the endpoint tolerates only few requests.
+func (e *endpoint) isCold(now time.Duration) bool { return e.warmup != nil && !e.warmup.Over(now) }
+
 // CountCold returns how many endpoints are cold or get their load back in steps.
 func (s *Selector) CountCold() int {
 	n := 0
--- a/internal/decide/sycplace/selector.go
+++ b/internal/decide/sycplace/selector.go
@@ -269,9 +269,11 @@
 // Expired reports whether an engine's weights were replaced so long ago that no request may begin there.
 func (s *Selector) Expired(now time.Duration, id string) bool {
 	e := s.endpoints[id]
-	if e == nil {
-		return false
-	}
+	return e != nil && s.expired(now, e)
+}
+
+// expired is Expired for an endpoint.
+func (s *Selector) expired(now time.Duration, e *endpoint) bool {
 	for model := range e.record.Weights {
 		if s.isExpired(now, model, e) {
 			return true
@@ -300,14 +302,19 @@
 	return n
 }
 
-// OwnLoads returns this VM's load at each endpoint where it has requests in flight.
-// The caller reports it to the other VMs.
-func (s *Selector) OwnLoads() []Load {
+// OwnLoads returns this VM's load at each endpoint where it has requests in flight. While no other endpoint could go on
+// with them, as far as this VM knows, none of them counts as resumable. The caller reports it to the other VMs.
+func (s *Selector) OwnLoads(now time.Duration) []Load {
 	var out []Load
 	for _, e := range s.order {
-		if len(e.attempts) > 0 {
-			out = append(out, e.ownLoad)
+		if len(e.attempts) == 0 {
+			continue
+		}
+		load := e.ownLoad
+		if len(e.record.Weights) > 0 && !s.canMove(now, e) {
+			load.NonResumable = load.Requests
 		}
+		out = append(out, load)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/decide/sycreload/group.go
@@ -0,0 +1,49 @@
+package sycreload
+
+// group counts the engines that can go on with each other's requests.
+type group struct {
+	// size counts all, cordoned those that are cordoned, and loading those of them that load.
+	size, cordoned, loading int
+	// standing counts those that are available and not cordoned.
+	standing int
+}
+
+// group returns the groups of the engines, by name.
+func (p *Plan) group(engines []Engine) map[string]*group {
+	out := map[string]*group{}
+	for _, e := range engines {
+		g := out[e.Group]
+		if g == nil {
+			g = &group{}
+			out[e.Group] = g
+		}
+		g.size++
+		if p.loading[e.ID] {
+			g.loading++
+		}
+		switch _, cordoned := p.cordonedSince[e.ID]; {
+		case cordoned:
+			g.cordoned++
+		case !e.Unavailable:
+			g.standing++
+		}
+	}
+	return out
+}
+
+// cordon counts the cordon of an engine.
+func (g *group) cordon(e Engine) {
+	g.standing = g.standingWithout(e)
+	g.cordoned++
+}
+
+// standingWithout returns how many engines would stand if one that isn't cordoned were.
+func (g *group) standingWithout(e Engine) int {
+	if e.Unavailable {
+		return g.standing
+	}
+	return g.standing - 1
+}
+
+// loadLimit returns how many engines of the group may load at a time.
+func (g *group) loadLimit() int { return max(int(maxGroupLoading*float64(g.size)), 1) }
--- a/internal/decide/sycreload/plan.go
+++ b/internal/decide/sycreload/plan.go
@@ -6,6 +6,9 @@
 // concurrent loads slow each other down. A few more are cordoned meanwhile, so that
 // they have no requests left when it's their turn. The engines with the oldest weights
 // go first, so that none falls behind when new versions follow each other quickly.
+//
+// Engines of a group can go on with each other's requests. No engine is made to break off its requests unless another one
+// of its group can go on with them: one that is available, neither cordoned nor loading.
 package sycreload
 
 import (
@@ -15,12 +18,13 @@
 )
 
 const (
-	// maxLoadingFraction limits the fraction of the engines that load weights at the same
-	// time. At least minLoading engines may.
+	// maxLoadingFraction limits the fraction of all engines that load weights at the same time. At least minLoading
+	// may, but no more than maxGroupLoading of a group, or one.
 	maxLoadingFraction = 0.2
+	maxGroupLoading    = 1.0 / 3
 	minLoading         = 2
-	// maxCordonedFraction limits the fraction of the engines that are cordoned, which
-	// includes those that load. At least minLoading engines may always be cordoned.
+	// maxCordonedFraction limits the fraction of all engines, and of a group, that are cordoned, which includes those that
+	// load. At least minLoading may always be, but all but one of a group.
 	maxCordonedFraction = 0.34
 	// interruptAfter is how long an engine whose requests can all resume on other
 	// engines stays cordoned before these requests are interrupted for the load.
@@ -37,6 +41,10 @@
 type Engine struct {
 	// ID is the engine's endpoint ID.
 	ID string
+	// Group names the engines that can go on with each other's requests.
+	Group string
+	// Unavailable is set if the engine can't go on with requests of others, whether or not it is cordoned.
+	Unavailable bool
 	// Behind is the number of versions by which the engine's weights are older than the
 	// newest.
 	Behind int64
@@ -104,34 +112,53 @@
 	slices.SortStableFunc(due, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(b.Behind, a.Behind), cmp.Compare(a.Requests, b.Requests))
 	})
+	groups := p.group(engines)
 	var actions []Action
-	cordonLimit, loadLimit := limitOf(maxCordonedFraction, engines), limitOf(maxLoadingFraction, engines)
 	for _, e := range due {
-		// A cordon costs nothing at an engine that gets no requests anyway.
-		if _, cordoned := p.cordonedSince[e.ID]; cordoned || len(p.cordonedSince) >= cordonLimit && !e.Expired {
+		if !p.mayCordon(e, groups[e.Group], limitOf(maxCordonedFraction, len(engines))) {
 			continue
 		}
 		p.cordonedSince[e.ID] = now
+		groups[e.Group].cordon(e)
 		actions = append(actions, Action{ID: e.ID})
 	}
 	for _, e := range due {
+		g := groups[e.Group]
 		since, cordoned := p.cordonedSince[e.ID]
-		if !cordoned || len(p.loading) >= loadLimit || now < since+announced && !e.Expired {
+		if !cordoned || len(p.loading) >= limitOf(maxLoadingFraction, len(engines)) || g.loading >= g.loadLimit() || now < since+announced && !e.Expired {
 			continue
 		}
-		interrupt := e.Requests > 0 && e.NonResumable == 0
-		if interrupt && now < since+interruptAfter || e.NonResumable > 0 && now < since+loadAnywayAfter {
+		interrupt := e.Requests > 0 && e.NonResumable == 0 && g.standing > 0
+		mustWait := e.Requests > 0 && !interrupt
+		if interrupt && now < since+interruptAfter || mustWait && now < since+loadAnywayAfter {
 			continue
 		}
 		p.loading[e.ID] = true
+		g.loading++
 		actions = append(actions, Action{ID: e.ID, Load: true, Interrupt: interrupt})
 	}
 	return actions
 }
 
-// limitOf returns the limit that is a fraction of the engines.
-func limitOf(fraction float64, engines []Engine) int {
-	return max(minLoading, int(fraction*float64(len(engines))))
+// mayCordon reports whether an engine may be cordoned now. Limit is that of all engines together.
+func (p *Plan) mayCordon(e Engine, g *group, limit int) bool {
+	_, cordoned := p.cordonedSince[e.ID]
+	switch {
+	case cordoned:
+		return false
+	case e.Expired:
+		// A cordon costs nothing at an engine that gets no requests anyway.
+		return true
+	case len(p.cordonedSince) >= limit || g.cordoned >= limitOf(maxCordonedFraction, g.size):
+		return false
+	}
+	// One engine of a group may be cordoned even if no other is available, since new weights can't wait for ever.
+	return g.cordoned == 0 || g.standingWithout(e) > 0
+}
+
+// limitOf returns the limit that is a fraction of a number of engines.
+func limitOf(fraction float64, engines int) int {
+	return max(minLoading, int(fraction*float64(engines)))
 }
 
 // prune removes the cordons of engines that are up to date or no longer listed, unless
--- a/internal/decide/sycreload/plan_test.go
+++ b/internal/decide/sycreload/plan_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// TestNext cordons two engines with requests in progress and checks which actions are
+// TestNext cordons two of six engines with requests in progress and checks which actions are
 // due at a later time, depending on the requests that are left.
 func TestNext(t *testing.T) {
 	busy := func(id string) sycreload.Engine { return sycreload.Engine{ID: id, Behind: 1, Requests: 2} }
@@ -97,9 +97,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := sycreload.New()
-			first := []sycreload.Engine{busy("a"), busy("b"), busy("c")}
+			others := []sycreload.Engine{busy("d"), busy("e"), busy("f")}
+			first := append([]sycreload.Engine{busy("a"), busy("b"), busy("c")}, others...)
 			must.Eq(t, []sycreload.Action{{ID: "a"}, {ID: "b"}}, p.Next(0, announced, first))
-			must.Eq(t, tt.want, p.Next(tt.at, announced, tt.later))
+			must.Eq(t, tt.want, p.Next(tt.at, announced, append(tt.later, others...)))
 		})
 	}
 }
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -155,7 +155,7 @@
 			c.set(usageChange, u.Customer, &sycgossippb.Usage{Customer: u.Customer, Spent: u.Spent, Version: c.version()})
 		}
 	}
-	f.loads.setOwn(f.selector.OwnLoads())
+	f.loads.setOwn(f.selector.OwnLoads(now))
 	for _, l := range f.loads.take() {
 		message := encodeLoad(l)
 		message.Version = c.version()
--- a/internal/peer/sycfleet/orders.go
+++ b/internal/peer/sycfleet/orders.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,7 +47,8 @@
 		records[e.ID] = e
 		load := f.selector.Load(e.ID)
 		engines = append(engines, sycreload.Engine{
-			ID: e.ID, Behind: f.versionsBehind(e), Requests: load.Requests, NonResumable: load.NonResumable, Expired: f.selector.Expired(now, e.ID),
+			ID: e.ID, Group: reloadGroup(e), Unavailable: !f.selector.TakesOver(now, e.ID), Behind: f.versionsBehind(e),
+			Requests: load.Requests, NonResumable: load.NonResumable, Expired: f.selector.Expired(now, e.ID),
 		})
 	}
 	announce := cordonAnnounceTime
@@ -73,6 +77,11 @@
 	}
 }
 
+// reloadGroup returns the name of the engines that serve the same as an engine: its service and its models.
+func reloadGroup(e sycplace.Endpoint) string {
+	return strings.Join(append([]string{e.Service}, slices.Sorted(maps.Keys(e.Weights))...), "\n")
+}
+
 // versionsBehind returns how many versions an engine's weights are behind the newest, the
 // largest number over its models.
 func (f *Fleet) versionsBehind(e sycplace.Endpoint) int64 {
@@ -179,7 +188,7 @@
 		_, holds = f.lease.Holds(now + orderTimeout)
 		term = int64(f.lease.Term())
 		// Since the order was planned, a request may have lost its last other endpoint.
-		o.Interrupt = o.Interrupt && f.selector.Load(e.ID).NonResumable == 0
+		o.Interrupt = o.Interrupt && f.selector.Load(e.ID).NonResumable == 0 && f.selector.CanMove(now, e.ID)
 		if holds {
 			f.orders.Add(1)
 		}
--- a/internal/peer/sycfleet/orders_test.go
+++ b/internal/peer/sycfleet/orders_test.go
@@ -21,7 +21,8 @@
 	return true, nil
 }
 
-// TestLastAttemptIsNotInterrupted guards against an order that breaks off a request whose last attempt has begun since the plan.
+// TestLastAttemptIsNotInterrupted guards against an order that breaks off a request whose last attempt has begun since the plan,
+// or that no other engine can go on with since then.
 func TestLastAttemptIsNotInterrupted(t *testing.T) {
 	tests := []struct {
 		name string
@@ -31,6 +32,10 @@
 	}{
 		{"nothing changes", func(*Fleet) {}, true},
 		{"the attempt is now the last", func(f *Fleet) { f.MarkLast(1) }, false},
+		{"the other engine has got a cordon", func(f *Fleet) {
+			f.loop.Do(func(now time.Duration) { f.selector.Cordon("other", now, now+time.Minute) })
+		}, false},
+		{"the other engine has left", func(f *Fleet) { f.loop.Do(func(time.Duration) { f.selector.Drop("other") }) }, false},
 		{"the attempt ends", func(f *Fleet) { f.FinishAttempt(1, sycplace.Served, "r", time.Second) }, true},
 	}
 	for _, tt := range tests {
@@ -41,7 +46,10 @@
 			f.loop.Do(func(now time.Duration) {
 				n.now = now
 				n.grant(0)
-				target, _ := f.selector.Select(now, &sycplace.Request{ID: 1, Service: "s", Model: "m", Tokens: 50, Remaining: time.Minute, Resumable: true})
+				f.selector.Put(sycplace.Endpoint{ID: "other", Service: "s", Slots: 64, Weights: map[string]int64{"m": 1}})
+				target, _ := f.selector.Select(now, &sycplace.Request{
+					ID: 1, Service: "s", Model: "m", Tokens: 50, Remaining: time.Minute, Resumable: true, Exclude: []string{"other"},
+				})
 				must.NotNil(t, target)
 				must.Eq(t, 0, f.selector.Load("e").NonResumable)
 			})
