A stream that has begun waits for its engines instead of being cut

A stream that was broken off met engines that load weights, each of which rejected it, and was cut within some ms though all were back after 0.43 s and 10 s were left.

Cause: an endpoint that has rejected a stream wasn't asked again, nor the one that it had begun at.

Why it works: a stream of which a part has gone to its caller waits 0.1 to 0.4 s, half of it by chance, or as long as the endpoints ask, and then asks all again, for 2 s at most since its last event: callers leave after that. Four rejections lie between two pauses at most, and each send is charged to the retry budget. What can be refused or fail with an answer still is, at once.

The tests of sycrelay pass unchanged, the bound on rejections among them.

--- a/internal/traffic/sycrelay/attempt.go
+++ b/internal/traffic/sycrelay/attempt.go
@@ -24,7 +24,8 @@
 	// reach its endpoint is the call's last.
 	maxUnreachable = 12
 	// maxRejected limits the attempts that don't count as such since the endpoint has stated that it hasn't run
-	// the request, or another one has answered at its address.
+	// the request, or another one has answered at its address. For a stream that has begun it limits those between two
+	// pauses.
 	maxRejected = 4
 	// notRunRetryAfter is the least time after which a caller may try a request again that no
 	// endpoint has run.
@@ -259,9 +260,24 @@
 	x.relay.fleet.FinishAttempt(x.request.ID, o, x.route.Name, time.Since(started))
 }
 
-// nextAttempt selects the target of another attempt after a failed one. It returns false if
-// the call may have no further attempt.
+// nextAttempt selects the target of another attempt after a failed one. A stream that has begun may wait for that. It returns false if the call may have no further attempt.
 func (x *exchange) nextAttempt(ctx context.Context, last result) bool {
+	if !x.countAttempt(ctx, last) {
+		return false
+	}
+	if x.rejections >= maxRejected && x.mayReturn() && !x.awaitReturn(ctx) {
+		return false
+	}
+	for !x.selectNext(last.arrived) {
+		if !x.awaitReturn(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
+// countAttempt counts a failed attempt, unless it doesn't count. It returns false if the call may have no further one.
+func (x *exchange) countAttempt(ctx context.Context, last result) bool {
 	if ctx.Err() != nil || last.reason == reasonNoTime {
 		return false
 	}
@@ -289,8 +305,14 @@
 			return false
 		}
 	}
+	return true
+}
+
+// selectNext selects the target of the next attempt, and reports whether there is one. Arrived is set if the last one
+// reached its endpoint.
+func (x *exchange) selectNext(arrived bool) bool {
 	x.newRequest()
-	target, verdict := x.relay.fleet.Retry(x.request, x.route.Name, last.arrived)
+	target, verdict := x.relay.fleet.Retry(x.request, x.route.Name, arrived)
 	if x.verdict = verdict; verdict != nil {
 		x.logVerdict(verdict)
 	}
--- a/internal/traffic/sycrelay/relay.go
+++ b/internal/traffic/sycrelay/relay.go
@@ -116,8 +116,10 @@
 	// uncounted is how many attempts weren't counted, without those of withdrawn, whose selection no longer
 	// held.
 	uncounted, withdrawn int
-	// rejections is how many attempts weren't counted since they were rejected; see result.rejected.
+	// rejections is how many attempts weren't counted since they were rejected, see result.rejected, since the last pause.
 	rejections int
+	// returns tracks the waits for an endpoint that goes on with the stream.
+	returns returns
 	// ran is set once an endpoint may have run the request.
 	ran bool
 	// answering is set once bytes of an answer have gone to the caller.
--- a/internal/traffic/sycrelay/stream.go
+++ b/internal/traffic/sycrelay/stream.go
@@ -179,6 +179,7 @@
 		}
 		if advances {
 			x.eventCount++
+			x.returns = returns{}
 		}
 		if err := x.write(raw); err != nil {
 			x.finishAttempt(sycplace.Cancelled, started)
