--- a/internal/traffic/sycrelay/standby.go
+++ b/internal/traffic/sycrelay/standby.go
@@ -253,7 +253,7 @@
 	s, rejectedBy, arrivals, rejections := x.timeout.takeStandby()
 	if len(rejectedBy) > 0 {
 		// The present attempt's endpoint stays the last one.
-		x.tried = slices.Insert(x.tried, len(x.tried)-1, rejectedBy...)
+		x.tried = slices.Insert(x.tried, max(len(x.tried)-1, 0), rejectedBy...)
 	}
 	x.attempts += arrivals
 	x.uncounted += rejections
