Read again: an endpoint that answers is at its address, expired engines don't wait for each other, pauses keep to the endpoints' wish

- An endpoint whose address has answered that it isn't there counted so until its next start.
It counts as there again once it answers itself (TestAddressSaysWhoIsThere).
- Engines whose weights are too old to begin requests count as unable to go on with others', also in the plan, and don't wait for the loads of their group: they serve nothing meanwhile.
The limit over all engines stays.
- The random part of a stream's pause could shorten it below what the endpoints asked for (TestPausesBetweenReturns).
- The list of reasons in sycregistry kept a key that is in use again.

--- a/internal/decide/sycplace/attempt.go
+++ b/internal/decide/sycplace/attempt.go
@@ -139,6 +139,7 @@
 	s.spill.observeEnd(now, a, o)
 	switch o {
 	case Served:
+		s.setMisplaced(a.endpoint, false)
 		a.endpoint.health.Observe(now, sychealth.Success)
 		s.endSingle(a.endpoint)
 	case Failed:
--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -111,7 +111,7 @@
 	// avoidUntil is the end of the pause after the endpoint was at capacity, and faultUntil of that after it had a
 	// fault.
 	avoidUntil, faultUntil time.Duration
-	// misplaced is set once something else has answered at the address.
+	// misplaced is set once something else has answered at the address, until the endpoint itself does.
 	misplaced bool
 	// successor is the endpoint that has ended this one as of the last succession, nil if there is none.
 	successor *endpoint
--- a/internal/decide/sycplace/fault.go
+++ b/internal/decide/sycplace/fault.go
@@ -58,7 +58,7 @@
 	pause := faultPause
 	if moved {
 		pause = movedPause
-		s.misplace(e)
+		s.setMisplaced(e, true)
 	}
 	jitter := time.Duration(float64(pause) / 2 * float64((s.hash^e.hash)%1024) / 1024)
 	e.faultUntil = max(e.faultUntil, now+pause/2+jitter)
--- a/internal/decide/sycplace/fault_test.go
+++ b/internal/decide/sycplace/fault_test.go
@@ -119,7 +119,16 @@
 		changes = append(changes, succession.Change)
 	}
 	must.Eq(t, []sycplace.SuccessionChange{sycplace.LaterStarted, sycplace.LaterElsewhere}, changes)
-	// Its next start is believed again.
+	// It is believed again once it has answered, and after its next start.
+	const later = 5 * time.Minute
+	_, refusal := s.Select(later, &sycplace.Request{ID: 3, Service: "app", Exclude: []string{"there"}, Remaining: time.Minute})
+	must.Nil(t, refusal)
+	s.Finish(later, 3, sycplace.Served)
+	must.False(t, s.Runs("there"))
+	_, refusal = s.Select(later, &sycplace.Request{ID: 4, Service: "app", Remaining: time.Minute})
+	must.Nil(t, refusal)
+	s.Finish(later, 4, sycplace.Moved)
+	must.True(t, s.Runs("there"))
 	s.Put(sycplace.Endpoint{ID: "claims", Service: "app", Address: "10.0.0.1:80", Slots: 6, Incarnation: 3})
 	must.False(t, s.Runs("there"))
 }
--- a/internal/decide/sycplace/succession.go
+++ b/internal/decide/sycplace/succession.go
@@ -46,6 +46,8 @@
 	case has && e.successor == nil:
 		e.successor = s.latest[e.record.Address]
 		s.successions = append(s.successions, Succession{LaterStarted, e.record, e.successor.record})
+	case has:
+		e.successor = s.latest[e.record.Address]
 	case !has && e.successor != nil:
 		change := LaterGone
 		if e.successor.misplaced {
@@ -66,11 +68,11 @@
 	return latest != nil && latest.record.Incarnation > e.record.Incarnation
 }
 
-// misplace records that something else than an endpoint has answered at its address. Until its next start it ends no
-// other endpoint there, whatever its record says.
-func (s *Selector) misplace(e *endpoint) {
-	if !e.misplaced {
-		e.misplaced = true
+// setMisplaced records whether something else than an endpoint has answered at its address, or the endpoint itself. Until it
+// answers there, or starts again, a misplaced one ends no other endpoint, whatever its record says.
+func (s *Selector) setMisplaced(e *endpoint, misplaced bool) {
+	if e.misplaced != misplaced {
+		e.misplaced = misplaced
 		s.indexAddresses()
 	}
 }
--- a/internal/decide/sycregistry/registry.go
+++ b/internal/decide/sycregistry/registry.go
@@ -2,7 +2,7 @@
 // topic with a record for each endpoint. Others than the endpoints may write into it.
 //
 // A record names an endpoint only if it is complete and the configuration names its service. Any other record is passed
-// over: it changes nothing for any endpoint. A record of a service that isn't named is kept, since a later configuration
+// over: it takes the endpoint that its key named before out of use, and changes nothing for any other. A record of a service that isn't named is kept, since a later configuration
 // may name the service while the record stays as it is.
 package sycregistry
 
@@ -78,7 +78,7 @@
 func (r *Registry) Admit(e sycplace.Endpoint) bool {
 	r.Drop(e.ID)
 	if r.services[e.Service] {
-		delete(r.passedOver, e.ID)
+		r.forgetReason(e.ID)
 		return true
 	}
 	r.aside[e.ID] = e
@@ -88,6 +88,14 @@
 // Drop forgets the record of an ID, which was deleted or replaced by one that names no endpoint.
 func (r *Registry) Drop(id string) { delete(r.aside, id) }
 
+// forgetReason forgets why a record of an ID was passed over.
+func (r *Registry) forgetReason(id string) {
+	if _, known := r.passedOver[id]; known {
+		delete(r.passedOver, id)
+		r.order = slices.DeleteFunc(r.order, func(one string) bool { return one == id })
+	}
+}
+
 // PassOver records why the newest record of an ID is passed over, and reports whether that is new.
 func (r *Registry) PassOver(id string, reason Reason) bool {
 	before, known := r.passedOver[id]
--- a/internal/decide/sycreload/group.go
+++ b/internal/decide/sycreload/group.go
@@ -4,10 +4,13 @@
 type group struct {
 	// size counts all, cordoned those that are cordoned, and loading those of them that load.
 	size, cordoned, loading int
-	// standing counts those that are available and not cordoned.
+	// standing counts those that aren't cordoned and can go on with requests of others.
 	standing int
 }
 
+// takesOver reports whether the engine could go on with requests of others, but for a cordon.
+func (e Engine) takesOver() bool { return !e.Unavailable && !e.Expired }
+
 // group returns the groups of the engines, by name.
 func (p *Plan) group(engines []Engine) map[string]*group {
 	out := map[string]*group{}
@@ -24,7 +27,7 @@
 		switch _, cordoned := p.cordonedSince[e.ID]; {
 		case cordoned:
 			g.cordoned++
-		case !e.Unavailable:
+		case e.takesOver():
 			g.standing++
 		}
 	}
@@ -39,10 +42,10 @@
 
 // standingWithout returns how many engines would stand if one that isn't cordoned were.
 func (g *group) standingWithout(e Engine) int {
-	if e.Unavailable {
-		return g.standing
+	if e.takesOver() {
+		return g.standing - 1
 	}
-	return g.standing - 1
+	return g.standing
 }
 
 // loadLimit returns how many engines of the group may load at a time.
--- a/internal/decide/sycreload/plan.go
+++ b/internal/decide/sycreload/plan.go
@@ -125,7 +125,10 @@
 	for _, e := range due {
 		g := groups[e.Group]
 		since, cordoned := p.cordonedSince[e.ID]
-		if !cordoned || len(p.loading) >= limitOf(maxLoadingFraction, len(engines)) || g.loading >= g.loadLimit() || now < since+announced && !e.Expired {
+		if !cordoned || len(p.loading) >= limitOf(maxLoadingFraction, len(engines)) {
+			continue
+		}
+		if (g.loading >= g.loadLimit() || now < since+announced) && !e.Expired {
 			continue
 		}
 		interrupt := e.Requests > 0 && e.NonResumable == 0 && g.standing > 0
--- a/internal/traffic/sycrelay/return.go
+++ b/internal/traffic/sycrelay/return.go
@@ -27,14 +27,15 @@
 	pause time.Duration
 }
 
-// next returns the next pause. Wish is how long the endpoints want to be left alone. It returns false once the wait would be
-// longer than maxReturnWait since the first pause.
-func (r *returns) next(now time.Time, wish time.Duration) (time.Duration, bool) {
+// next returns the next pause. Wish is how long the endpoints want to be left alone. Share, from 0 to 1, shortens the pause by
+// up to a half, but not below the wish, so that streams that broke off together don't return together. It returns false once
+// the wait would be longer than maxReturnWait since the first pause.
+func (r *returns) next(now time.Time, wish time.Duration, share float64) (time.Duration, bool) {
 	if r.until.IsZero() {
 		r.until = now.Add(maxReturnWait)
 	}
 	r.pause = min(max(2*r.pause, minReturnPause), maxReturnPause)
-	pause := max(r.pause, wish)
+	pause := max(r.pause-time.Duration(share*float64(r.pause/2)), wish)
 	return pause, now.Add(pause).Before(r.until)
 }
 
@@ -50,7 +51,7 @@
 	if !x.mayReturn() {
 		return false
 	}
-	pause, ok := x.returns.next(time.Now(), x.relay.fleet.PauseLeft(x.request))
+	pause, ok := x.returns.next(time.Now(), x.relay.fleet.PauseLeft(x.request), rand.Float64())
 	if !ok || time.Until(x.deadline) < pause+minRemaining {
 		return false
 	}
@@ -58,8 +59,7 @@
 	x.relay.log.WithFields(logrus.Fields{
 		"id": x.call.ID, "route": x.route.Name, "after_event": x.lastEvent, "tried": x.tried, "pause": pause.String(), "rejections": x.rejections,
 	}).Info("relay: stream waits for an endpoint")
-	// Streams that broke off together don't return together.
-	timer := time.NewTimer(pause/2 + rand.N(pause/2))
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/traffic/sycrelay/return_test.go
+++ b/internal/traffic/sycrelay/return_test.go
@@ -116,18 +116,24 @@
 	tests := []struct {
 		name string
 		wish time.Duration
-		want []time.Duration
+		// share is by how much the pauses are shortened.
+		share float64
+		want  []time.Duration
 	}{
-		{"no wish", 0, []time.Duration{minReturnPause, 2 * minReturnPause, maxReturnPause, maxReturnPause, maxReturnPause, maxReturnPause}},
-		{"a wish", 600 * time.Millisecond, []time.Duration{600 * time.Millisecond, 600 * time.Millisecond, 600 * time.Millisecond}},
-		{"a long wish", time.Minute, nil},
+		{"shortened", 0, 1, []time.Duration{
+			minReturnPause / 2, minReturnPause, maxReturnPause / 2, maxReturnPause / 2, maxReturnPause / 2, maxReturnPause / 2, maxReturnPause / 2,
+			maxReturnPause / 2, maxReturnPause / 2, maxReturnPause / 2, maxReturnPause / 2,
+		}},
+		{"no wish", 0, 0, []time.Duration{minReturnPause, 2 * minReturnPause, maxReturnPause, maxReturnPause, maxReturnPause, maxReturnPause}},
+		{"a wish", 600 * time.Millisecond, 1, []time.Duration{600 * time.Millisecond, 600 * time.Millisecond, 600 * time.Millisecond}},
+		{"a long wish", time.Minute, 0, nil},
 	}
 	for _, tt := range tests {
 		var r returns
 		var pauses []time.Duration
 		now := time.Now()
 		for {
-			pause, ok := r.next(now, tt.wish)
+			pause, ok := r.next(now, tt.wish, tt.share)
 			if !ok {
 				break
 			}
