Orders break off no more streams than the retry budget allows, and at most half of a small group is cordoned

Cause: each stream that an order breaks off takes a retry when it is sent on. Interrupts of 43 and 37 streams within 2.4 s used up the service's budget, so that the rest of them found no endpoint for 2 s and was cut. That many ran on one engine because two of three were cordoned.

Evidence: the VMs' lines show waits without a rejection in between and retries_left of -4 to 0. Ruled out: engines that reject, full engines (rejections are 0, and the engines were idle).

Why it works: a VM tells its requests at engines with a cordon as not resumable once they need more than half of its retries; the order is wait then. At most half of a group is cordoned, so that its other engines share the requests. Nothing changes for a group of six engines or more but for the budget.

TestInterruptsLeaveRetries. TestExpiredEnginesLoadAtOnce has four engines now, two of which get a cordon as before.

--- a/internal/decide/sycplace/endpoint.go
+++ b/internal/decide/sycplace/endpoint.go
@@ -81,6 +81,8 @@
 	attempts map[uint64]*attempt
 	// ownLoad is the load from this VM, the sum over attempts.
 	ownLoad Load
+	// held is set while none of this VM's attempts may be broken off for an order, see HoldRequests.
+	held bool
 	// peerLoads holds the loads of other VMs or of groups of them, by peer.
 	peerLoads map[string]Load
 	// peerSum is the sum of peerLoads.
--- a/internal/decide/sycplace/load.go
+++ b/internal/decide/sycplace/load.go
@@ -20,9 +20,18 @@
 	l.Tokens += factor * other.Tokens
 }
 
+// told returns the endpoint's load from this VM as it tells it to others.
+func (e *endpoint) told() Load {
+	l := e.ownLoad
+	if e.held {
+		l.NonResumable = l.Requests
+	}
+	return l
+}
+
 // load returns the endpoint's load from all VMs.
 func (e *endpoint) load() Load {
-	l := e.ownLoad
+	l := e.told()
 	l.add(e.peerSum, 1)
 	return l
 }
--- a/internal/decide/sycplace/selector.go
+++ b/internal/decide/sycplace/selector.go
@@ -302,19 +302,14 @@
 	return n
 }
 
-// OwnLoads returns this VM's load at each endpoint where it has requests in flight. While no other endpoint could go on
-// with them, as far as this VM knows, none of them counts as resumable. The caller reports it to the other VMs.
-func (s *Selector) OwnLoads(now time.Duration) []Load {
+// OwnLoads returns this VM's load at each endpoint where it has requests in flight. Requests that HoldRequests holds count as
+// not resumable. The caller reports it to the other VMs.
+func (s *Selector) OwnLoads() []Load {
 	var out []Load
 	for _, e := range s.order {
-		if len(e.attempts) == 0 {
-			continue
+		if len(e.attempts) > 0 {
+			out = append(out, e.told())
 		}
-		load := e.ownLoad
-		if len(e.record.Weights) > 0 && !s.canMove(now, e) {
-			load.NonResumable = load.Requests
-		}
-		out = append(out, load)
 	}
 	return out
 }
--- a/internal/decide/sycplace/spill_test.go
+++ b/internal/decide/sycplace/spill_test.go
@@ -195,7 +195,7 @@
 
 // tell tells a VM's loads to the others that it reaches, later.
 func (s *sim) tell(at time.Duration, from int) {
-	loads := s.vms[from].OwnLoads(at)
+	loads := s.vms[from].OwnLoads()
 	s.events = append(s.events, event{at, func(now time.Duration) {
 		for i, vm := range s.vms {
 			if i == from {
--- a/internal/decide/sycplace/takeover.go
+++ b/internal/decide/sycplace/takeover.go
@@ -35,6 +35,28 @@
 	return false
 }
 
+// HoldRequests decides which engines must not break off this VM's requests, until the next call: those whose requests no other
+// endpoint could go on with, and those beyond the retries that orders may use up. Spare returns the number of these for a service.
+// Only engines with a cordon are interrupted, so that they share the retries.
+func (s *Selector) HoldRequests(now time.Duration, spare func(service string) float64) {
+	left := map[string]float64{}
+	for _, e := range s.order {
+		e.held = len(e.attempts) > 0 && len(e.record.Weights) > 0 && !s.canMove(now, e)
+		if e.held || len(e.attempts) == 0 || now >= s.cordons[e.record.ID] {
+			continue
+		}
+		service, needed := e.record.Service, float64(e.ownLoad.Requests)
+		if _, known := left[service]; !known {
+			left[service] = spare(service)
+		}
+		if needed > left[service] {
+			e.held = true
+			continue
+		}
+		left[service] -= needed
+	}
+}
+
 // servesLike reports whether the endpoint serves what another one does: the same service and the same models.
 func (e *endpoint) servesLike(other *endpoint) bool {
 	if e.record.Service != other.record.Service || len(e.record.Weights) != len(other.record.Weights) {
--- a/internal/decide/sycplace/takeover_test.go
+++ b/internal/decide/sycplace/takeover_test.go
@@ -61,7 +61,62 @@
 			if tt.moves {
 				nonResumable = 0
 			}
-			must.Eq(t, nonResumable, s.OwnLoads(now)[0].NonResumable)
+			s.HoldRequests(now, func(string) float64 { return 9 })
+			must.Eq(t, nonResumable, s.OwnLoads()[0].NonResumable)
+			must.Eq(t, nonResumable, s.Load("a").NonResumable)
+		})
+	}
+}
+
+// TestInterruptsLeaveRetries guards against an order that breaks off more requests than may be sent again, all of which are then
+// cut, and against engines with a cordon that each count on the same retries.
+func TestInterruptsLeaveRetries(t *testing.T) {
+	tests := []struct {
+		name     string
+		spare    float64
+		cordoned []string
+		// held are the engines whose requests must not be broken off.
+		held []string
+	}{
+		{"enough for both", 6, []string{"a", "b"}, nil},
+		{"enough for one", 5, []string{"a", "b"}, []string{"b"}},
+		{"enough for the cordoned one", 3, []string{"b"}, nil},
+		{"not enough", 2.9, []string{"a", "b"}, []string{"a", "b"}},
+		{"less than none", -1, []string{"a"}, []string{"a"}},
+		{"no cordon", 0, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const now = time.Minute
+			s := sycplace.New(sycplace.Settings{FailureDomain: "z0", TokensPerSecond: 60000})
+			for _, engine := range []string{"a", "b", "c", "idle"} {
+				s.Put(sycplace.Endpoint{ID: engine, Service: "chat", Address: engine, Slots: 64, Incarnation: 1, Weights: map[string]int64{"m": 1}})
+			}
+			id := uint64(0)
+			for _, engine := range []string{"a", "b", "c"} {
+				for range 3 {
+					id++
+					r := &sycplace.Request{ID: id, Service: "chat", Model: "m", Remaining: time.Minute, Resumable: true}
+					for _, other := range []string{"a", "b", "c", "idle"} {
+						if other != engine {
+							r.Exclude = append(r.Exclude, other)
+						}
+					}
+					_, refusal := s.Select(now, r)
+					must.Nil(t, refusal)
+				}
+			}
+			for _, engine := range tt.cordoned {
+				s.Cordon(engine, now, now+time.Second)
+			}
+			s.HoldRequests(now, func(string) float64 { return tt.spare })
+			var held []string
+			for _, engine := range []string{"a", "b", "c"} {
+				if s.Load(engine).NonResumable > 0 {
+					held = append(held, engine)
+				}
+			}
+			must.Eq(t, tt.held, held)
 		})
 	}
 }
--- a/internal/decide/sycreload/group.go
+++ b/internal/decide/sycreload/group.go
@@ -48,5 +48,10 @@
 	return g.standing
 }
 
+// cordonLimit returns how many engines of the group may be cordoned at a time.
+func (g *group) cordonLimit() int {
+	return max(min(limitOf(maxCordonedFraction, g.size), int(maxGroupCordoned*float64(g.size))), 1)
+}
+
 // loadLimit returns how many engines of the group may load at a time.
 func (g *group) loadLimit() int { return max(int(maxGroupLoading*float64(g.size)), 1) }
--- a/internal/decide/sycreload/plan.go
+++ b/internal/decide/sycreload/plan.go
@@ -24,8 +24,10 @@
 	maxGroupLoading    = 1.0 / 3
 	minLoading         = 2
 	// maxCordonedFraction limits the fraction of all engines, and of a group, that are cordoned, which includes those that
-	// load. At least minLoading may always be, but all but one of a group.
+	// load. At least minLoading may always be, but no more than maxGroupCordoned of a group, or one: the others get the
+	// requests of all.
 	maxCordonedFraction = 0.34
+	maxGroupCordoned    = 0.5
 	// interruptAfter is how long an engine whose requests can all resume on other
 	// engines stays cordoned before these requests are interrupted for the load.
 	interruptAfter = 1200 * time.Millisecond
@@ -152,7 +154,7 @@
 	case e.Expired:
 		// A cordon costs nothing at an engine that gets no requests anyway.
 		return true
-	case len(p.cordonedSince) >= limit || g.cordoned >= limitOf(maxCordonedFraction, g.size):
+	case len(p.cordonedSince) >= limit || g.cordoned >= g.cordonLimit():
 		return false
 	}
 	// One engine of a group may be cordoned even if no other is available, since new weights can't wait for ever.
--- a/internal/decide/sycreload/plan_test.go
+++ b/internal/decide/sycreload/plan_test.go
@@ -109,7 +109,9 @@
 // wait for a cordon that others have.
 func TestExpiredEnginesLoadAtOnce(t *testing.T) {
 	p := sycreload.New()
-	list := []sycreload.Engine{{ID: "a", Behind: 1, Requests: 2}, {ID: "b", Behind: 1, Requests: 2}, {ID: "c", Behind: 1, Requests: 2}}
+	list := []sycreload.Engine{
+		{ID: "a", Behind: 1, Requests: 2}, {ID: "b", Behind: 1, Requests: 2}, {ID: "c", Behind: 1, Requests: 2}, {ID: "d", Behind: 1, Requests: 2},
+	}
 	must.Eq(t, []sycreload.Action{{ID: "a"}, {ID: "b"}}, p.Next(0, announced, list))
 	list[2].Expired, list[2].Requests = true, 0
 	must.Eq(t, []sycreload.Action{{ID: "c"}, {ID: "c", Load: true}}, p.Next(1, announced, list))
--- a/internal/peer/sycfleet/changes.go
+++ b/internal/peer/sycfleet/changes.go
@@ -155,7 +155,8 @@
 			c.set(usageChange, u.Customer, &sycgossippb.Usage{Customer: u.Customer, Spent: u.Spent, Version: c.version()})
 		}
 	}
-	f.loads.setOwn(f.selector.OwnLoads(now))
+	f.holdRequests(now)
+	f.loads.setOwn(f.selector.OwnLoads())
 	for _, l := range f.loads.take() {
 		message := encodeLoad(l)
 		message.Version = c.version()
--- a/internal/peer/sycfleet/orders.go
+++ b/internal/peer/sycfleet/orders.go
@@ -31,6 +31,8 @@
 	// engineTimeout limits a request for an engine's report. A call for cache events has
 	// cachePollWait in addition.
 	engineTimeout = 700 * time.Millisecond
+	// interruptRetries is the part of a service's retries that orders may use up. The rest is left for failures.
+	interruptRetries = 0.5
 	// orderTimeout limits an order. One that is given up then never arrives any more.
 	orderTimeout = engineTimeout / 2
 )
@@ -38,6 +40,7 @@
 // orderWeights starts the loads that are due by the plan and cordons the engines that the
 // plan wants cordoned.
 func (f *Fleet) orderWeights(now time.Duration) {
+	f.holdRequests(now)
 	var engines []sycreload.Engine
 	records := map[string]sycplace.Endpoint{}
 	for _, e := range f.selector.Endpoints() {
@@ -77,6 +80,14 @@
 	}
 }
 
+// holdRequests decides which engines must not break off this VM's requests now. Each request that is broken off takes a retry
+// of its service.
+func (f *Fleet) holdRequests(now time.Duration) {
+	f.selector.HoldRequests(now, func(service string) float64 {
+		return interruptRetries * f.retries.Get(now, service).Left(now)
+	})
+}
+
 // reloadGroup returns the name of the engines that serve the same as an engine: its service and its models.
 func reloadGroup(e sycplace.Endpoint) string {
 	return strings.Join(append([]string{e.Service}, slices.Sorted(maps.Keys(e.Weights))...), "\n")
@@ -188,6 +199,7 @@
 		_, holds = f.lease.Holds(now + orderTimeout)
 		term = int64(f.lease.Term())
 		// Since the order was planned, a request may have lost its last other endpoint.
+		f.holdRequests(now)
 		o.Interrupt = o.Interrupt && f.selector.Load(e.ID).NonResumable == 0 && f.selector.CanMove(now, e.ID)
 		if holds {
 			f.orders.Add(1)
