--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the third review start, into target/review3/.
+# Builds the stand-ins that the scripts of the third review start, into target/review-3/.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review3/ ./review/standins3/...
+mkdir -p target/review-3
+go test -c -tags review -o target/review-3/named ./review/standins3/named
