--- a/review/standins3/named/named_test.go
+++ b/review/standins3/named/named_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Package named_test plays case 12 with real processes: weights are named, and all VMs are killed twice before one of
+// Package named_test plays case 13 with real processes: weights are named, and all VMs are killed twice before one of
 // them can order an engine to load them. It exits with 1 if a VM in touch has sent a request on to an engine with the
 // old weights later than the bound, with 0 if none has, and with 2 if the case couldn't be played.
 package named_test
@@ -216,7 +216,7 @@
 
 // play plays the case, and returns how many requests broke the rule.
 func play(r *record, trouble bool) (int, error) {
-	dir, err := os.MkdirTemp("", "review-12-")
+	dir, err := os.MkdirTemp("", "review-13-")
 	if err != nil {
 		return 0, err
 	}
