--- a/review/standins3/named/named_test.go
+++ b/review/standins3/named/named_test.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -124,6 +125,7 @@
 	switch {
 	case err != nil:
 		r.add("couldn't be played: %v", err)
+		fmt.Println("couldn't be played:", err)
 		code = 2
 	case broken > 0:
 		code = 1
@@ -135,18 +137,22 @@
 	os.Exit(code)
 }
 
-// freeAddresses returns addresses with free ports.
+// freeAddresses returns addresses with different free ports, below those that the kernel gives to outgoing connections.
 func freeAddresses(n int) ([]string, error) {
+	const lowest, count = 20000, 12000
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for _, i := range rand.Perm(count) {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+i)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if out = append(out, address); len(out) == n {
+			return out, nil
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, errors.New("no free ports")
 }
 
 // start starts a VM's process as the deploy file does.
@@ -248,15 +254,17 @@
 			}
 		}
 	})
+	const each = 4
+	addresses, err := freeAddresses(each * vmCount)
+	if err != nil {
+		return 0, err
+	}
 	var vms []*vm
 	var seeds []string
 	for i := range vmCount {
-		addresses, err := freeAddresses(4)
-		if err != nil {
-			return 0, err
-		}
-		vms = append(vms, &vm{number: i + 1, addresses: addresses, dir: dir})
-		seeds = append(seeds, addresses[2])
+		own := addresses[each*i : each*(i+1)]
+		vms = append(vms, &vm{number: i + 1, addresses: own, dir: dir})
+		seeds = append(seeds, own[2])
 	}
 	defer func() {
 		for _, v := range vms {
